--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+BIN := bin
+GO ?= go
+GOFUMPT := $(GO) run mvdan.cc/gofumpt@v0.12.0
+REVIVE := $(GO) run github.com/mgechev/revive@v1.10.0
+STATICCHECK := $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.8.2
+
+.PHONY: build test lint demo fleet bench
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+test:
+	$(GO) test -count=1 ./...
+
+lint:
+	@out="$$($(GOFUMPT) -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))"; if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
+	$(GO) vet ./...
+	$(REVIVE) -config revive.toml -set_exit_status -formatter friendly -exclude '**/*.pb.go' ./...
+	$(STATICCHECK) ./...
+
+demo: build
+	$(BIN)/dotterel-demo story
+
+fleet: build
+	@exec $(BIN)/dotterel-demo fleet
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 200ms ./core/...
--- /dev/null
+++ b/core/position/doc.go
@@ -0,0 +1,2 @@
+// Package position holds positions in a group's log, term histories and session tokens.
+package position
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses the backend server that runs a statement.
+package route
