--- a/core/config/doc.go
+++ b/core/config/doc.go
@@ -1,2 +1,2 @@
-// Package config keeps versioned configuration entries: it applies only newer versions and computes deltas.
+// Package config holds versioned configuration entries: it applies them, refuses older ones and computes deltas.
 package config
--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -1,81 +1,58 @@
 package config
 
 import (
+	"strings"
+
 	"dotterelgw/core/ids"
-	"dotterelgw/core/position"
 )
 
-// Prefixes of the keys in the key-value service.
+// Prefix is the common prefix of all keys in the key-value service.
+const Prefix = "/dotterelgw/"
+
+// SharesKey is the key of the share epoch and the VMs that hold shares.
+const SharesKey = Prefix + "shares"
+
 const (
-	// Prefix is the prefix of every key of the project.
-	Prefix = "/dotterelgw/"
-	// ContractPrefix is the prefix of the contract keys.
-	ContractPrefix = Prefix + "contracts/"
-	// GroupPrefix is the prefix of the group keys.
-	GroupPrefix = Prefix + "groups/"
-	// TermPrefix is the prefix of the term keys.
-	TermPrefix = Prefix + "terms/"
-	// SharesKey is the key of the share epoch.
-	SharesKey = Prefix + "shares"
+	contractPrefix = Prefix + "contracts/"
+	groupPrefix    = Prefix + "groups/"
+	termPrefix     = Prefix + "terms/"
 )
 
-// Entry is one configuration entry.
+// Entry is one configuration entry; its revision is the key's mod_revision.
 type Entry struct {
-	// Key is the key in the key-value service.
+	// Key is the full key, with Prefix.
 	Key string
-	// Value is the stored value, JSON for every key of the project.
+	// Value is the JSON value; it is shared and must not be changed.
 	Value []byte
-	// Revision is the mod_revision of this version.
+	// Revision is the service's mod_revision of the key.
 	Revision ids.Revision
 }
 
-// GroupRecord is the JSON value stored under a group key.
-type GroupRecord struct {
-	// Group names the group.
-	Group ids.GroupID `json:"group"`
-	// Servers holds the group's backend servers.
-	Servers []ServerRecord `json:"servers"`
-	// Connections is the number of connections that each server accepts.
-	Connections int `json:"connections"`
-	// Slots is the number of statements that each server runs at the same time.
-	Slots int `json:"slots"`
-}
-
-// ServerRecord describes one backend server of a group.
-type ServerRecord struct {
-	// ID names the server.
-	ID ids.BackendServerID `json:"id"`
-	// Address is the server's host and port.
-	Address string `json:"address"`
-	// AvailabilityZone is the server's availability zone.
-	AvailabilityZone ids.AvailabilityZone `json:"availability_zone"`
-}
-
-// TermRecord is the JSON value stored under a term key.
-type TermRecord struct {
-	// Term is the group's highest term.
-	Term ids.Term `json:"term"`
-	// Primary is the primary of the term; in a step other than steady, of the term before.
-	Primary ids.BackendServerID `json:"primary"`
-	// Step is the step of the promotion: fencing, promoting or steady.
-	Step string `json:"step"`
-	// Orderer is the VM that carries out the promotion.
-	Orderer ids.VMID `json:"orderer"`
-	// Candidate is the server that is to be promoted, recorded from the step promoting.
-	Candidate ids.BackendServerID `json:"candidate"`
-	// Start is the log position at which the term begins.
-	Start ids.LogPosition `json:"start"`
-	// Starts holds, for each known term in rising order, the position at which it began.
-	Starts []position.Position `json:"starts"`
-}
-
 // ContractKey returns the key of the organisation's contract.
 func ContractKey(organisation ids.OrganisationID) string {
-	return ContractPrefix + string(organisation)
+	return contractPrefix + string(organisation)
 }
 
 // GroupKey returns the key of the group's record.
-func GroupKey(group ids.GroupID) string { return GroupPrefix + string(group) }
+func GroupKey(group ids.GroupID) string { return groupPrefix + string(group) }
 
 // TermKey returns the key of the group's term record.
-func TermKey(group ids.GroupID) string { return TermPrefix + string(group) }
+func TermKey(group ids.GroupID) string { return termPrefix + string(group) }
+
+// ContractOf returns the organisation whose contract the key holds, and false for other keys.
+func ContractOf(key string) (ids.OrganisationID, bool) {
+	organisation, ok := strings.CutPrefix(key, contractPrefix)
+	return ids.OrganisationID(organisation), ok && organisation != ""
+}
+
+// GroupOf returns the group whose record the key holds, and false for other keys.
+func GroupOf(key string) (ids.GroupID, bool) {
+	group, ok := strings.CutPrefix(key, groupPrefix)
+	return ids.GroupID(group), ok && group != ""
+}
+
+// TermOf returns the group whose term record the key holds, and false for other keys.
+func TermOf(key string) (ids.GroupID, bool) {
+	group, ok := strings.CutPrefix(key, termPrefix)
+	return ids.GroupID(group), ok && group != ""
+}
