--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -6,16 +6,18 @@
 	"dotterelgw/core/ids"
 )
 
-// Prefix is the common prefix of all keys in the key-value service.
-const Prefix = "/dotterelgw/"
-
-// SharesKey is the key of the share epoch and the VMs that hold shares.
-const SharesKey = Prefix + "shares"
-
+// Prefixes of the keys in the key-value service.
 const (
-	contractPrefix = Prefix + "contracts/"
-	groupPrefix    = Prefix + "groups/"
-	termPrefix     = Prefix + "terms/"
+	// Prefix is the prefix of every key of the project.
+	Prefix = "/dotterelgw/"
+	// ContractPrefix is the prefix of the contract keys.
+	ContractPrefix = Prefix + "contracts/"
+	// GroupPrefix is the prefix of the group keys.
+	GroupPrefix = Prefix + "groups/"
+	// TermPrefix is the prefix of the term keys.
+	TermPrefix = Prefix + "terms/"
+	// SharesKey is the key of the share epoch and the VMs that hold shares.
+	SharesKey = Prefix + "shares"
 )
 
 // Entry is one configuration entry; its revision is the key's mod_revision.
@@ -30,29 +32,29 @@
 
 // ContractKey returns the key of the organisation's contract.
 func ContractKey(organisation ids.OrganisationID) string {
-	return contractPrefix + string(organisation)
+	return ContractPrefix + string(organisation)
 }
 
 // GroupKey returns the key of the group's record.
-func GroupKey(group ids.GroupID) string { return groupPrefix + string(group) }
+func GroupKey(group ids.GroupID) string { return GroupPrefix + string(group) }
 
 // TermKey returns the key of the group's term record.
-func TermKey(group ids.GroupID) string { return termPrefix + string(group) }
+func TermKey(group ids.GroupID) string { return TermPrefix + string(group) }
 
 // ContractOf returns the organisation whose contract the key holds, and false for other keys.
 func ContractOf(key string) (ids.OrganisationID, bool) {
-	organisation, ok := strings.CutPrefix(key, contractPrefix)
+	organisation, ok := strings.CutPrefix(key, ContractPrefix)
 	return ids.OrganisationID(organisation), ok && organisation != ""
 }
 
 // GroupOf returns the group whose record the key holds, and false for other keys.
 func GroupOf(key string) (ids.GroupID, bool) {
-	group, ok := strings.CutPrefix(key, groupPrefix)
+	group, ok := strings.CutPrefix(key, GroupPrefix)
 	return ids.GroupID(group), ok && group != ""
 }
 
 // TermOf returns the group whose term record the key holds, and false for other keys.
 func TermOf(key string) (ids.GroupID, bool) {
-	group, ok := strings.CutPrefix(key, termPrefix)
+	group, ok := strings.CutPrefix(key, TermPrefix)
 	return ids.GroupID(group), ok && group != ""
 }
--- a/core/config/record.go
+++ b/core/config/record.go
@@ -44,13 +44,13 @@
 type TermRecord struct {
 	// Term is the highest term taken for the group.
 	Term ids.Term `json:"term"`
-	// Primary is the primary of the term; empty while a promotion has none.
+	// Primary is the primary of the term; in a step other than steady, of the term before.
 	Primary ids.BackendServerID `json:"primary"`
-	// Step is the step of the promotion: steady, fencing or promoting.
+	// Step is the step of the promotion: fencing, promoting or steady.
 	Step string `json:"step"`
 	// Orderer is the VM that carries out the promotion.
 	Orderer ids.VMID `json:"orderer"`
-	// Candidate is the server chosen for promotion.
+	// Candidate is the server that is to be promoted, recorded from the step promoting.
 	Candidate ids.BackendServerID `json:"candidate"`
 	// Start is the log position at which the term begins.
 	Start ids.LogPosition `json:"start"`
