--- /dev/null
+++ b/core/position/history.go
@@ -0,0 +1,71 @@
+package position
+
+import "dotterelgw/core/ids"
+
+// MaxStarts bounds the length of a term history. At 51 promotions a day over 7,000 groups, 64 entries last a group
+// for decades; positions of forgotten terms are treated as not reached and lead to the primary.
+const MaxStarts = 64
+
+// Reached states whether a server that has replayed up to the first position has all that precedes the second.
+// The starts are the history of the group: for each term in rising order, the position at which it began. A
+// position beyond the start of the following term was lost and is never reached; so is one of an unknown history.
+func Reached(replayed, want Position, starts []Position) bool {
+	return replayed.Log >= want.Log && Contains(replayed.Term, want, starts)
+}
+
+// Contains states whether the log that ends in the term includes the position, if it is long enough.
+func Contains(term ids.Term, want Position, starts []Position) bool {
+	if want.Log == 0 || term == want.Term {
+		return true
+	}
+	index := Index(starts, want.Term)
+	if index < 0 {
+		return false
+	}
+	// Up to its start a term's log is that of the term before it.
+	for index > 0 && want.Log <= starts[index].Log {
+		index--
+		if starts[index].Term == term {
+			return true
+		}
+	}
+	if term < starts[index].Term || Index(starts, term) < 0 {
+		return false
+	}
+	return index+1 < len(starts) && want.Log <= starts[index+1].Log
+}
+
+// Index returns the index of the term in the history, or -1.
+func Index(starts []Position, term ids.Term) int {
+	for index := len(starts) - 1; index >= 0; index-- {
+		if starts[index].Term == term {
+			return index
+		}
+	}
+	return -1
+}
+
+// Extend returns the history of a primary that begins its term at the position next, after a log that ended in the
+// term logTerm. Terms that are not part of that log are left out. If the history does not have logTerm, the result
+// has only the new term, since nothing certain is known of the positions before it.
+func Extend(starts []Position, logTerm ids.Term, next Position) []Position {
+	kept := starts[:Index(starts, logTerm)+1]
+	if len(kept) >= MaxStarts {
+		kept = kept[len(kept)-MaxStarts+1:]
+	}
+	return append(append(make([]Position, 0, len(kept)+1), kept...), next)
+}
+
+// Divergence returns the log position up to which a log that ends in logTerm agrees with the history's last term;
+// ok is false if the log belongs wholly to the history.
+func Divergence(starts []Position, logTerm ids.Term) (agreed ids.LogPosition, ok bool) {
+	index := Index(starts, logTerm)
+	switch {
+	case index < 0:
+		return 0, true
+	case index+1 < len(starts):
+		return starts[index+1].Log, true
+	default:
+		return 0, false
+	}
+}
--- a/core/position/position.go
+++ b/core/position/position.go
@@ -9,3 +9,11 @@
 	// Log is the log position.
 	Log ids.LogPosition
 }
+
+// Less states whether the position is before the other in the order by which candidates for promotion are compared.
+func (position Position) Less(other Position) bool {
+	if position.Term != other.Term {
+		return position.Term < other.Term
+	}
+	return position.Log < other.Log
+}
