--- /dev/null
+++ b/io/settings/check.go
@@ -0,0 +1,132 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+)
+
+const (
+	minTokenSecretBytes = 16
+	sha256HexLength     = 64
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
+
+// Fault is one setting that is not allowed.
+type Fault struct {
+	// Key is the setting's full key.
+	Key string
+	// Value is the value found; it is left out for secrets.
+	Value string
+	// Allowed says what is allowed.
+	Allowed string
+}
+
+// FaultsError reports every fault of a settings file.
+type FaultsError struct {
+	// File is the settings file.
+	File string
+	// Faults holds the faults in the order of the checks.
+	Faults []Fault
+}
+
+// Error implements error.Error.
+func (faults *FaultsError) Error() string {
+	lines := make([]string, 0, len(faults.Faults))
+	for _, fault := range faults.Faults {
+		lines = append(lines, fmt.Sprintf("%s: %s = %q: %s", faults.File, fault.Key, fault.Value, fault.Allowed))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// check returns the faults of the settings as a whole.
+func check(settings Settings) []Fault {
+	var faults faultList
+	faults.name("vm", string(settings.VM))
+	faults.name("availability_zone", string(settings.AvailabilityZone))
+	faults.secret(settings.TokenSecret)
+	faults.address("listen.caller", settings.Listen.Caller)
+	faults.address("listen.peer", settings.Listen.Peer)
+	faults.address("listen.admin", settings.Listen.Admin)
+	faults.address("platform.key_value", settings.Platform.KeyValue)
+	faults.url("platform.vm_list", settings.Platform.VMList)
+	faults.together("tls.certificate, tls.key and tls.ca", settings.TLS.Certificate, settings.TLS.Key, settings.TLS.CA)
+	faults.together("tls.caller_certificate and tls.caller_key", settings.TLS.CallerCertificate, settings.TLS.CallerKey)
+	if settings.TLS.CallerCertificate == "" && !settings.Listen.Plaintext {
+		faults.add("tls.caller_certificate", "", "a PEM file, unless listen.plaintext = true")
+	}
+	faults.atLeast("limits.max_message_bytes", settings.Limits.MaxMessageBytes, 1024)
+	faults.atLeast("limits.max_connections", settings.Limits.MaxConnections, 1)
+	faults.atLeast("drain.delay_ms", settings.Drain.DelayMS, 0)
+	faults.atLeast("drain.grace_ms", settings.Drain.GraceMS, 0)
+	switch settings.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		faults.add("log.level", settings.Log.Level, "debug, info, warn or error")
+	}
+	for index, operator := range settings.Admin.Operators {
+		faults.operator(fmt.Sprintf("admin.operators[%d]", index), operator)
+	}
+	return faults
+}
+
+type faultList []Fault
+
+func (faults *faultList) add(key, value, allowed string) {
+	*faults = append(*faults, Fault{Key: key, Value: value, Allowed: allowed})
+}
+
+func (faults *faultList) name(key, value string) {
+	if !namePattern.MatchString(value) {
+		faults.add(key, value, "1 to 63 characters of a-z, 0-9, _ and -")
+	}
+}
+
+func (faults *faultList) address(key, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		faults.add(key, value, "an IP number and a port, such as 10.0.0.5:5432")
+	}
+}
+
+func (faults *faultList) url(key, value string) {
+	parsed, err := url.Parse(value)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		faults.add(key, value, "an http or https URL")
+	}
+}
+
+func (faults *faultList) together(key string, values ...string) {
+	set := 0
+	for _, value := range values {
+		if value != "" {
+			set++
+		}
+	}
+	if set != 0 && set != len(values) {
+		faults.add(key, strings.Join(values, " "), "all of them or none")
+	}
+}
+
+func (faults *faultList) atLeast(key string, value, least int) {
+	if value < least {
+		faults.add(key, fmt.Sprint(value), fmt.Sprintf("at least %d", least))
+	}
+}
+
+func (faults *faultList) secret(value string) {
+	decoded, err := hex.DecodeString(value)
+	if err != nil || len(decoded) < minTokenSecretBytes {
+		faults.add("token_secret", "", fmt.Sprintf("at least %d bytes in hexadecimal", minTokenSecretBytes))
+	}
+}
+
+func (faults *faultList) operator(key string, operator Operator) {
+	faults.name(key+".name", operator.Name)
+	if _, err := hex.DecodeString(operator.CredentialSHA256); err != nil || len(operator.CredentialSHA256) != sha256HexLength {
+		faults.add(key+".credential_sha256", "", "the SHA-256 of the credential in hexadecimal")
+	}
+}
--- /dev/null
+++ b/io/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks the settings of one process.
+package settings
--- /dev/null
+++ b/io/settings/load.go
@@ -0,0 +1,93 @@
+package settings
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+	"github.com/juju/errors"
+	"github.com/peterbourgon/ff/v3"
+
+	"dotterelgw/core/ids"
+)
+
+// EnvPrefix is the prefix of the environment variables that override settings.
+const EnvPrefix = "DOTTERELGW"
+
+// Load reads the file named by the flag -config, then lets flags and the environment override it, and checks the whole.
+func Load(arguments []string) (Settings, error) {
+	flags := flag.NewFlagSet("dotterelgw", flag.ContinueOnError)
+	config := flags.String("config", "", "settings file (TOML)")
+	overrides := register(flags)
+	if err := ff.Parse(flags, arguments, ff.WithEnvVarPrefix(EnvPrefix)); err != nil {
+		return Settings{}, fmt.Errorf("reading flags and environment: %w", err)
+	}
+	if *config == "" {
+		return Settings{}, errors.NotValidf("an empty -config; name the settings file")
+	}
+	settings, faults, err := decode(*config)
+	if err != nil {
+		return Settings{}, fmt.Errorf("reading settings: %w", err)
+	}
+	overrides.apply(&settings)
+	faults = append(faults, check(settings)...)
+	if len(faults) > 0 {
+		return Settings{}, fmt.Errorf("checking settings: %w", &FaultsError{File: *config, Faults: faults})
+	}
+	return settings, nil
+}
+
+// decode reads one file; keys that the settings do not have are faults.
+func decode(file string) (Settings, []Fault, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, nil, fmt.Errorf("opening the file: %w", err)
+	}
+	settings := defaults()
+	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&settings)
+	if err != nil {
+		return Settings{}, nil, fmt.Errorf("%s: %w", file, err)
+	}
+	var faults []Fault
+	for _, key := range meta.Undecoded() {
+		faults = append(faults, Fault{Key: key.String(), Allowed: "no such key; see docs/operations/settings.md"})
+	}
+	return settings, faults, nil
+}
+
+// overrides holds the settings that flags and the environment may change, since they differ between VMs.
+type overrides struct {
+	vm, zone, caller, peer, admin, keyValue, vmList, level *string
+}
+
+func register(flags *flag.FlagSet) overrides {
+	return overrides{
+		vm:       flags.String("vm", "", "overrides vm"),
+		zone:     flags.String("availability-zone", "", "overrides availability_zone"),
+		caller:   flags.String("listen-caller", "", "overrides listen.caller"),
+		peer:     flags.String("listen-peer", "", "overrides listen.peer"),
+		admin:    flags.String("listen-admin", "", "overrides listen.admin"),
+		keyValue: flags.String("platform-key-value", "", "overrides platform.key_value"),
+		vmList:   flags.String("platform-vm-list", "", "overrides platform.vm_list"),
+		level:    flags.String("log-level", "", "overrides log.level"),
+	}
+}
+
+func (overrides overrides) apply(settings *Settings) {
+	override(&settings.VM, ids.VMID(*overrides.vm))
+	override(&settings.AvailabilityZone, ids.AvailabilityZone(*overrides.zone))
+	override(&settings.Listen.Caller, *overrides.caller)
+	override(&settings.Listen.Peer, *overrides.peer)
+	override(&settings.Listen.Admin, *overrides.admin)
+	override(&settings.Platform.KeyValue, *overrides.keyValue)
+	override(&settings.Platform.VMList, *overrides.vmList)
+	override(&settings.Log.Level, *overrides.level)
+}
+
+func override[T ~string](target *T, value T) {
+	if value != "" {
+		*target = value
+	}
+}
