--- /dev/null
+++ b/core/share/doc.go
@@ -0,0 +1,2 @@
+// Package share orders waiting requests of several organisations by weighted fair queueing.
+package share
--- /dev/null
+++ b/io/backend/conn.go
@@ -0,0 +1,226 @@
+package backend
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/backend/wire"
+)
+
+// State is the state of a connection.
+type State int32
+
+// The states of a connection. A connection reaches Busy from Idle only, and never leaves Closing.
+const (
+	// Unused is a connection whose login is not complete.
+	Unused State = iota
+	// Idle is a connection whose every answer was read and that is outside of a transaction.
+	Idle
+	// Busy is a connection in use by one session.
+	Busy
+	// Closing is a connection that is not used again.
+	Closing
+)
+
+const (
+	// maxPrepared bounds the prepared statements per connection; reaching it costs one DISCARD ALL.
+	maxPrepared = 500
+	// maxAnswerBytes bounds one message of a backend server, as PostgreSQL itself does for its own messages.
+	maxAnswerBytes = 1 << 30
+	// resetTimeout bounds DISCARD ALL between two sessions.
+	resetTimeout = 5 * time.Second
+	// cancelTimeout bounds the delivery of a cancel request.
+	cancelTimeout = 2 * time.Second
+)
+
+// ErrUnexpected states that a server sent something other than the answers that were due.
+const ErrUnexpected = errors.ConstError("unexpected message from the backend server")
+
+// Conn is a connection to a backend server. It is used by one session at a time.
+type Conn struct {
+	conn     net.Conn
+	raw      syscall.RawConn
+	reader   *wire.Reader
+	state    atomic.Int32
+	request  Request
+	database ids.DatabaseName
+
+	processID uint32
+	secretKey []byte
+
+	// due is the number of ReadyForQuery messages that the server owes.
+	due    int
+	status byte
+	broken bool
+	dirty  bool
+	// canceled is set before a cancel request is sent: it may arrive late, so the connection must not serve others.
+	canceled atomic.Bool
+	prepared map[string]struct{}
+	// pings is the buffer of the liveness check.
+	peek [1]byte
+}
+
+// State returns the connection's state.
+func (conn *Conn) State() State { return State(conn.state.Load()) }
+
+// Server returns the backend server that the connection leads to.
+func (conn *Conn) Server() ids.BackendServerID { return conn.request.Server }
+
+// Status returns the transaction state that the server reported last.
+func (conn *Conn) Status() byte { return conn.status }
+
+// Prepared states whether the connection holds the prepared statement.
+func (conn *Conn) Prepared(name string) bool {
+	_, ok := conn.prepared[name]
+	return ok
+}
+
+// SetPrepared records that the connection holds the prepared statement, or no longer does.
+func (conn *Conn) SetPrepared(name string, held bool) {
+	if !held {
+		delete(conn.prepared, name)
+		return
+	}
+	conn.prepared[name] = struct{}{}
+	if len(conn.prepared) >= maxPrepared {
+		conn.dirty = true
+	}
+}
+
+// ForgetPrepared records that the server dropped every prepared statement.
+func (conn *Conn) ForgetPrepared() { clear(conn.prepared) }
+
+// SetDirty states that the session changed settings, so that the connection needs DISCARD ALL before others use it.
+func (conn *Conn) SetDirty() { conn.dirty = true }
+
+// Break states that the connection must not be used again.
+func (conn *Conn) Break() { conn.broken = true }
+
+// Send writes messages that the server answers with due ReadyForQuery messages; sent is false if no byte was written.
+func (conn *Conn) Send(messages []byte, due int) (sent bool, err error) {
+	conn.due += due
+	count, err := conn.conn.Write(messages)
+	if err != nil {
+		conn.broken = true
+		return count > 0, fmt.Errorf("write to %s: %w", conn.request.Server, err)
+	}
+	return true, nil
+}
+
+// Next returns the next message of the server, valid until the following call. An error that is a timeout leaves the
+// connection usable; wait is ignored when a message is buffered.
+func (conn *Conn) Next(wait time.Duration) (wire.Frame, error) {
+	if conn.reader.Buffered() == 0 && wait > 0 {
+		if err := conn.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+			conn.broken = true
+			return nil, fmt.Errorf("read deadline: %w", err)
+		}
+	}
+	frame, err := conn.reader.Next()
+	if err != nil {
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() {
+			return nil, err
+		}
+		conn.broken = true
+		return nil, fmt.Errorf("read from %s: %w", conn.request.Server, err)
+	}
+	if frame.Type() == wire.ReadyForQuery {
+		conn.due--
+		if body := frame.Body(); len(body) == 1 && conn.due >= 0 {
+			conn.status = body[0]
+		} else {
+			conn.broken = true
+			return nil, fmt.Errorf("ready for query: %w", ErrUnexpected)
+		}
+	}
+	return frame, nil
+}
+
+// Buffered returns the number of bytes of answers that are read but not yet returned.
+func (conn *Conn) Buffered() int { return conn.reader.Buffered() }
+
+// Cancel asks the server to cancel the statement that runs on the connection, which is then closed instead of reused.
+// It may be called while another goroutine uses the connection.
+func (conn *Conn) Cancel(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	var dialer net.Dialer
+	side, err := dialer.DialContext(ctx, "tcp", conn.request.Address)
+	if err != nil {
+		return fmt.Errorf("cancel at %s: %w", conn.request.Server, err)
+	}
+	defer side.Close()
+	message := []byte{0, 0, 0, byte(12 + len(conn.secretKey)), 4, 210, 22, 46}
+	message = binary.BigEndian.AppendUint32(message, conn.processID)
+	if _, err = side.Write(append(message, conn.secretKey...)); err != nil {
+		return fmt.Errorf("cancel at %s: %w", conn.request.Server, err)
+	}
+	// The server closes the connection once it has signalled the session.
+	deadline, _ := ctx.Deadline()
+	_ = side.SetReadDeadline(deadline)
+	_, _ = side.Read(make([]byte, 1))
+	return nil
+}
+
+// SetCanceled states that a cancel request is about to be sent; the owner calls it under the lock that guards its use.
+func (conn *Conn) SetCanceled() { conn.canceled.Store(true) }
+
+// reusable states whether every answer was read and the connection is outside of a transaction.
+func (conn *Conn) reusable() bool {
+	return !conn.broken && !conn.canceled.Load() && conn.due == 0 && conn.status == wire.Idle && conn.reader.Buffered() == 0
+}
+
+// quiet checks without waiting that the server has neither closed the connection nor sent something unasked.
+func (conn *Conn) quiet() bool {
+	if conn.raw == nil {
+		return true
+	}
+	quiet := false
+	err := conn.raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), conn.peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// reset clears the session's settings with DISCARD ALL.
+func (conn *Conn) reset() error {
+	if _, err := conn.Send(wire.AppendQuery(nil, "DISCARD ALL"), 1); err != nil {
+		return err
+	}
+	if err := conn.conn.SetReadDeadline(time.Now().Add(resetTimeout)); err != nil {
+		return fmt.Errorf("read deadline: %w", err)
+	}
+	for {
+		frame, err := conn.Next(0)
+		if err != nil {
+			return err
+		}
+		switch frame.Type() {
+		case wire.ReadyForQuery:
+			if !conn.reusable() {
+				return fmt.Errorf("after reset: %w", ErrUnexpected)
+			}
+			conn.dirty = false
+			conn.ForgetPrepared()
+			return nil
+		case wire.CommandComplete, wire.NoticeResponse, wire.ParameterStatus:
+		default:
+			return fmt.Errorf("reset answered with %q: %w", frame.Type(), ErrUnexpected)
+		}
+	}
+}
+
+func (conn *Conn) close() {
+	conn.state.Store(int32(Closing))
+	_ = conn.conn.Close()
+}
