--- /dev/null
+++ b/cmd/dotterel-standin/main.go
@@ -0,0 +1,47 @@
+// Command dotterel-standin runs the stand-ins for the platform and for the databases.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := run(ctx, os.Args[1:], os.Stdout)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "dotterel-standin:", err)
+		stop()
+		os.Exit(1)
+	}
+}
+
+// run carries out the command line until the context ends; ready lines go to the writer.
+func run(ctx context.Context, arguments []string, ready io.Writer) error {
+	root := &ffcli.Command{
+		Name:        "dotterel-standin",
+		ShortUsage:  "dotterel-standin platform|database [flags]",
+		ShortHelp:   "runs a stand-in until it is interrupted",
+		Subcommands: []*ffcli.Command{platformCommand(ready), databaseCommand(ready)},
+		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	return root.ParseAndRun(ctx, arguments)
+}
+
+// announce prints the addresses as one JSON line, which tells the starting process that the stand-in is ready.
+func announce(ready io.Writer, addresses any) error {
+	if err := json.NewEncoder(ready).Encode(addresses); err != nil {
+		return fmt.Errorf("print addresses: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/platform/errors.go
@@ -0,0 +1,47 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	jujuerrors "github.com/juju/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Errors that the client wraps; test for them with errors.Is.
+const (
+	// ErrOutcomeUnknown states that a write may or may not have taken effect.
+	ErrOutcomeUnknown = jujuerrors.ConstError("it is not known whether the write took effect")
+	// ErrCompacted states that the service no longer holds the revision; list and watch from the listed revision.
+	ErrCompacted = jujuerrors.ConstError("the service no longer holds the revision")
+	// ErrWatchSilent states that the service did not answer a progress request in time.
+	ErrWatchSilent = jujuerrors.ConstError("the watch was not confirmed in time")
+	// ErrLeaseEnded states that the lease has expired or was revoked.
+	ErrLeaseEnded = jujuerrors.ConstError("the lease has ended")
+)
+
+// writeError wraps the error of a write and states whether the write may have taken effect.
+func writeError(err error) error {
+	switch status.Code(err) {
+	case codes.ResourceExhausted, codes.InvalidArgument, codes.FailedPrecondition, codes.OutOfRange,
+		codes.PermissionDenied, codes.Unauthenticated, codes.Unimplemented, codes.NotFound, codes.AlreadyExists:
+		// The service rejects the call with these codes before it runs the transaction.
+		return err
+	default:
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+}
+
+// callError adds the context's error, so that errors.Is finds context.DeadlineExceeded and context.Canceled.
+func callError(err error) error {
+	switch status.Code(err) {
+	case codes.DeadlineExceeded:
+		return errors.Join(context.DeadlineExceeded, err)
+	case codes.Canceled:
+		return errors.Join(context.Canceled, err)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/io/platform/lease.go
@@ -0,0 +1,57 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"dotterelgw/io/platform/etcdpb"
+)
+
+// Grant implements Leases.Grant. The service counts whole seconds; a fraction is rounded up.
+func (client *client) Grant(ctx context.Context, ttl time.Duration) (Lease, time.Duration, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	response, err := client.lease.LeaseGrant(ctx, &etcdpb.LeaseGrantRequest{TTL: seconds})
+	if err != nil {
+		return 0, 0, fmt.Errorf("grant lease: %w", writeError(callError(err)))
+	}
+	if response.GetError() != "" {
+		return 0, 0, fmt.Errorf("grant lease: %s", response.GetError())
+	}
+	return Lease(response.GetID()), time.Duration(response.GetTTL()) * time.Second, nil
+}
+
+// KeepAlive implements Leases.KeepAlive. Each call opens a stream of its own, so that its deadline covers the renewal.
+func (client *client) KeepAlive(ctx context.Context, lease Lease) (time.Duration, error) {
+	streamContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := client.lease.LeaseKeepAlive(streamContext)
+	if err != nil {
+		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), callError(err))
+	}
+	// An error of Send is io.EOF; Recv returns the reason.
+	_ = stream.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(lease)})
+	response, err := stream.Recv()
+	if err != nil {
+		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), callError(err))
+	}
+	if response.GetTTL() <= 0 {
+		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), ErrLeaseEnded)
+	}
+	return time.Duration(response.GetTTL()) * time.Second, nil
+}
+
+// Revoke implements Leases.Revoke.
+func (client *client) Revoke(ctx context.Context, lease Lease) error {
+	_, err := client.lease.LeaseRevoke(ctx, &etcdpb.LeaseRevokeRequest{ID: int64(lease)})
+	if status.Code(err) == codes.NotFound {
+		return fmt.Errorf("revoke lease %x: %w", int64(lease), ErrLeaseEnded)
+	}
+	if err != nil {
+		return fmt.Errorf("revoke lease %x: %w", int64(lease), writeError(callError(err)))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/platform/vms.go
@@ -0,0 +1,113 @@
+package platform
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// VM is one line of the VM list.
+type VM struct {
+	// ID names the VM, or the backend server on it.
+	ID string `json:"id"`
+	// Role is proxy or backend_server.
+	Role string `json:"role"`
+	// Address is the numeric IP address and port of the peer listener or of the backend server.
+	Address string `json:"address"`
+	// AvailabilityZone is the VM's availability zone.
+	AvailabilityZone string `json:"availability_zone"`
+	// Leaving states that the VM is to be stopped.
+	Leaving bool `json:"leaving"`
+}
+
+// vmsBody is the JSON body of the VM list.
+type vmsBody struct {
+	VMs []VM `json:"vms"`
+}
+
+// longestLag bounds the past versions that are kept.
+const longestLag = 10 * time.Minute
+
+// vmList keeps the list and its past versions, so that it can be shown with a lag.
+type vmList struct {
+	mutex    sync.Mutex
+	versions []vmVersion
+}
+
+type vmVersion struct {
+	at  time.Time
+	vms []VM // never modified once stored
+}
+
+// at returns the version that was current at the time; the oldest known version counts for all times before it.
+func (list *vmList) at(at time.Time) []VM {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	for i := len(list.versions) - 1; i >= 0; i-- {
+		if i == 0 || !list.versions[i].at.After(at) {
+			return list.versions[i].vms
+		}
+	}
+	return []VM{}
+}
+
+// edit replaces the list by what the function returns for a copy of it.
+func (list *vmList) edit(change func([]VM) []VM) []VM {
+	list.mutex.Lock()
+	defer list.mutex.Unlock()
+	vms := []VM{}
+	if count := len(list.versions); count > 0 {
+		vms = slices.Clone(list.versions[count-1].vms)
+	} else {
+		list.versions = append(list.versions, vmVersion{vms: []VM{}})
+	}
+	vms = change(vms)
+	if vms == nil {
+		vms = []VM{}
+	}
+	now := time.Now()
+	list.versions = append(list.versions, vmVersion{at: now, vms: vms})
+	for len(list.versions) > 2 && now.Sub(list.versions[1].at) > longestLag {
+		list.versions = list.versions[1:]
+	}
+	return vms
+}
+
+// upsert replaces the VM with the same id or adds it.
+func (list *vmList) upsert(vm VM) []VM {
+	return list.edit(func(vms []VM) []VM {
+		for i := range vms {
+			if vms[i].ID == vm.ID {
+				vms[i] = vm
+				return vms
+			}
+		}
+		return append(vms, vm)
+	})
+}
+
+func (list *vmList) remove(id string) []VM {
+	return list.edit(func(vms []VM) []VM {
+		return slices.DeleteFunc(vms, func(vm VM) bool { return vm.ID == id })
+	})
+}
+
+// serveVMs answers GET /vms as the platform does: with a lag, and subject to the switches.
+func (platform *Platform) serveVMs(writer http.ResponseWriter, request *http.Request) {
+	client := request.Header.Get(metadataVM)
+	if err := platform.board.reach(request.Context(), client); err != nil {
+		return // the client has given up
+	}
+	platform.board.count(callVMs, client)
+	if err := platform.board.delay(request.Context()); err != nil {
+		return
+	}
+	switches, _ := platform.board.get()
+	if switches.VMsOutage {
+		http.Error(writer, "the VM list is not available", http.StatusServiceUnavailable)
+		return
+	}
+	lag := time.Duration(switches.VMsLagMS) * time.Millisecond
+	reply(writer, http.StatusOK, vmsBody{VMs: platform.vms.at(time.Now().Add(-lag))})
+}
