--- /dev/null
+++ b/core/member/duty.go
@@ -0,0 +1,113 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"dotterelgw/core/ids"
+)
+
+const (
+	// relaysPerZone is the number of VMs per zone that watch the service while it answers them.
+	relaysPerZone = 2
+	// triedPerZone bounds the VMs per zone that try the service while it answers none of them, so that an outage does
+	// not make the whole fleet call it.
+	triedPerZone = 4
+)
+
+// Assign computes the VM's duties from its present view; IsRelay and Partners return the result.
+func (view *View) Assign(now time.Duration) {
+	relays := view.relays(view.self.Zone, now)
+	relay := slices.ContainsFunc(relays, func(member Member) bool { return member.ID == view.self.ID })
+	if relay && !view.relay {
+		view.relaySince = now
+	}
+	view.relay = relay
+	switch {
+	case view.Mesh():
+		relays = view.listed
+	case relay:
+		for _, zone := range view.zones() {
+			if zone != view.self.Zone {
+				relays = append(relays, view.relays(zone, now)...)
+			}
+		}
+	}
+	view.partners = view.partners[:0]
+	asked := make(map[ids.VMID]time.Duration, len(relays))
+	for _, member := range relays {
+		if member.ID == view.self.ID {
+			continue
+		}
+		view.partners = append(view.partners, member)
+		since, ok := view.asked[member.ID]
+		if !ok {
+			since = now
+		}
+		asked[member.ID] = since
+	}
+	view.asked = asked
+}
+
+// IsRelay states whether this VM watches the service for its zone.
+func (view *View) IsRelay() bool { return view.relay }
+
+// Partners returns the VMs to which this one sends heartbeats; silent VMs of a mesh are included.
+func (view *View) Partners() []Member { return slices.Clone(view.partners) }
+
+// Silent names the listed VMs that this VM excludes, for its heartbeats; it is empty unless the VM is a relay of a
+// fleet larger than a mesh.
+func (view *View) Silent(now time.Duration) []ids.VMID {
+	if view.Mesh() || !view.relay {
+		return nil
+	}
+	var silent []ids.VMID
+	for _, member := range view.listed {
+		if !view.alive(member, now) {
+			silent = append(silent, member.ID)
+		}
+	}
+	return silent
+}
+
+// relays returns the zone's relays: by rendezvous hash the first VMs until relaysPerZone of them reach the service,
+// at most triedPerZone. VMs that are leaving serve only if the zone has no others.
+func (view *View) relays(zone ids.AvailabilityZone, now time.Duration) []Member {
+	var staying, leaving []Member
+	for _, member := range view.listed {
+		if member.Zone != zone || !view.alive(member, now) {
+			continue
+		}
+		said, ok := view.Heard(member.ID, now)
+		if member.Leaving || ok && said.State == Leaving || member.ID == view.self.ID && view.state == Leaving {
+			leaving = append(leaving, member)
+		} else {
+			staying = append(staying, member)
+		}
+	}
+	if len(staying) == 0 {
+		staying = leaving
+	}
+	ranked := Top("relay/"+string(zone), triedPerZone, staying)
+	reached := 0
+	for i, member := range ranked {
+		said, ok := view.Heard(member.ID, now)
+		if ok && said.Reachable || member.ID == view.self.ID && view.reachable {
+			reached++
+		}
+		if reached == relaysPerZone {
+			return ranked[:i+1]
+		}
+	}
+	return ranked
+}
+
+func (view *View) zones() []ids.AvailabilityZone {
+	var zones []ids.AvailabilityZone
+	for _, member := range view.listed {
+		if !slices.Contains(zones, member.Zone) {
+			zones = append(zones, member.Zone)
+		}
+	}
+	return zones
+}
