--- a/core/limit/borrower.go
+++ b/core/limit/borrower.go
@@ -39,7 +39,7 @@
 
 // Admit spends one token; it returns false when no valid token is left.
 func (borrower *Borrower) Admit(now time.Duration) bool {
-	borrower.arrive(now)
+	borrower.Arrive(now)
 	return borrower.spend(now)
 }
 
@@ -92,8 +92,7 @@
 // Plan returns how many tokens to ask for now, over all holders.
 func (borrower *Borrower) Plan(now time.Duration) int64 {
 	borrower.expire(now)
-	borrower.roll(now)
-	horizon := float64(max(borrower.previous, borrower.current)) * 2 * horizonFraction
+	horizon := float64(borrower.Demand(now)) * 2 * horizonFraction
 	have := borrower.total + borrower.pending
 	if have >= borrower.waiting && float64(have) >= horizon/2 {
 		return 0
@@ -116,13 +115,20 @@
 	return parts
 }
 
-// Idle tells that the borrower has neither demand nor tokens.
-func (borrower *Borrower) Idle() bool {
-	return borrower.current == 0 && borrower.previous == 0 && borrower.total == 0 && borrower.waiting == 0
+// Demand returns the requests of the current window or the one before, whichever is larger.
+func (borrower *Borrower) Demand(now time.Duration) int64 {
+	borrower.roll(now)
+	return max(borrower.previous, borrower.current)
+}
+
+// Tokens returns the number of tokens that may be spent now.
+func (borrower *Borrower) Tokens(now time.Duration) int64 {
+	borrower.expire(now)
+	return borrower.total
 }
 
-// arrive counts a request in the current window of half a validity.
-func (borrower *Borrower) arrive(now time.Duration) {
+// Arrive counts a request in the current window of half a validity.
+func (borrower *Borrower) Arrive(now time.Duration) {
 	borrower.roll(now)
 	borrower.current++
 }
--- /dev/null
+++ b/io/limiter/limiter_test.go
@@ -0,0 +1,143 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"google.golang.org/grpc"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/contract"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/limit"
+	"dotterelgw/io/peer/peerpb"
+)
+
+const testOrganisation = ids.OrganisationID("acme")
+
+// fleet joins limiters in one process and implements Control and Fleet for them.
+type fleet struct {
+	mutex    sync.Mutex
+	limiters map[ids.VMID]Limiter
+	vms      []ids.VMID
+	contract *contract.Contract
+	record   config.Entry
+	applied  []func(config.Entry)
+}
+
+func (fleet *fleet) Contract(ids.OrganisationID) (*contract.Contract, ids.Revision, bool) {
+	return fleet.contract, 1, true
+}
+func (fleet *fleet) Admitting() bool { return true }
+func (fleet *fleet) OnChange(apply func(config.Entry)) {
+	fleet.applied = append(fleet.applied, apply)
+	apply(config.Entry{Key: config.ContractKey(testOrganisation), Revision: 1})
+}
+
+func (fleet *fleet) Entry(string) (config.Entry, bool) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.record, fleet.record.Revision > 0
+}
+
+func (fleet *fleet) Propose(_ context.Context, key string, expected ids.Revision, value []byte) (ids.Revision, error) {
+	fleet.mutex.Lock()
+	if fleet.record.Revision != expected {
+		fleet.mutex.Unlock()
+		return 0, fmt.Errorf("conflict at revision %d", fleet.record.Revision)
+	}
+	fleet.record = config.Entry{Key: key, Value: value, Revision: expected + 1}
+	entry := fleet.record
+	fleet.mutex.Unlock()
+	for _, apply := range fleet.applied {
+		apply(entry)
+	}
+	return entry.Revision, nil
+}
+func (fleet *fleet) LiveVMs() []ids.VMID { return fleet.vms }
+func (fleet *fleet) Peer(vm ids.VMID) (peerpb.PeerClient, error) {
+	return client{limiter: fleet.limiters[vm]}, nil
+}
+
+type client struct {
+	peerpb.PeerClient
+	limiter Limiter
+}
+
+func (client client) Borrow(ctx context.Context, request *peerpb.BorrowRequest, _ ...grpc.CallOption) (*peerpb.BorrowReply, error) {
+	return client.limiter.Borrow(ctx, request)
+}
+
+func firstOf(_ ids.OrganisationID, n int, vms []ids.VMID) []ids.VMID { return vms[:n] }
+
+// Guards against a VM that does not borrow the budget that other VMs hold, and against more than rate and burst.
+func TestOneVMBorrowsTheWholeBudget(t *testing.T) {
+	fleet := &fleet{
+		limiters: make(map[ids.VMID]Limiter), vms: []ids.VMID{"vm1", "vm2", "vm3"},
+		contract: &contract.Contract{Organisation: testOrganisation, Rate: 500, Burst: 500},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	for _, vm := range fleet.vms {
+		fleet.limiters[vm] = New(vm, fleet, fleet, firstOf, log.NewNopLogger())
+	}
+	for _, limiter := range fleet.limiters {
+		running.Go(func() {
+			if err := limiter.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	asking := fleet.limiters["vm3"]
+	admitted := waitForFirst(t, asking)
+	begin := time.Now()
+	for time.Since(begin) < time.Second {
+		if asking.Admit(testOrganisation) || asking.Wait(ctx, testOrganisation) {
+			admitted++
+		}
+	}
+	elapsed := time.Since(begin).Seconds()
+	if limit := 500 + 500*elapsed; float64(admitted) > limit {
+		t.Errorf("admitted %d requests, at most %.0f allowed", admitted, limit)
+	}
+	// A third of the rate is all that an equal static share would give.
+	if float64(admitted) < 500*elapsed/2 {
+		t.Errorf("admitted only %d requests in %.1f s", admitted, elapsed)
+	}
+}
+
+// waitForFirst waits until the hand-over time of a new share record has passed.
+func waitForFirst(t *testing.T, limiter Limiter) int {
+	t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for time.Now().Before(deadline) {
+		if limiter.Admit(testOrganisation) || limiter.Wait(t.Context(), testOrganisation) {
+			return 1
+		}
+	}
+	t.Fatal("no request was admitted")
+	return 0
+}
+
+// Guards against an admission path that allocates or is slower than 300 ns.
+func BenchmarkAdmit(b *testing.B) {
+	fleet := &fleet{contract: &contract.Contract{Rate: 1e9, Burst: 1e9}}
+	limiter := New("vm1", fleet, fleet, firstOf, log.NewNopLogger()).(*limiter)
+	account, _ := limiter.account(testOrganisation)
+	value, _ := json.Marshal(limit.Record{Epoch: 1, VMs: []ids.VMID{"vm1"}})
+	limiter.apply(config.Entry{Key: config.SharesKey, Value: value})
+	account.receive(0, 0, 0, 1<<60, time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		if !limiter.Admit(testOrganisation) {
+			b.Fatal("refused")
+		}
+	}
+}
