--- /dev/null
+++ b/standin/fleet/access.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"os/exec"
+	"strings"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+)
+
+// Admin returns the URL of the VM's administration API.
+func (fleet *Fleet) Admin(vm ids.VMID) string {
+	return "https://" + fleet.VMs[vm].Addresses["admin"]
+}
+
+// DSN returns the URL with which a caller connects to the VM.
+func (fleet *Fleet) DSN(vm ids.VMID, organisation ids.OrganisationID, key Key, route string) string {
+	dsn := url.URL{
+		Scheme: "postgres", User: url.UserPassword(fmt.Sprintf("%s.%s", organisation, key.ID), key.Secret),
+		Host: fleet.VMs[vm].Addresses["caller"], Path: "/" + route,
+		RawQuery: url.Values{"sslmode": {"verify-full"}, "sslrootcert": {fleet.file("ca.pem")}}.Encode(),
+	}
+	return dsn.String()
+}
+
+// Key is a key as it was given.
+type Key struct {
+	// ID names the key.
+	ID ids.KeyID `json:"id"`
+	// Secret is the key itself, which is shown once.
+	Secret string `json:"key"`
+}
+
+// Control runs dotterelctl against all VMs and returns its JSON output.
+func (fleet *Fleet) Control(ctx context.Context, arguments ...string) ([]byte, error) {
+	command := exec.CommandContext(ctx, fleet.program("dotterelctl"), append(fleet.controlFlags(), arguments...)...)
+	var stdout, stderr bytes.Buffer
+	command.Stdout, command.Stderr = &stdout, &stderr
+	if err := command.Run(); err != nil {
+		return nil, fmt.Errorf("dotterelctl %s: %w: %s", strings.Join(arguments, " "), err, strings.TrimSpace(stderr.String()))
+	}
+	return stdout.Bytes(), nil
+}
+
+// ControlCommand returns the command line of dotterelctl without a subcommand.
+func (fleet *Fleet) ControlCommand() string {
+	var flags []string
+	for _, flag := range fleet.controlFlags() {
+		if flag != "-json" {
+			flags = append(flags, flag)
+		}
+	}
+	return fleet.program("dotterelctl") + " " + strings.Join(flags, " ")
+}
+
+func (fleet *Fleet) controlFlags() []string {
+	var admins []string
+	for number := range fleet.options.VMs {
+		if process, ok := fleet.VMs[VMID(number+1)]; ok {
+			admins = append(admins, "https://"+process.Addresses["admin"])
+		}
+	}
+	return []string{"-admin", strings.Join(admins, ","), "-credential-file", fleet.file("credential"), "-ca", fleet.file("ca.pem"), "-json"}
+}
+
+// ApplyGroups stores the group records.
+func (fleet *Fleet) ApplyGroups(ctx context.Context) error {
+	for _, record := range fleet.Groups {
+		text, err := config.Encode(record)
+		if err != nil {
+			return fmt.Errorf("encoding group %s: %w", record.Group, err)
+		}
+		file := fleet.file(string(record.Group) + ".json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return fmt.Errorf("writing group %s: %w", record.Group, err)
+		}
+		if _, err := fleet.Control(ctx, "group", "apply", file); err != nil {
+			return fmt.Errorf("applying group %s: %w", record.Group, err)
+		}
+	}
+	return nil
+}
+
+// ApplyContract stores a contract and waits until it is in force on every VM.
+func (fleet *Fleet) ApplyContract(ctx context.Context, organisation ids.OrganisationID, text string) error {
+	file := fleet.file(string(organisation) + ".toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return fmt.Errorf("writing contract %s: %w", organisation, err)
+	}
+	_, err := fleet.Control(ctx, "-wait", "contract", "apply", file)
+	return err
+}
+
+// GiveKey gives the organisation a new key and waits until it is in force on every VM.
+func (fleet *Fleet) GiveKey(ctx context.Context, organisation ids.OrganisationID) (Key, error) {
+	output, err := fleet.Control(ctx, "-wait", "key", "give", string(organisation))
+	if err != nil {
+		return Key{}, err
+	}
+	var key Key
+	if err := json.Unmarshal(output, &key); err != nil {
+		return Key{}, fmt.Errorf("decoding the key: %w", err)
+	}
+	return key, nil
+}
+
+// Switch sets fault switches of a stand-in process.
+func (fleet *Fleet) Switch(ctx context.Context, process *Process, switches map[string]any) error {
+	body, err := json.Marshal(switches)
+	if err != nil {
+		return fmt.Errorf("encoding switches: %w", err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+process.Addresses["switches"]+"/switches", bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("preparing switches of %s: %w", process.Name, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("setting switches of %s: %w", process.Name, err)
+	}
+	text, err := io.ReadAll(response.Body)
+	if err = errors.Join(err, response.Body.Close()); err != nil {
+		return fmt.Errorf("reading the answer of %s: %w", process.Name, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("setting switches of %s: %s: %s", process.Name, response.Status, text)
+	}
+	return nil
+}
+
+// Metrics returns the VM's metrics by name.
+func (fleet *Fleet) Metrics(ctx context.Context, vm ids.VMID) (map[string]json.RawMessage, error) {
+	client, err := fleet.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fleet.Admin(vm)+"/metrics", nil)
+	if err != nil {
+		return nil, fmt.Errorf("preparing the metrics of %s: %w", vm, err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("reading the metrics of %s: %w", vm, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	metrics := make(map[string]json.RawMessage)
+	if err := json.NewDecoder(response.Body).Decode(&metrics); err != nil {
+		return nil, fmt.Errorf("decoding the metrics of %s: %w", vm, err)
+	}
+	return metrics, nil
+}
+
+func (fleet *Fleet) httpClient() (*http.Client, error) {
+	authority, err := os.ReadFile(fleet.file("ca.pem"))
+	if err != nil {
+		return nil, fmt.Errorf("reading the authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(authority)
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
+}
+
+// Primary returns the group's primary as the VMs report it.
+func (fleet *Fleet) Primary(ctx context.Context, group ids.GroupID) (ids.BackendServerID, error) {
+	output, err := fleet.Control(ctx, "status")
+	if err != nil {
+		return "", err
+	}
+	var status struct {
+		Groups []struct {
+			Group   ids.GroupID         `json:"group"`
+			Primary ids.BackendServerID `json:"primary"`
+		} `json:"groups"`
+	}
+	if err := json.Unmarshal(output, &status); err != nil {
+		return "", fmt.Errorf("decoding the status: %w", err)
+	}
+	for _, known := range status.Groups {
+		if known.Group == group && known.Primary != "" {
+			return known.Primary, nil
+		}
+	}
+	return "", fmt.Errorf("no primary of %s in the status", group)
+}
--- /dev/null
+++ b/standin/fleet/options.go
@@ -0,0 +1,38 @@
+package fleet
+
+import (
+	"time"
+
+	"dotterelgw/core/ids"
+)
+
+// Options describes the fleet to start.
+type Options struct {
+	// Programs is the directory with the built programs.
+	Programs string
+	// Directory receives settings, certificates and logs.
+	Directory string
+	// Zones holds the availability zones; proxies and databases are spread over them in turn.
+	Zones []ids.AvailabilityZone
+	// VMs is the number of proxies.
+	VMs int
+	// Groups is the number of database groups, of three databases each.
+	Groups int
+	// Connections is the connection limit of each database.
+	Connections int
+	// Slots is the number of statements that each database runs at the same time; 0 sets no limit.
+	Slots int
+	// Lag is the replicas' replay lag.
+	Lag time.Duration
+	// Plaintext lets callers connect without TLS.
+	Plaintext bool
+	// DrainDelay is the time between not being ready and closing the listener in a planned stop.
+	DrainDelay time.Duration
+}
+
+const serversPerGroup = 3
+
+// zone returns the availability zone of the VM or server with the index.
+func (options Options) zone(index int) ids.AvailabilityZone {
+	return options.Zones[index%len(options.Zones)]
+}
