--- /dev/null
+++ b/core/allot/doc.go
@@ -0,0 +1,2 @@
+// Package allot divides the connections of a backend server among the VMs.
+package allot
--- /dev/null
+++ b/io/observe/doc.go
@@ -0,0 +1,2 @@
+// Package observe holds the log and the metrics of a process.
+package observe
--- /dev/null
+++ b/io/observe/logger.go
@@ -0,0 +1,18 @@
+package observe
+
+import (
+	"io"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// NewLogger returns a logger that writes lines of the level and above; the level is debug, info, warn or error.
+func NewLogger(writer io.Writer, lowest string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(writer))
+	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
+	return log.With(logger, "time", log.DefaultTimestampUTC)
+}
+
+// Part returns a logger whose lines begin with the name of a part of the process.
+func Part(logger log.Logger, name string) log.Logger { return log.WithPrefix(logger, "part", name) }
