--- /dev/null
+++ b/io/group/group_test.go
@@ -0,0 +1,258 @@
+package group_test
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/route"
+	"dotterelgw/io/group"
+	"dotterelgw/standin/database"
+)
+
+const groupID = ids.GroupID("g1")
+
+// fixture is a group of three stand-ins, of which a is the primary, and the Groups of one VM.
+type fixture struct {
+	servers []*database.Server
+	record  config.GroupRecord
+	groups  *group.Groups
+	conn    *pgconn.PgConn
+}
+
+func start(t testing.TB, options ...group.Option) *fixture {
+	t.Helper()
+	fixture := &fixture{record: config.GroupRecord{Group: groupID}}
+	primary := ""
+	for index, id := range []ids.BackendServerID{"a", "b", "c"} {
+		settings := database.Settings{ID: id, ConnectTime: -1, Role: database.Replica, Primary: primary}
+		if index == 0 {
+			settings.Role = database.Primary
+		}
+		server, err := database.New(settings)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if index == 0 {
+			primary = server.Address()
+		}
+		done := make(chan error, 1)
+		go func() { done <- server.Run(context.Background()) }()
+		t.Cleanup(func() {
+			server.Close()
+			<-done
+		})
+		fixture.servers = append(fixture.servers, server)
+		fixture.record.Servers = append(fixture.record.Servers, config.ServerRecord{
+			ID: id, Address: server.Address(), AvailabilityZone: ids.AvailabilityZone(fmt.Sprintf("z%d", index)),
+		})
+	}
+	fixture.groups = group.New(append([]group.Option{group.WithLogin(group.Login{VM: "vm1"})}, options...)...)
+	t.Cleanup(fixture.groups.Close)
+	fixture.groups.Apply(fixture.record)
+	fixture.groups.ApplyTerm(groupID, config.TermRecord{
+		Term: 1, Primary: "a", Step: "steady", Starts: []position.Position{{Term: 1}},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	conn, err := pgconn.Connect(ctx, "postgres://app@"+fixture.servers[0].Address()+"/shop?sslmode=disable")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	fixture.conn = conn
+	fixture.exec(t, "CREATE TABLE IF NOT EXISTS bids (id INTEGER PRIMARY KEY, amount INTEGER)")
+	return fixture
+}
+
+func (fixture *fixture) exec(t testing.TB, text string) [][]byte {
+	t.Helper()
+	results, err := fixture.conn.Exec(context.Background(), text).ReadAll()
+	if err != nil {
+		t.Fatalf("%s: %v", text, err)
+	}
+	if rows := results[len(results)-1].Rows; len(rows) > 0 {
+		return rows[0]
+	}
+	return nil
+}
+
+// write commits one row on the primary and returns its position.
+func (fixture *fixture) write(t testing.TB) position.Position {
+	t.Helper()
+	row := fixture.exec(t, "INSERT INTO bids (amount) VALUES (1); SELECT * FROM group_position()")
+	term, _ := strconv.ParseUint(string(row[0]), 10, 64)
+	log, _ := strconv.ParseUint(string(row[1]), 10, 64)
+	return position.Position{Term: ids.Term(term), Log: ids.LogPosition(log)}
+}
+
+func within(t testing.TB, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(limit); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+	}
+}
+
+func reason(err error) refusal.Reason {
+	var refused *refusal.Refusal
+	if errors.As(err, &refused) {
+		return refused.Reason
+	}
+	return ""
+}
+
+// TestBarrier guards against a session position that misses an acknowledged write.
+func TestBarrier(t *testing.T) {
+	fixture := start(t)
+	wrote := fixture.write(t)
+	var waiting sync.WaitGroup
+	for range 50 {
+		waiting.Go(func() {
+			got, err := fixture.groups.Barrier(context.Background(), groupID)
+			if err != nil || !position.Reached(got, wrote, nil) {
+				t.Errorf("barrier %v, %v; wrote %v", got, err, wrote)
+			}
+		})
+	}
+	waiting.Wait()
+	if _, err := fixture.groups.Barrier(context.Background(), "unknown"); reason(err) != refusal.NoPrimary {
+		t.Errorf("unknown group: %v", err)
+	}
+}
+
+// TestBarrierNeedsMajority guards against a barrier taken from a replaced primary behind a partition.
+func TestBarrierNeedsMajority(t *testing.T) {
+	fixture := start(t, group.WithDeadlines(600*time.Millisecond, time.Second))
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); err != nil {
+		t.Fatal(err)
+	}
+	cut := func(state *database.State) { state.Partitioned = []string{"all"} }
+	fixture.servers[1].Set(cut)
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); err != nil {
+		t.Errorf("one replica cut: %v", err)
+	}
+	fixture.servers[2].Set(cut)
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); reason(err) != refusal.StaleRoute {
+		t.Errorf("both replicas cut: %v", err)
+	}
+	fixture.servers[0].Set(cut)
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); reason(err) != refusal.NoPrimary {
+		t.Errorf("all cut: %v", err)
+	}
+}
+
+// TestBarrierFenced guards against a barrier from a primary whose replacement has fenced a majority.
+func TestBarrierFenced(t *testing.T) {
+	fixture := start(t, group.WithDeadlines(500*time.Millisecond, time.Second))
+	for _, server := range fixture.servers[1:] {
+		if _, err := fixture.groups.Order(context.Background(), server.Address(), "SELECT * FROM group_fence('2')"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); reason(err) != refusal.StaleRoute {
+		t.Errorf("barrier: %v", err)
+	}
+}
+
+// TestConfirm guards the acknowledgement rule: a write that only the primary has is never confirmed.
+func TestConfirm(t *testing.T) {
+	fixture := start(t, group.WithDeadlines(time.Second, 300*time.Millisecond))
+	for range 20 {
+		if err := fixture.groups.Confirm(context.Background(), groupID, "a", fixture.write(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, server := range fixture.servers[1:] {
+		server.Set(func(state *database.State) { state.Partitioned = []string{"replication"} })
+	}
+	// One record may already have passed the switch.
+	fixture.write(t)
+	err := fixture.groups.Confirm(context.Background(), groupID, "a", fixture.write(t))
+	if reason(err) != refusal.OutcomeUnknown {
+		t.Errorf("replicas cut from the primary: %v", err)
+	}
+}
+
+// TestView guards the routing view: replicas show what they replayed and how old it is, leaving and broken servers are marked.
+func TestView(t *testing.T) {
+	fixture := start(t)
+	wrote := fixture.write(t)
+	within(t, 2*time.Second, "all servers at the written position", func() bool {
+		view := fixture.groups.View(groupID)
+		if view.Primary != 0 || view.Term != 1 {
+			return false
+		}
+		for _, server := range view.Servers {
+			if !server.Reachable || !position.Reached(server.Replayed, wrote, view.Starts) || server.CurrentAt == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	fixture.servers[1].Set(func(state *database.State) { state.FrozenReplay = true })
+	fixture.write(t)
+	within(t, 2*time.Second, "a frozen replica ages", func() bool {
+		now, view := fixture.groups.Now(), fixture.groups.View(groupID)
+		return now-view.Servers[1].CurrentAt > 500*time.Millisecond && now-view.Servers[2].CurrentAt < 400*time.Millisecond
+	})
+	fixture.groups.SetLeaving("c", true)
+	fixture.groups.Observe(groupID, "b", errors.New("connection reset"))
+	view := fixture.groups.View(groupID)
+	if !view.Servers[2].Leaving || view.Servers[1].Reachable {
+		t.Errorf("view %+v", view.Servers)
+	}
+	within(t, time.Second, "an observed server is asked again at once", func() bool {
+		return fixture.groups.View(groupID).Servers[1].Reachable
+	})
+	if server, ok := route.Choose(fixture.groups.View(groupID), route.Request{}); server != 0 || !ok {
+		t.Errorf("primary %d, %v", server, ok)
+	}
+}
+
+// TestUnusedGroupIsNotPolled guards the control overhead: a group that this VM does not use costs no requests.
+func TestUnusedGroupIsNotPolled(t *testing.T) {
+	fixture := start(t, group.WithUnusedAfter(150*time.Millisecond))
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); err != nil {
+		t.Fatal(err)
+	}
+	within(t, 3*time.Second, "polling stops", func() bool {
+		return !fixture.groups.Polling(groupID)
+	})
+	fixture.groups.View(groupID)
+	if !fixture.groups.Polling(groupID) {
+		t.Error("use does not start the polling")
+	}
+}
+
+// BenchmarkAcknowledge measures what the confirmation adds to a write, with replicas that have no lag.
+func BenchmarkAcknowledge(b *testing.B) {
+	for _, confirmed := range []bool{false, true} {
+		b.Run(map[bool]string{false: "primary_answer", true: "confirmed"}[confirmed], func(b *testing.B) {
+			fixture := start(b)
+			if _, err := fixture.groups.Barrier(context.Background(), groupID); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				wrote := fixture.write(b)
+				if !confirmed {
+					continue
+				}
+				if err := fixture.groups.Confirm(context.Background(), groupID, "a", wrote); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/group/poll.go
@@ -0,0 +1,129 @@
+package group
+
+import (
+	"context"
+	"time"
+
+	"dotterelgw/core/failover"
+)
+
+const (
+	// usedInterval is the time between status requests while this VM uses the group.
+	usedInterval = 100 * time.Millisecond
+	// barrierRetry and failedRetry keep repeated requests for those that wait from using up the servers.
+	barrierRetry = 20 * time.Millisecond
+	failedRetry  = 20 * time.Millisecond
+	// confirmPause is the least pause before a replica that had not received a write is asked again; it doubles up to
+	// confirmPauseMax. The first value is near a round trip between zones.
+	confirmPause    = 200 * time.Microsecond
+	confirmPauseMax = 4 * time.Millisecond
+)
+
+// poke makes the poller send a status request as soon as the one in flight has ended.
+func (server *server) poke() {
+	select {
+	case server.wake <- struct{}{}:
+	default:
+	}
+}
+
+// poll sends the status requests of one server, one at a time.
+func (group *group) poll(ctx context.Context, server *server) {
+	defer group.groups.running.Done()
+	var connection *connection
+	defer func() { connection.close() }()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-server.wake:
+		case <-timer.C:
+		}
+		sample := group.begin()
+		var err error
+		connection, err = group.probe(ctx, connection, server, sample)
+		if ctx.Err() != nil {
+			return
+		}
+		timer.Reset(group.sampled(server, sample, err))
+	}
+}
+
+// begin numbers a status request that is about to be sent.
+func (group *group) begin() *sample {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.asked++
+	return &sample{asked: group.asked, sent: group.groups.now()}
+}
+
+// probe sends one status request, on a new connection if the last one failed.
+func (group *group) probe(ctx context.Context, open *connection, server *server, sample *sample) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, failover.ProbeTimeout)
+	defer cancel()
+	var err error
+	if open == nil {
+		if open, err = group.groups.login.connect(ctx, group.groups.dial, server.record.Address); err != nil {
+			return nil, err
+		}
+	}
+	if sample.status, err = open.ask(ctx, statusQuery); err != nil {
+		open.close()
+		return nil, err
+	}
+	return open, nil
+}
+
+// sampled takes in the result of a status request and returns the pause until the next one.
+func (group *group) sampled(server *server, sample *sample, err error) time.Duration {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	now := group.groups.now()
+	if group.used.Swap(false) {
+		group.lastUse = now
+	}
+	if err != nil {
+		if server.reachable || server.sample == nil {
+			_ = group.groups.logger.Log("msg", "no status", "group", group.record.Group, "server", server.record.ID, "err", err)
+		}
+		server.reachable = false
+		server.watch.Failed()
+	} else {
+		sample.status.Server = server.record.ID
+		server.reachable = true
+		server.sample = sample
+		server.watch.Answered(now, sample.status)
+		if sample.status.Leaving && !server.leaving {
+			server.leaving, server.leftAt = true, now
+		}
+		if sample.status.Accepts() {
+			group.ages.sampled(sample)
+		}
+	}
+	group.evaluateLocked()
+	return group.pauseLocked(server, now-sample.sent, now, err)
+}
+
+// pauseLocked returns the time until the next status request to the server.
+func (group *group) pauseLocked(server *server, elapsed, now time.Duration, err error) time.Duration {
+	unused := now-group.lastUse >= group.groups.unusedAfter
+	waiting := len(group.barriers)+len(group.writes) > 0
+	if unused && !group.watched && !waiting {
+		group.stopLocked()
+		return 0
+	}
+	switch {
+	case waiting && err != nil:
+		return failedRetry
+	case len(group.writes) > 0:
+		server.pause = min(max(2*server.pause, confirmPause), confirmPauseMax)
+		return server.pause
+	case waiting:
+		return barrierRetry
+	case unused:
+		return max(failover.ProbeInterval-elapsed, 0)
+	}
+	return max(usedInterval-elapsed, 0)
+}
