--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -64,7 +64,7 @@
 	// canceled is set before a cancel request is sent: it may arrive late, so the connection must not serve others.
 	canceled atomic.Bool
 	prepared map[string]struct{}
-	// pings is the buffer of the liveness check.
+	// peek is the buffer of the liveness check.
 	peek [1]byte
 }
 
@@ -144,6 +144,9 @@
 	return frame, nil
 }
 
+// Due returns the number of ReadyForQuery messages that the server owes.
+func (conn *Conn) Due() int { return conn.due }
+
 // Buffered returns the number of bytes of answers that are read but not yet returned.
 func (conn *Conn) Buffered() int { return conn.reader.Buffered() }
 
--- a/io/backend/wire/reader.go
+++ b/io/backend/wire/reader.go
@@ -118,3 +118,6 @@
 	reader.start += length + 1
 	return frame, nil
 }
+
+// SetLimit changes the greatest length of a message.
+func (reader *Reader) SetLimit(limit int) { reader.limit = limit }
--- /dev/null
+++ b/io/session/run.go
@@ -0,0 +1,271 @@
+package session
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"dotterelgw/core/contract"
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/retry"
+	"dotterelgw/core/route"
+	"dotterelgw/io/backend"
+	"dotterelgw/io/backend/wire"
+)
+
+const (
+	// patience bounds the time for which a request that was not run waits for a primary; a change of primary takes 3 s.
+	patience = 5 * time.Second
+	// viewPoll is the interval at which a waiting request looks at the group's view.
+	viewPoll = 10 * time.Millisecond
+	// reconnectPause is the pause before a request tries a server again that did not accept a connection.
+	reconnectPause = 200 * time.Millisecond
+)
+
+// ending states how an attempt to run a request ended.
+type ending struct {
+	// closed is not nil when the session ends.
+	closed error
+	// refused is not nil when the request was not run.
+	refused *refusal.Refusal
+	// failed is not nil when the server gave no answer that the caller may have.
+	failed *retry.Attempt
+	err    error
+}
+
+// run runs the request, repeating it where that is safe, and answers it.
+func (session *Session) run() error {
+	if session.aborted {
+		return session.runAborted()
+	}
+	if refused := session.admit(); refused != nil {
+		return session.refuse(refused)
+	}
+	budget := session.server.budget(session.route.Group)
+	budget.Request()
+	session.forwarded = false
+	mark := len(session.scratch.out)
+	deadline := session.server.Now() + patience
+	for {
+		ended := session.attempt(deadline)
+		switch {
+		case ended.closed != nil:
+			return ended.closed
+		case ended.refused != nil:
+			return session.refuse(ended.refused)
+		case ended.failed == nil:
+			return nil
+		}
+		attempt := ended.failed
+		if !session.forwarded {
+			session.scratch.out = session.scratch.out[:mark]
+		}
+		term := uint64(0)
+		if view := session.server.Groups.View(session.route.Group); view != nil {
+			term = uint64(view.Term)
+		}
+		reason, ok := retry.Decide(*attempt)
+		if ok && session.stop.Load()&stopNow == 0 && !(session.pinned && session.backend == nil) && (!retry.Budgeted(reason) || budget.Take()) {
+			if wait := session.pause(reason, attempt, term, deadline); wait != nil {
+				return session.refuse(wait)
+			}
+			session.server.retries[reason].Inc(1)
+			continue
+		}
+		return session.fail(attempt, ended.err)
+	}
+}
+
+// pause waits until a repeat for the reason can succeed.
+func (session *Session) pause(reason retry.Reason, attempt *retry.Attempt, term uint64, deadline time.Duration) *refusal.Refusal {
+	if session.server.Now() >= deadline {
+		return refusal.New(refusal.NoPrimary, "no primary took the request in time")
+	}
+	switch reason {
+	case retry.ReplicaReadOnly:
+		session.request.primaryOnly = true
+	case retry.PrimaryFenced:
+		if !session.waitTerm(term, deadline) {
+			return refusal.New(refusal.NoPrimary, "the primary was replaced and no other is known yet")
+		}
+	case retry.NotSent:
+		if attempt.Primary {
+			session.waitTerm(term, min(deadline, session.server.Now()+reconnectPause))
+		}
+	}
+	return nil
+}
+
+// waitTerm waits until the view of the group has a primary of a later term; it returns false at the deadline.
+func (session *Session) waitTerm(term uint64, deadline time.Duration) bool {
+	for {
+		if view := session.server.Groups.View(session.route.Group); view != nil && uint64(view.Term) > term && view.Primary >= 0 {
+			return true
+		}
+		if !session.sleep(deadline) {
+			return false
+		}
+	}
+}
+
+// sleep waits for one poll interval; it returns false at the deadline or when the session is to end.
+func (session *Session) sleep(deadline time.Duration) bool {
+	if session.server.Now() >= deadline || session.stop.Load()&stopNow != 0 {
+		return false
+	}
+	timer := time.NewTimer(viewPoll)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-session.ctx.Done():
+		return false
+	}
+}
+
+// fail answers a request that may not be repeated with what is known of its outcome.
+func (session *Session) fail(attempt *retry.Attempt, err error) error {
+	note := ""
+	if err != nil {
+		note = err.Error()
+	}
+	ending := session.request.sync && (session.tx == wire.Idle || session.request.class.commits)
+	var refused *refusal.Refusal
+	switch {
+	case attempt.SQLState != "":
+		refused = refusal.New(refusal.BackendLost, note)
+	case attempt.InTransaction && !ending, attempt.ReadOnly && attempt.Sent:
+		refused = refusal.New(refusal.BackendLost, note).WithOutcome(refusal.RolledBack)
+	case !attempt.Sent && !attempt.InTransaction:
+		refused = refusal.New(refusal.BackendLost, note)
+	case !attempt.Sent:
+		refused = refusal.New(refusal.BackendLost, note).WithOutcome(refusal.RolledBack)
+	default:
+		session.positionKnown = false
+		refused = refusal.New(refusal.OutcomeUnknown, note)
+	}
+	if session.stop.Load()&stopNow != 0 {
+		return session.refuseFatal(refusal.New(refusal.Stopping, note).WithOutcome(refused.Outcome))
+	}
+	return session.refuse(refused)
+}
+
+// admit checks that the request may run at all; nothing was sent yet.
+func (session *Session) admit() *refusal.Refusal {
+	if refused := session.review(); refused != nil {
+		return refused
+	}
+	if !session.server.Control.Admitting() {
+		return refusal.New(refusal.NotConfirmed, "")
+	}
+	if session.request.class.unsupported {
+		return refusal.New(refusal.Unsupported, "COPY, LISTEN, UNLISTEN and NOTIFY")
+	}
+	organisation := session.caller.Organisation
+	for range session.request.statements {
+		if !session.server.Limiter.Admit(organisation) && !session.server.Limiter.Wait(session.ctx, organisation) {
+			return refusal.New(refusal.RateExceeded, fmt.Sprintf("rate %g/s, burst %g", session.contract.Rate, session.contract.Burst))
+		}
+	}
+	return nil
+}
+
+// attempt runs the request once.
+func (session *Session) attempt(deadline time.Duration) ending {
+	attempt := &retry.Attempt{InTransaction: session.tx != wire.Idle || session.partial, Idempotent: session.caller.Idempotent}
+	if session.backend == nil {
+		if refused := session.connect(attempt, deadline); refused != nil {
+			if refused.Reason == refusal.BackendLost {
+				return ending{failed: attempt, err: errors.New(refused.Note)}
+			}
+			return ending{refused: refused}
+		}
+	}
+	attempt.Primary = session.primary
+	attempt.ReadOnly = session.readOnly || !session.primary
+	return session.exchange(attempt)
+}
+
+// wantsReplica states whether the request may run on a replica, and whether that is only a try.
+func (session *Session) wantsReplica() (replica, tentative bool) {
+	request := &session.request
+	switch {
+	case request.primaryOnly:
+		return false, false
+	case session.readOnly, request.class.beginsReadOnly:
+		return true, false
+	case session.route.Access == contract.Auto && request.class.selects:
+		return true, true
+	}
+	return false, false
+}
+
+// connect acquires a connection to the server that is to run the request.
+func (session *Session) connect(attempt *retry.Attempt, deadline time.Duration) *refusal.Refusal {
+	server := session.server
+	group := session.route.Group
+	replica, tentative := session.wantsReplica()
+	session.request.tentative = tentative
+	for {
+		if !session.positionKnown {
+			at, err := server.Groups.Barrier(session.ctx, group)
+			var refused *refusal.Refusal
+			switch {
+			case err == nil:
+				session.position, session.positionKnown = at, true
+			case !session.sleep(deadline) && errors.As(err, &refused):
+				return refused
+			case session.server.Now() >= deadline || session.ctx.Err() != nil:
+				return refusal.New(refusal.NoPrimary, err.Error())
+			default:
+				continue
+			}
+		}
+		view := server.Groups.View(group)
+		index, ok := route.Choose(view, route.Request{
+			ReadOnly: replica, Position: session.position, MaxAge: session.route.MaxAge(), Now: server.Now(), Zone: server.Zone,
+		})
+		if !ok {
+			if session.sleep(deadline) {
+				continue
+			}
+			if replica {
+				return refusal.New(refusal.StaleRoute, string(group))
+			}
+			return refusal.New(refusal.NoPrimary, string(group))
+		}
+		attempt.Primary = index == view.Primary
+		chosen := &view.Servers[index]
+		conn, err := server.Pools.Acquire(session.ctx, backend.Request{
+			Organisation: session.caller.Organisation, Weight: session.contract.Weight, Limits: session.contract.Limits,
+			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database,
+		})
+		if err != nil {
+			return session.acquireRefused(err, attempt, chosen)
+		}
+		session.mutex.Lock()
+		session.backend, session.primary = conn, attempt.Primary
+		session.mutex.Unlock()
+		if session.primary {
+			server.routePrimary.Inc(1)
+		} else {
+			server.routeReplica.Inc(1)
+		}
+		return nil
+	}
+}
+
+func (session *Session) acquireRefused(err error, attempt *retry.Attempt, chosen *route.Server) *refusal.Refusal {
+	var refused *refusal.Refusal
+	if !errors.As(err, &refused) {
+		refused = refusal.New(refusal.BackendLost, err.Error())
+	}
+	if refused.Reason == refusal.BackendLost {
+		session.server.Groups.Observe(session.route.Group, chosen.ID, err)
+		if !attempt.Primary {
+			// The next attempt avoids the replica, which the view may still show as reachable.
+			session.request.primaryOnly = true
+		}
+	}
+	return refused
+}
