--- a/core/member/view.go
+++ b/core/member/view.go
@@ -103,6 +103,16 @@
 	return known.Heard, ok && now-known.at <= SilentAfter
 }
 
+// PlatformHeard states whether this VM has heard, within the window, of any VM that the service answers.
+func (view *View) PlatformHeard(now, window time.Duration) bool {
+	for _, said := range view.heard {
+		if said.Reachable && now-said.at <= window {
+			return true
+		}
+	}
+	return false
+}
+
 // Members returns the VMs that may have duties, this one included while it is live, sorted by id.
 func (view *View) Members(now time.Duration) []Member {
 	var members []Member
