--- /dev/null
+++ b/io/session/proxy_test.go
@@ -0,0 +1,227 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rcrowley/go-metrics"
+	"github.com/xdg-go/scram"
+
+	"dotterelgw/core/contract"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/route"
+	"dotterelgw/io/backend"
+	"dotterelgw/io/frontend"
+	"dotterelgw/io/session"
+)
+
+// proxy is the data path with fakes for everything around it.
+type proxy struct {
+	t        testing.TB
+	address  string
+	primary  *database
+	replica  *database
+	sessions *session.Server
+	pools    *backend.Pools
+	metrics  metrics.Registry
+
+	contract atomic.Pointer[contract.Contract]
+	revision atomic.Int64
+	view     atomic.Pointer[route.View]
+	limited  atomic.Bool
+	unsure   atomic.Bool
+	confirm  atomic.Pointer[func(position.Position) error]
+	mutex    sync.Mutex
+	refused  []*refusal.Refusal
+}
+
+const key = "correct horse"
+
+func verifier(key string) string {
+	client, _ := scram.SHA256.NewClient("", key, "")
+	stored, _ := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", stored.Iters, b64([]byte(stored.Salt)), b64(stored.StoredKey), b64(stored.ServerKey))
+}
+
+func newProxy(t testing.TB, connections int) *proxy {
+	proxy := &proxy{t: t, primary: newDatabase(t, "primary", false), replica: newDatabase(t, "replica", true), metrics: metrics.NewRegistry()}
+	proxy.contract.Store(&contract.Contract{
+		Organisation: "frissito", Rate: 1000, Burst: 100, Weight: 1,
+		Limits: contract.Limits{Connections: 7000, Transactions: 50, Queue: 1000, QueueTimeoutMS: 2000},
+		Routes: []contract.Route{
+			{Name: "app", Group: "g1", Database: "app", Access: contract.ReadWrite},
+			{Name: "auto", Group: "g1", Database: "app", Access: contract.Auto},
+			{Name: "read", Group: "g1", Database: "app", Access: contract.Read},
+		},
+		Keys: []contract.Key{{ID: "bot", Verifier: verifier(key)}},
+	})
+	proxy.revision.Store(1)
+	proxy.setView(1, 0)
+	proxy.pools = backend.New(backend.Login{User: "dotterel", Password: "own", VM: "vm1"}, backend.WithAllotment(connections))
+	proxy.sessions = session.New(session.Dependencies{
+		Control: proxy, Groups: proxy, Pools: proxy.pools, Limiter: proxy, Recorder: proxy, VM: "vm1", Zone: "a", Metrics: proxy.metrics,
+	})
+	front, err := frontend.New(frontend.Dependencies{Control: proxy, Sessions: proxy.sessions, Recorder: proxy, Plaintext: true, MaxMessageBytes: 1 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy.address = listener.Addr().String()
+	go func() { _ = front.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		_ = proxy.sessions.Drain(ctx)
+		front.Wait()
+		proxy.pools.Close()
+	})
+	return proxy
+}
+
+// setView publishes a view with the primary at the index; the other server is a replica that has replayed everything.
+func (proxy *proxy) setView(term ids.Term, primary int) {
+	ahead := position.Position{Term: term, Log: 1 << 40}
+	proxy.view.Store(&route.View{
+		Group: "g1", Term: term, Primary: primary,
+		Starts: []position.Position{{Term: 1, Log: 0}, {Term: 2, Log: 1 << 39}},
+		Servers: []route.Server{
+			{ID: "primary", Address: proxy.primary.listener.Addr().String(), Zone: "a", Reachable: true, Replayed: ahead},
+			{ID: "replica", Address: proxy.replica.listener.Addr().String(), Zone: "a", Reachable: true, Replayed: ahead},
+		},
+	})
+}
+
+func (proxy *proxy) Contract(org ids.OrganisationID) (*contract.Contract, ids.Revision, bool) {
+	held := proxy.contract.Load()
+	return held, ids.Revision(proxy.revision.Load()), held.Organisation == org
+}
+
+func (proxy *proxy) Admitting() bool { return !proxy.unsure.Load() }
+
+func (proxy *proxy) View(ids.GroupID) *route.View { return proxy.view.Load() }
+
+func (proxy *proxy) Barrier(context.Context, ids.GroupID) (position.Position, error) {
+	return position.Position{Term: proxy.view.Load().Term, Log: 100}, nil
+}
+
+func (proxy *proxy) Confirm(_ context.Context, _ ids.GroupID, _ ids.BackendServerID, at position.Position) error {
+	if confirm := proxy.confirm.Load(); confirm != nil {
+		return (*confirm)(at)
+	}
+	return nil
+}
+
+func (proxy *proxy) Observe(ids.GroupID, ids.BackendServerID, error) {}
+
+func (proxy *proxy) Admit(ids.OrganisationID) bool { return !proxy.limited.Load() }
+
+func (proxy *proxy) Wait(context.Context, ids.OrganisationID) bool { return false }
+
+func (proxy *proxy) Record(refused *refusal.Refusal, _ session.Caller) *refusal.Refusal {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	recorded := *refused
+	recorded.ID = ids.NewRequestID("vm1", uint64(len(proxy.refused)+1))
+	proxy.refused = append(proxy.refused, &recorded)
+	return &recorded
+}
+
+func (proxy *proxy) connect(database, options string) *pgx.Conn {
+	proxy.t.Helper()
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://frissito.bot:%s@%s/%s?sslmode=disable", strings.ReplaceAll(key, " ", "%20"), proxy.address, database))
+	if err != nil {
+		proxy.t.Fatal(err)
+	}
+	if options != "" {
+		config.RuntimeParams["options"] = options
+	}
+	conn, err := pgx.ConnectConfig(context.Background(), config)
+	if err != nil {
+		proxy.t.Fatal(err)
+	}
+	proxy.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// caller is a raw caller connection whose messages are written down.
+type caller struct {
+	proxy    *proxy
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+	lines    []string
+	pid      uint32
+	secret   []byte
+}
+
+// dial takes over the connection of a pgx client after its start-up.
+func (proxy *proxy) dial(database, options string) *caller {
+	hijacked, err := proxy.connect(database, options).PgConn().Hijack()
+	if err != nil {
+		proxy.t.Fatal(err)
+	}
+	proxy.t.Cleanup(func() { _ = hijacked.Conn.Close() })
+	return &caller{proxy: proxy, conn: hijacked.Conn, frontend: pgproto3.NewFrontend(hijacked.Conn, hijacked.Conn), pid: hijacked.PID, secret: hijacked.SecretKey}
+}
+
+// put sends messages in one write.
+func (caller *caller) put(messages ...pgproto3.FrontendMessage) {
+	caller.proxy.t.Helper()
+	for _, message := range messages {
+		caller.lines = append(caller.lines, "caller > "+describe(message))
+		caller.frontend.Send(message)
+	}
+	if err := caller.frontend.Flush(); err != nil {
+		caller.proxy.t.Fatal(err)
+	}
+}
+
+// until reads answers up to the given number of ReadyForQuery messages or the end of the connection.
+func (caller *caller) until(ready int) {
+	caller.proxy.t.Helper()
+	var answers []string
+	_ = caller.conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	for ready > 0 {
+		message, err := caller.frontend.Receive()
+		if err != nil {
+			answers = append(answers, "caller < end of the connection")
+			break
+		}
+		answers = append(answers, "caller < "+describe(message))
+		if _, ok := message.(*pgproto3.ReadyForQuery); ok {
+			ready--
+		}
+	}
+	caller.drainLog()
+	caller.lines = append(caller.lines, answers...)
+}
+
+func (caller *caller) drainLog() {
+	for _, database := range []*database{caller.proxy.primary, caller.proxy.replica} {
+		database.lock(func() {
+			caller.lines = append(caller.lines, database.lines...)
+			database.lines = nil
+		})
+	}
+}
+
+func (caller *caller) query(text string) {
+	caller.proxy.t.Helper()
+	caller.put(&pgproto3.Query{String: text})
+	caller.until(1)
+}
+
+func (caller *caller) transcript() []byte { return []byte(strings.Join(caller.lines, "\n") + "\n") }
