--- /dev/null
+++ b/core/chart/chart_test.go
@@ -0,0 +1,87 @@
+package chart_test
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"dotterelgw/core/chart"
+)
+
+// TestLoad guards the load errors: a chart with a gap must not reach a running process. Each file's first line states
+// the error that it must cause.
+func TestLoad(t *testing.T) {
+	paths, err := filepath.Glob("testdata/*.toml")
+	if err != nil || len(paths) == 0 {
+		t.Fatalf("%v, %v", paths, err)
+	}
+	for _, path := range paths {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			source, err := os.ReadFile(path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			first, _, _ := strings.Cut(string(source), "\n")
+			want, fails := strings.CutPrefix(first, "# error: ")
+			_, err = chart.Load(source, "lock")
+			if fails && (err == nil || !strings.Contains(err.Error(), want)) {
+				t.Errorf("error %v, want %q", err, want)
+			}
+			if !fails && err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// TestMachine guards the interpreter: actions come from the file, ignored events move nothing, unknown ones are errors.
+func TestMachine(t *testing.T) {
+	source, err := os.ReadFile("testdata/valid.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	loaded, err := chart.Load(source, "lock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	machine := chart.NewMachine(loaded)
+	if actions, err := machine.Fire("knock"); len(actions) != 0 || err != nil || machine.State() != "open" {
+		t.Errorf("ignored event: %v, %v, %v", actions, err, machine.State())
+	}
+	if _, err := machine.Fire("ring"); err == nil || machine.State() != "open" {
+		t.Errorf("unknown event: %v, %v", err, machine.State())
+	}
+	if actions, err := machine.Fire("leave"); !slices.Equal(actions, []chart.Action{"lock"}) || err != nil || !machine.Final() {
+		t.Errorf("leave: %v, %v, %v", actions, err, machine.State())
+	}
+}
+
+// TestNamed guards the charts of the registry against load errors and against paths that forbid safe endings.
+func TestNamed(t *testing.T) {
+	actions := map[string][]chart.Action{
+		"connection": {"offer", "close", "cancel", "discard_all"},
+		"session": {
+			"report_ready", "send_refusal", "send_protocol_error", "send_stopping", "send_withdrawn", "roll_back", "close",
+		},
+	}
+	for _, name := range chart.Names() {
+		if _, err := chart.Named(name, actions[name]...); err != nil {
+			t.Error(err)
+		}
+	}
+	connection, _ := chart.Named("connection", actions["connection"]...)
+	machine := chart.NewMachine(connection)
+	for _, event := range []chart.Event{"logged_in", "acquired", "response_missing", "released"} {
+		if _, err := machine.Fire(event); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !machine.Final() {
+		t.Errorf("a connection with a missing response is %s after its release", machine.State())
+	}
+	if _, err := chart.Named("unknown"); err == nil {
+		t.Error("unknown chart loaded")
+	}
+}
