--- a/cmd/dotterel-standin/main.go
+++ b/cmd/dotterel-standin/main.go
@@ -33,7 +33,12 @@
 		ShortUsage:  "dotterel-standin platform|database [flags]",
 		ShortHelp:   "runs a stand-in until it is interrupted",
 		Subcommands: []*ffcli.Command{platformCommand(ready), databaseCommand(ready)},
-		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
+		Exec: func(_ context.Context, arguments []string) error {
+			if err := noArguments(arguments); err != nil {
+				return err
+			}
+			return flag.ErrHelp
+		},
 	}
 	return root.ParseAndRun(ctx, arguments)
 }
--- a/cmd/dotterel-standin/platform.go
+++ b/cmd/dotterel-standin/platform.go
@@ -28,7 +28,10 @@
 		ShortHelp:  "key-value service (etcd v3 subset) and VM list",
 		FlagSet:    flags,
 		Options:    []ff.Option{ff.WithEnvVarPrefix("DOTTEREL_STANDIN_PLATFORM")},
-		Exec: func(ctx context.Context, _ []string) error {
+		Exec: func(ctx context.Context, arguments []string) error {
+			if err := noArguments(arguments); err != nil {
+				return err
+			}
 			vms, err := readVMs(*vmsFile)
 			if err != nil {
 				return fmt.Errorf("platform: %w", err)
--- /dev/null
+++ b/cmd/dotterelctl/client.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"dotterelgw/io/admin"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// callTimeout is longer than the 10 s that the API takes to settle a change.
+	callTimeout = 15 * time.Second
+	// responseLimit bounds a response; 7,000 groups at 500 bytes are 3.5 MB.
+	responseLimit = 64 << 20
+)
+
+// client calls the administration APIs in the order of their URLs until one answers.
+type client struct {
+	urls       []string
+	credential string
+	http       *http.Client
+}
+
+func (tool *tool) client() (*client, error) {
+	client := &client{}
+	for _, text := range strings.Split(tool.admin, ",") {
+		text = strings.TrimSuffix(strings.TrimSpace(text), "/")
+		if text == "" {
+			continue
+		}
+		parsed, err := url.Parse(text)
+		if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+			return nil, &usageError{fmt.Sprintf("-admin: %q is not a URL", text), "give URLs such as https://10.0.0.1:7443"}
+		}
+		client.urls = append(client.urls, text)
+	}
+	if len(client.urls) == 0 {
+		return nil, &usageError{"-admin is missing", "name one or more administration APIs, or set DOTTEREL_ADMIN"}
+	}
+	if tool.credentialFile == "" {
+		return nil, &usageError{"-credential-file is missing", "name the file with your credential, or set DOTTEREL_CREDENTIAL_FILE"}
+	}
+	credential, err := os.ReadFile(tool.credentialFile)
+	if err != nil {
+		return nil, &usageError{"-credential-file: " + err.Error(), "name a file that you can read"}
+	}
+	client.credential = strings.TrimSpace(string(credential))
+	transport := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS13},
+	}
+	if tool.ca != "" {
+		text, err := os.ReadFile(tool.ca)
+		if err != nil {
+			return nil, &usageError{"-ca: " + err.Error(), "name a file that you can read"}
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(text) {
+			return nil, &usageError{"-ca: " + tool.ca + " holds no certificate", "name a PEM file with the certificate authority"}
+		}
+		transport.TLSClientConfig.RootCAs = pool
+	}
+	client.http = &http.Client{Transport: transport, Timeout: callTimeout}
+	if tool.wait {
+		client.http.Timeout += tool.waitTimeout
+	}
+	return client, nil
+}
+
+// call sends a request to the first API that answers. Requests that change something carry a change id, so that they may
+// be sent again to another VM.
+func (client *client) call(ctx context.Context, method, path string, query url.Values, body, into any) error {
+	var failed error
+	for _, base := range client.urls {
+		err := client.callOne(ctx, base, method, path, query, body, into)
+		var problem *admin.Problem
+		if err == nil || errors.As(err, &problem) || ctx.Err() != nil {
+			return err
+		}
+		failed = errors.Join(failed, err)
+	}
+	return &unreachableError{err: failed}
+}
+
+// callOne sends a request to one API. The error is an *admin.Problem if the API answered with one.
+func (client *client) callOne(ctx context.Context, base, method, path string, query url.Values, body, into any) error {
+	var payload io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("encode request: %w", err)
+		}
+		payload = bytes.NewReader(text)
+	}
+	target := base + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, payload)
+	if err != nil {
+		return fmt.Errorf("request to %s: %w", base, err)
+	}
+	request.Header.Set("Authorization", "Bearer "+client.credential)
+	response, err := client.http.Do(request)
+	if err != nil {
+		return err // names method and URL
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(response.Body, responseLimit))
+	if err != nil {
+		return fmt.Errorf("read response of %s: %w", base, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		problem := &admin.Problem{}
+		if err := json.Unmarshal(text, problem); err != nil || problem.Code == "" {
+			return fmt.Errorf("%s is not an administration API: status %s", base, response.Status)
+		}
+		return problem
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return fmt.Errorf("decode response of %s: %w", base, err)
+	}
+	return nil
+}
+
+// changeQuery returns the query parameters of a change, and gives the change an identifier.
+func (tool *tool) changeQuery() url.Values {
+	if tool.changeID == "" {
+		random := make([]byte, 16)
+		_, _ = rand.Read(random) // never fails
+		tool.changeID = hex.EncodeToString(random)
+	}
+	query := url.Values{}
+	if tool.wait {
+		query.Set("wait", "true")
+		query.Set("timeout", tool.waitTimeout.String())
+	}
+	return query
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -51,7 +51,7 @@
 
 // WithVMs sets the initial VM list, which is visible at once whatever the lag.
 func WithVMs(vms []VM) Option {
-	return func(platform *Platform) { platform.vms.versions = []vmVersion{{vms: vms}} }
+	return func(platform *Platform) { platform.vms.versions = []vmVersion{{vms: append([]VM{}, vms...)}} }
 }
 
 // Platform is a running stand-in.
