--- a/standin/database/columns.go
+++ b/standin/database/columns.go
@@ -74,6 +74,8 @@
 		entry.columns = controlColumns(entry.text)
 	case kindSleep:
 		entry.columns = []column{{"pg_sleep", pgtype.TextOID}}
+	case kindFunction:
+		entry.columns = []column{functionColumn(entry.name)}
 	case kindShow:
 		entry.columns = []column{{entry.name, pgtype.TextOID}}
 	case kindRead, kindLockingRead, kindWrite:
--- a/standin/database/control.go
+++ b/standin/database/control.go
@@ -152,7 +152,7 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.role, group.term, group.primary = Primary, term, ""
-	group.notify()
+	group.turn()
 	server.logf("promoted in term %d at position %d", term, len(group.log))
 	return group.statusLocked(), nil
 }
@@ -175,7 +175,7 @@
 	group.truncateLocked(group.cutLocked(term, start))
 	group.role, group.term, group.promised, group.primary = Replica, term, term, address
 	rebuild := group.rebuild
-	group.notify()
+	group.turn()
 	status := group.statusLocked()
 	group.mutex.Unlock()
 	if demoted || rebuild {
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -58,6 +58,8 @@
 		return session.read(ctx, parsed, arguments)
 	case kindWrite, kindLockingRead:
 		return session.writeStatement(ctx, parsed, arguments)
+	case kindFunction:
+		return session.function(parsed), nil
 	case kindSleep:
 		err := session.server.onSlot(ctx, parsed.sleep, func() error { return nil })
 		return &result{columns: []column{{"pg_sleep", pgtype.TextOID}}, rows: [][]driver.Value{{""}}, tag: "SELECT 1", hasRows: true}, err
--- a/standin/database/extended.go
+++ b/standin/database/extended.go
@@ -10,8 +10,8 @@
 // prepared is a prepared statement.
 type prepared struct {
 	*statement
-	// oids are the parameter types given by Parse, 0 where none was given.
-	oids []uint32
+	// oids are the parameter types given by Parse, 0 where none was given; types are those that values are read as.
+	oids, types []uint32
 	// columns are the described columns; nil until Describe.
 	columns []column
 }
@@ -91,6 +91,14 @@
 		if _, err := handle.prepare(parsed.sql); err != nil {
 			return err
 		}
+		entry.types = infer(handle, parsed)
+	}
+	for index, oid := range entry.oids {
+		if index >= len(entry.types) {
+			entry.types = append(entry.types, oid)
+		} else if oid != 0 {
+			entry.types[index] = oid
+		}
 	}
 	session.statements[message.Name] = entry
 	session.backend.Send(&pgproto3.ParseComplete{})
@@ -111,7 +119,7 @@
 	}
 	bound := &portal{prepared: entry, formats: slices.Clone(message.ResultFormatCodes)}
 	for index, parameter := range message.Parameters {
-		value, err := decode(parameter, entry.oids[index], format(message.ParameterFormatCodes, index))
+		value, err := decode(parameter, entry.types[index], format(message.ParameterFormatCodes, index))
 		if err != nil {
 			return err
 		}
--- a/standin/database/group.go
+++ b/standin/database/group.go
@@ -35,14 +35,14 @@
 	log      []held
 	replayed ids.LogPosition
 	rebuild  bool
-	// changed is closed and replaced at each change.
-	changed chan struct{}
+	// changed is closed and replaced at each change, turned at each change of role, term or promise.
+	changed, turned chan struct{}
 }
 
 func newGroup(settings Settings) *group {
 	return &group{
 		id: settings.ID, role: settings.Role, term: settings.Term, promised: settings.Term,
-		primary: settings.Primary, changed: make(chan struct{}),
+		primary: settings.Primary, changed: make(chan struct{}), turned: make(chan struct{}),
 	}
 }
 
@@ -52,6 +52,20 @@
 	group.changed = make(chan struct{})
 }
 
+// turn wakes everyone who waits for a change, and those who wait for a change of role, term or promise.
+func (group *group) turn() {
+	close(group.turned)
+	group.turned = make(chan struct{})
+	group.notify()
+}
+
+// turning returns a channel that is closed at the next change of role, term or promise.
+func (group *group) turning() <-chan struct{} {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.turned
+}
+
 // watch returns a channel that is closed at the next change.
 func (group *group) watch() <-chan struct{} {
 	group.mutex.Lock()
@@ -130,7 +144,7 @@
 		return group.statusLocked(), fail("55000", "the server has promised term %d", group.promised)
 	}
 	group.promised = term
-	group.notify()
+	group.turn()
 	return group.statusLocked(), nil
 }
 
--- a/standin/database/group_test.go
+++ b/standin/database/group_test.go
@@ -1,6 +1,9 @@
 package database
 
 import (
+	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"dotterelgw/core/ids"
@@ -118,3 +121,31 @@
 		t.Errorf("status %+v", got)
 	}
 }
+
+// Guards against a race between fencing and commits in which a commit is added after the promise was given.
+func TestFenceUnderLoad(t *testing.T) {
+	server := startServer(t, Settings{})
+	setup := connect(t, server, "")
+	execute(t, setup, "CREATE TABLE t (id BIGINT)")
+	var acknowledged atomic.Int64
+	var writers sync.WaitGroup
+	for range 4 {
+		connection := connect(t, server, "")
+		writers.Go(func() {
+			for {
+				if _, err := connection.Exec(context.Background(), "INSERT INTO t VALUES (1)"); err != nil {
+					wantCode(t, err, "25006")
+					return
+				}
+				acknowledged.Add(1)
+			}
+		})
+	}
+	eventually(t, "writes", func() bool { return acknowledged.Load() > 20 })
+	status := order(t, setup, "SELECT * FROM group_fence('2')")
+	writers.Wait()
+	rows := int64(queryInt(t, setup, "SELECT count(*) FROM t"))
+	if end := server.Status().Written; end != status.Written || rows != acknowledged.Load() || rows != int64(end)-1 {
+		t.Errorf("fenced at %d, ends at %d, %d rows, %d acknowledged", status.Written, end, rows, acknowledged.Load())
+	}
+}
--- a/standin/database/helper_test.go
+++ b/standin/database/helper_test.go
@@ -9,8 +9,6 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
-
-	"dotterelgw/core/ids"
 )
 
 // startServer runs a server until the test ends.
@@ -37,14 +35,15 @@
 // startGroup runs a primary and two replicas.
 func startGroup(t testing.TB) []*Server {
 	t.Helper()
-	var servers []*Server
-	for index := range 3 {
-		settings := Settings{ID: ids.BackendServerID(fmt.Sprint("db", index+1))}
-		if index > 0 {
-			settings.Role, settings.Primary = Replica, servers[0].Address()
-		}
-		servers = append(servers, startServer(t, settings))
+	servers, closeAll, err := StartGroup(context.Background(), Settings{ConnectTime: -1}, 3)
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() {
+		if err := closeAll(); err != nil {
+			t.Errorf("run: %v", err)
+		}
+	})
 	return servers
 }
 
--- a/standin/database/query_test.go
+++ b/standin/database/query_test.go
@@ -36,6 +36,10 @@
 			t.Fatalf("got %v %q %v %v %v %v %v", id, name, done, data, price, when, null)
 		}
 	}
+	execute(t, connection, "UPDATE items SET done = TRUE")
+	if got := queryInt(t, connection, "SELECT count(*) FROM items WHERE done = $1 AND data <> $2 LIMIT $3", true, []byte("a"), 1); got != 1 {
+		t.Errorf("boolean and bytea parameters: %d", got)
+	}
 	if got := queryInt(t, connection, "SELECT count(*) FROM items WHERE id > $1", 1); got != 1 {
 		t.Errorf("count: %d", got)
 	}
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -216,7 +216,7 @@
 	group := server.group
 	for {
 		group.mutex.Lock()
-		changed := group.changed
+		changed := group.turned
 		stale := group.role != Replica || group.term != term || group.promised > term || group.primary != address
 		group.mutex.Unlock()
 		if stale {
--- a/standin/database/server.go
+++ b/standin/database/server.go
@@ -39,6 +39,7 @@
 	links     map[net.Conn]struct{}
 	ordinary  int
 	processID atomic.Uint32
+	started   atomic.Bool
 }
 
 // New returns a server that listens and answers no one until Run is called.
@@ -95,6 +96,9 @@
 
 // Run serves connections until the context ends or Close is called; it returns nil in both cases.
 func (server *Server) Run(ctx context.Context) error {
+	if server.started.Swap(true) {
+		return errors.New("the server is closed or already running")
+	}
 	defer context.AfterFunc(ctx, server.stop)()
 	defer context.AfterFunc(server.ctx, func() { server.listener.Close() })()
 	server.start(func() { server.replay(server.ctx) })
@@ -117,8 +121,14 @@
 	return errors.Join(failed, server.files.close())
 }
 
-// Close stops the server; Run returns once every connection has ended.
-func (server *Server) Close() { server.stop() }
+// Close stops the server; Run returns once every connection has ended and the files are removed.
+func (server *Server) Close() {
+	server.stop()
+	if !server.started.Swap(true) {
+		server.listener.Close()
+		_ = server.files.close()
+	}
+}
 
 func (server *Server) start(task func()) {
 	server.running.Add(1)
--- a/standin/database/statement.go
+++ b/standin/database/statement.go
@@ -30,6 +30,7 @@
 	kindDeallocate
 	kindSleep
 	kindControl
+	kindFunction
 	kindMemory
 )
 
@@ -48,7 +49,7 @@
 	returning bool
 	// sleep is the duration of pg_sleep.
 	sleep time.Duration
-	// argument is the name or value of SET, SHOW, SAVEPOINT and the like.
+	// name and value are the arguments of SET, SHOW, SAVEPOINT and the like; local states SET LOCAL.
 	name, value string
 	local       bool
 }
@@ -80,6 +81,10 @@
 		parsed.kind, parsed.tag, parsed.sleep = kindSleep, "SELECT", time.Duration(seconds*float64(time.Second))
 		return parsed
 	}
+	if name := functionName(text); name != "" {
+		parsed.kind, parsed.tag, parsed.name = kindFunction, "SELECT", name
+		return parsed
+	}
 	if parsed.parseCommand() {
 		return parsed
 	}
--- a/standin/database/transaction.go
+++ b/standin/database/transaction.go
@@ -91,14 +91,14 @@
 // lockWriter waits for the writer lock as long as the server may write.
 func (server *Server) lockWriter(ctx context.Context) error {
 	for {
-		changed := server.group.watch()
+		turned := server.group.turning()
 		if err := server.group.writable(0); err != nil {
 			return err
 		}
 		select {
 		case server.writer <- struct{}{}:
 			return nil
-		case <-changed:
+		case <-turned:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
