--- /dev/null
+++ b/io/control/control_test.go
@@ -0,0 +1,259 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/freshness"
+	"dotterelgw/core/ids"
+	"dotterelgw/io/peer/peerpb"
+	"dotterelgw/io/platform"
+)
+
+var key = config.ContractKey("org")
+
+func (fleet *fleet) propose(i int, change string, expected ids.Revision, withdrawn bool) ids.Revision {
+	fleet.t.Helper()
+	revision, err := fleet.node(i).Propose(context.Background(), key, expected, contractValue(fleet.t, change, "org", withdrawn))
+	if err != nil {
+		fleet.t.Fatal(err)
+	}
+	return revision
+}
+
+func has(want bool) func(*node) bool {
+	return func(node *node) bool {
+		_, _, ok := node.Contract("org")
+		return ok == want
+	}
+}
+
+// TestWithdrawalThroughRelays guards against a withdrawal that stops at VMs that the service does not answer.
+func TestWithdrawalThroughRelays(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 8, 4, 4)
+	fleet.ready()
+	given := fleet.propose(0, "give", 0, false)
+	fleet.until("contract everywhere", fleet.all(has(true)))
+	fleet.answer(false, 1, 2, 3, 5, 7)
+	withdrawn := fleet.propose(4, "withdraw", given, true)
+	fleet.until("withdrawn everywhere", fleet.all(has(false)))
+	fleet.until("in force", func() bool {
+		missing, err := fleet.node(6).InForce(context.Background(), withdrawn)
+		return err == nil && len(missing) == 0
+	})
+	if !fleet.all(func(node *node) bool { return node.Admitting() })() {
+		t.Error("a VM that hears from relays stopped admitting")
+	}
+}
+
+// TestNoReversal guards against an accepted change that a restarted VM or a peer with an older version takes back.
+func TestNoReversal(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 5, 2, 4)
+	fleet.ready()
+	given := fleet.propose(0, "give", 0, false)
+	fleet.until("contract everywhere", fleet.all(has(true)))
+	fleet.partition(2)
+	withdrawn := fleet.propose(0, "withdraw", given, true)
+	fleet.lock.Lock()
+	clear(fleet.cut)
+	fleet.lock.Unlock()
+	fleet.stop(1)
+	fleet.start(1)
+	fleet.until("restarted VM has the change", func() bool { return fleet.node(1).Revision() >= withdrawn })
+	// A peer that holds an older version and a newer entry of another key must not raise the revision by a push.
+	older := config.NewStore()
+	older.ApplyComplete([]config.Entry{
+		{Key: key, Value: contractValue(t, "give", "org", false), Revision: given},
+		{Key: config.SharesKey, Value: []byte("{}"), Revision: withdrawn + 1},
+	}, withdrawn+1)
+	heartbeat := &peerpb.Heartbeat{
+		Vm: "vm-02", Revision: int64(older.Revision()), Digest: older.Digest(), Entries: toWire(older.Snapshot()),
+	}
+	if _, err := fleet.node(0).Exchange(context.Background(), heartbeat); err != nil {
+		t.Fatal(err)
+	}
+	fleet.until("withdrawn everywhere", fleet.all(has(false)))
+	if got := fleet.node(0).Revision(); got != withdrawn {
+		t.Errorf("revision %d after a push with a gap, want %d", got, withdrawn)
+	}
+}
+
+// TestLostAnswer guards against a change that is reported as failed, or made twice, after its answer was lost.
+func TestLostAnswer(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 3, 1, 4)
+	fleet.ready()
+	fleet.loseNext.Store(1)
+	if revision := fleet.propose(0, "lost", 0, false); revision != 1 {
+		t.Errorf("settled at revision %d, want 1", revision)
+	}
+	fleet.overwrite = func() { fleet.swap(key, 2, []byte("{}")) }
+	fleet.loseNext.Store(1)
+	_, err := fleet.node(0).Propose(context.Background(), key, 1, contractValue(t, "overwritten", "org", false))
+	if !errors.Is(err, ErrUnknownOutcome) {
+		t.Errorf("overwritten change with lost answer: %v", err)
+	}
+}
+
+// TestRacingOperators guards against two operators that both believe that their change was made.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 4, 2, 4)
+	fleet.ready()
+	var wait sync.WaitGroup
+	results := make([]error, 8)
+	for i := range results {
+		wait.Go(func() {
+			value := contractValue(t, fmt.Sprint(i), "org", false)
+			_, results[i] = fleet.node(i%4).Propose(context.Background(), key, 0, value)
+		})
+	}
+	wait.Wait()
+	won := 0
+	for _, err := range results {
+		var conflict *ConflictError
+		switch {
+		case err == nil:
+			won++
+		case !errors.Is(err, ErrConflict) || !errors.As(err, &conflict) || conflict.Current.Revision != 1:
+			t.Errorf("loser got %v", err)
+		}
+	}
+	if won != 1 {
+		t.Errorf("%d operators won", won)
+	}
+}
+
+// TestNoMajority guards against a change that a VM without majority stores, which nobody else would enforce.
+func TestNoMajority(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 5, 2, 4)
+	fleet.ready()
+	fleet.partition(0)
+	node := fleet.node(0)
+	fleet.until("answers have expired", func() bool {
+		node.mutex.Lock()
+		defer node.mutex.Unlock()
+		return !node.freshness.HearsMajority(node.clock.now())
+	})
+	if _, err := node.Propose(context.Background(), key, 0, []byte("{}")); !errors.Is(err, ErrNoMajority) {
+		t.Errorf("got %v", err)
+	}
+	if fleet.node(1).Revision() != 0 {
+		t.Error("the change was stored")
+	}
+}
+
+// TestOutage guards against an outage of the service for everybody that stops traffic, and against a cut VM that goes
+// on admitting in it.
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 8, 4, 2)
+	fleet.ready()
+	fleet.answer(false, 0, 1, 2, 3, 4, 5, 6, 7)
+	cut, cutAt := fleet.node(3), time.Now()
+	fleet.partition(3)
+	limit := cut.clock.real(freshness.AdmissionLimit)
+	for time.Since(cutAt) < 2*limit {
+		before := time.Now()
+		for i := range fleet.vms {
+			admitting := fleet.node(i).Admitting()
+			if i == 3 && admitting && before.Sub(cutAt) > limit {
+				t.Fatalf("cut VM admits after %s", cut.clock.real(time.Second))
+			}
+			if i != 3 && !admitting {
+				t.Fatalf("VM %d stopped admitting %s after the outage began", i, time.Since(cutAt))
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	if cut.Admitting() {
+		t.Error("cut VM admits")
+	}
+}
+
+// TestPause guards against a VM that admits on resume with a confirmation from before the pause.
+func TestPause(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 5, 2, 8)
+	fleet.ready()
+	node := fleet.node(2)
+	given := fleet.propose(0, "give", 0, false)
+	fleet.until("contract everywhere", fleet.all(has(true)))
+	// The mutex stops all loops of the VM, as a pause of the process does; the data path reads only atomic values.
+	node.mutex.Lock()
+	pausedAt := node.clock.now()
+	fleet.propose(0, "withdraw", given, true)
+	fleet.until("pause is longer than the limit", func() bool { return node.clock.now()-pausedAt > freshness.AdmissionLimit })
+	if node.Admitting() {
+		t.Error("paused VM admits after the limit")
+	}
+	node.mutex.Unlock()
+	fleet.until("admits again", func() bool {
+		if !node.Admitting() {
+			return false
+		}
+		if has(true)(node) {
+			t.Error("admits with the contract from before the pause")
+		}
+		return true
+	})
+}
+
+// TestChangesInOrder guards against functions that miss an entry or get an older version after a newer one.
+func TestChangesInOrder(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 3, 1, 4)
+	fleet.ready()
+	var mutex sync.Mutex
+	seen := map[int][]ids.Revision{}
+	register := func(i int) {
+		fleet.node(i).OnChange(func(entry config.Entry) {
+			mutex.Lock()
+			defer mutex.Unlock()
+			seen[i] = append(seen[i], entry.Revision)
+		})
+	}
+	register(0)
+	last := ids.Revision(0)
+	for i := range 10 {
+		if i == 5 {
+			register(1)
+		}
+		revision, err := fleet.node(i%3).Propose(context.Background(), config.GroupKey(ids.GroupID(fmt.Sprint(i))), 0, []byte("{}"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = revision
+	}
+	fleet.until("all changes delivered", func() bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		return len(seen[0]) == int(last) && len(seen[1]) == int(last)
+	})
+	for i, revisions := range seen {
+		for j, revision := range revisions {
+			if revision != ids.Revision(j+1) {
+				t.Errorf("VM %d got %v", i, revisions)
+			}
+		}
+	}
+}
+
+// TestLeaving guards against backend servers that leave without the VMs taking notice.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 2, 1, 4)
+	fleet.ready()
+	fleet.mutex.Lock()
+	fleet.vms = append(fleet.vms[:2:2], platform.VM{ID: "db-1", Role: platform.RoleBackendServer, Leaving: true}, platform.VM{ID: "db-2", Role: platform.RoleBackendServer})
+	fleet.mutex.Unlock()
+	fleet.until("leaving server known", func() bool { return fleet.node(0).Leaving("db-1") && !fleet.node(1).Leaving("db-2") })
+}
