--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -101,6 +101,12 @@
 // SetDirty states that the session changed settings, so that the connection needs DISCARD ALL before others use it.
 func (conn *Conn) SetDirty() { conn.dirty = true }
 
+// SetClean states that the caller itself cleared the settings and prepared statements with DISCARD ALL.
+func (conn *Conn) SetClean() {
+	conn.dirty = false
+	conn.ForgetPrepared()
+}
+
 // Break states that the connection must not be used again.
 func (conn *Conn) Break() { conn.broken = true }
 
--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -362,9 +362,9 @@
 		}
 	case "DISCARD ALL", "RESET":
 		session.answer.unpin = tag == "DISCARD ALL" || session.request.class.statements == 1
-		session.backend.SetDirty()
 		if tag == "DISCARD ALL" {
-			session.forgetStatements()
+			session.backend.SetClean()
+			clear(session.statements)
 		}
 	case "DEALLOCATE ALL":
 		session.forgetStatements()
--- /dev/null
+++ b/io/session/bench_test.go
@@ -0,0 +1,135 @@
+package session_test
+
+import (
+	"bytes"
+	"net"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// benchCallers is the number of callers for which the targets are stated.
+const benchCallers = 64
+
+// pacedRate is the number of statements a second at which added latency is measured, below saturation.
+const pacedRate = 10_000
+
+// load runs count queries in total over the callers, at most one per caller and interval, and reports the latencies.
+func load(b *testing.B, conns []net.Conn, count int, interval time.Duration) {
+	query, _ := (&pgproto3.Query{String: "SELECT 'x'"}).Encode(nil)
+	perCaller := count/len(conns) + 1
+	latencies := make([]time.Duration, len(conns)*perCaller)
+	var running sync.WaitGroup
+	for index, conn := range conns {
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			buffer := make([]byte, 4096)
+			next := time.Now().Add(interval * time.Duration(index) / time.Duration(len(conns)))
+			for round := range perCaller {
+				time.Sleep(time.Until(next))
+				next = next.Add(interval)
+				start := time.Now()
+				if _, err := conn.Write(query); err != nil {
+					b.Error(err)
+					return
+				}
+				for end := 0; end < 6 || !bytes.Equal(buffer[end-6:end], []byte{'Z', 0, 0, 0, 5, 'I'}); {
+					read, err := conn.Read(buffer[end:])
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					end += read
+				}
+				latencies[index*perCaller+round] = time.Since(start)
+			}
+		}()
+	}
+	running.Wait()
+	slices.Sort(latencies)
+	b.ReportMetric(float64(len(latencies))/b.Elapsed().Seconds(), "statements/s")
+	b.ReportMetric(float64(latencies[len(latencies)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(latencies[len(latencies)*99/100].Microseconds()), "p99-us")
+}
+
+// bothLoads measures as fast as the callers can, and at a rate below saturation.
+func bothLoads(b *testing.B, conns []net.Conn) {
+	b.Run("saturated", func(b *testing.B) {
+		b.ReportAllocs()
+		load(b, conns, b.N, 0)
+	})
+	b.Run("paced", func(b *testing.B) { load(b, conns, b.N, time.Second*benchCallers/pacedRate) })
+}
+
+// BenchmarkThroughput measures statements through one proxy with 64 callers; callers, proxy and server share the process.
+func BenchmarkThroughput(b *testing.B) {
+	for _, route := range []string{"app", "read"} {
+		b.Run(route, func(b *testing.B) {
+			proxy := newProxy(b, 32)
+			for _, database := range []*database{proxy.primary, proxy.replica} {
+				database.quiet = true
+			}
+			conns := make([]net.Conn, benchCallers)
+			for index := range conns {
+				conns[index] = proxy.dial(route, "").conn
+			}
+			bothLoads(b, conns)
+		})
+	}
+}
+
+// BenchmarkDirect measures the same load without the proxy, for comparison.
+func BenchmarkDirect(b *testing.B) {
+	database := newDatabase(b, "direct", false)
+	database.quiet = true
+	conns := make([]net.Conn, benchCallers)
+	for index := range conns {
+		conn, err := net.Dial("tcp", database.listener.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		frontend := pgproto3.NewFrontend(conn, conn)
+		frontend.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "x"}})
+		if err := frontend.Flush(); err != nil {
+			b.Fatal(err)
+		}
+		for ready := false; !ready; {
+			message, err := frontend.Receive()
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, ready = message.(*pgproto3.ReadyForQuery)
+		}
+		conns[index] = conn
+	}
+	bothLoads(b, conns)
+}
+
+// BenchmarkIdleMemory measures memory per idle caller connection, with the caller's own side of it included.
+func BenchmarkIdleMemory(b *testing.B) {
+	proxy := newProxy(b, 32)
+	usage := func() uint64 {
+		runtime.GC()
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapInuse + stats.StackInuse
+	}
+	proxy.connect("app", "")
+	before := usage()
+	const count = 1000
+	conns := make([]net.Conn, 0, count)
+	for range count {
+		conns = append(conns, proxy.dial("app", "").conn)
+	}
+	for range b.N {
+		b.ReportMetric(float64(usage()-before)/count, "B/connection")
+	}
+	runtime.KeepAlive(conns)
+}
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -26,7 +26,7 @@
 	quiet    bool
 	// fault changes the answer to the next statement with the text: "drop" closes the connection before it,
 	// "drop after" closes it once the statement has run, "twice" answers it twice, "crossed" sends the answer of
-	// another statement, "late" holds the answer back until release is closed.
+	// another statement, "write" refuses it as a write, "late" holds the answer back until release is closed.
 	fault   map[string]string
 	release chan struct{}
 }
@@ -204,7 +204,11 @@
 		query = "SELECT 'answer of another'"
 		simple = !simple
 	}
-	link.answer(query, simple)
+	if fault == "write" {
+		link.fail("25006", "cannot write in a read-only transaction")
+	} else {
+		link.answer(query, simple)
+	}
 	if simple {
 		link.skip = false
 	}
--- /dev/null
+++ b/io/session/golden_test.go
@@ -0,0 +1,216 @@
+package session_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sebdah/goldie/v2"
+
+	"dotterelgw/core/contract"
+	"dotterelgw/core/position"
+	"dotterelgw/core/refusal"
+)
+
+// extended returns the messages of one statement of the extended protocol.
+func extended(name, query string) []pgproto3.FrontendMessage {
+	return []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: name, Query: query}, &pgproto3.Bind{PreparedStatement: name},
+		&pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{},
+	}
+}
+
+func unknown(position.Position) error {
+	return refusal.New(refusal.OutcomeUnknown, "no other server has the position")
+}
+
+// golden holds whole sessions; the files show what each message led to at the servers and at the caller.
+var golden = map[string]struct {
+	route, options string
+	run            func(t *testing.T, proxy *proxy, caller *caller)
+}{
+	"simple_query": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.query("SELECT 'x'")
+		caller.query("INSERT a")
+		caller.query("WRONG")
+	}},
+	"extended_pipelining": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		first := append(extended("s1", "SELECT 'x'"), &pgproto3.Sync{})
+		second := append(extended("", "INSERT a"), &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		caller.put(append(first, second...)...)
+		caller.until(2)
+		// The statement is known on the connection, so it is not sent again; its name is taken for the session.
+		caller.put(append(extended("s1", "SELECT 'y'"), &pgproto3.Sync{})...)
+		caller.until(1)
+		caller.put(&pgproto3.Close{ObjectType: 'S', Name: "s1"}, &pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Sync{})
+		caller.until(1)
+	}},
+	"flush": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.put(append(extended("", "INSERT a"), &pgproto3.Flush{})...)
+		for range 4 {
+			_, _ = caller.frontend.Receive()
+		}
+		caller.put(&pgproto3.Sync{})
+		caller.until(1)
+	}},
+	"transaction": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.query("BEGIN")
+		caller.query("INSERT a")
+		caller.query("COMMIT")
+	}},
+	"error_in_transaction": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.query("BEGIN")
+		caller.query("WRONG")
+		caller.query("INSERT a")
+		caller.query("COMMIT")
+	}},
+	"refused_before_run": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("COPY t FROM STDIN")
+		caller.query("SELECT 1; /* */ listen x")
+		proxy.limited.Store(true)
+		caller.query("INSERT a")
+		caller.put(append(extended("s1", "INSERT a"), &pgproto3.Sync{})...)
+		caller.until(1)
+		proxy.limited.Store(false)
+		proxy.unsure.Store(true)
+		caller.query("INSERT a")
+	}},
+	"refused_in_transaction": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("BEGIN")
+		caller.query("INSERT a")
+		proxy.limited.Store(true)
+		caller.query("INSERT b")
+		proxy.limited.Store(false)
+		caller.query("INSERT c")
+		caller.put(append(extended("", "COMMIT"), &pgproto3.Sync{})...)
+		caller.until(1)
+	}},
+	"unknown_outcome": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("SELECT 'x'")
+		proxy.primary.lock(func() { proxy.primary.fault["INSERT a"] = "drop after" })
+		caller.query("INSERT a")
+		refuse := unknown
+		proxy.confirm.Store(&refuse)
+		caller.query("INSERT b")
+	}},
+	"lost_in_transaction": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("BEGIN")
+		proxy.primary.lock(func() { proxy.primary.fault["INSERT a"] = "drop" })
+		caller.query("INSERT a")
+		caller.query("ROLLBACK")
+		caller.query("BEGIN")
+		proxy.primary.lock(func() { proxy.primary.fault["COMMIT"] = "drop" })
+		caller.query("COMMIT")
+	}},
+	"idempotent_repeat": {"app", "-c dotterel.idempotent=on", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.primary.lock(func() { proxy.primary.fault["INSERT a"] = "drop" })
+		caller.query("INSERT a")
+	}},
+	"replica_read_fallback": {"auto", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.query("SELECT 'x'")
+		caller.query("INSERT a")
+		caller.put(append(extended("", "SELECT 'y'"), &pgproto3.Sync{})...)
+		caller.until(1)
+		caller.query("BEGIN READ ONLY")
+		caller.query("INSERT a")
+		caller.query("ROLLBACK")
+	}},
+	"replica_refuses": {"auto", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.replica.lock(func() { proxy.replica.fault["SELECT 'x'"] = "write" })
+		caller.query("SELECT 'x'")
+	}},
+	"read_only_on_primary": {"read", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		view := *proxy.view.Load()
+		view.Servers = view.Servers[:1]
+		proxy.view.Store(&view)
+		caller.query("SELECT 'x'")
+		caller.query("INSERT a")
+	}},
+	"settings_pin": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
+		caller.query("SET search_path = a")
+		caller.query("SELECT 'x'")
+		caller.query("DISCARD ALL")
+		caller.query("SELECT 'x'")
+	}},
+	"key_withdrawn_in_transaction": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("BEGIN")
+		caller.query("INSERT a")
+		proxy.withdraw()
+		caller.until(1)
+	}},
+	"late_answer_after_cancel": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.primary.lock(func() { proxy.primary.fault["SELECT 'x'"] = "late" })
+		caller.put(&pgproto3.Query{String: "SELECT 'x'"})
+		proxy.primary.awaitLine(proxy.t, "SELECT 'x'")
+		proxy.sessions.Cancel(caller.pid, []byte{0, 0, 0, 0})
+		proxy.sessions.Cancel(caller.pid, caller.secret)
+		close(proxy.primary.release)
+		caller.until(1)
+		// The connection that a cancel request may still reach is not used again: the next statement gets #2.
+		caller.query("SELECT 'y'")
+	}},
+	"crossed_answer": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.primary.lock(func() { proxy.primary.fault["SELECT 'x'"] = "crossed" })
+		caller.put(append(extended("", "SELECT 'x'"), &pgproto3.Sync{})...)
+		caller.until(1)
+		caller.query("SELECT 'y'")
+	}},
+	"duplicated_answer": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.primary.lock(func() { proxy.primary.fault["INSERT a"] = "twice" })
+		caller.query("INSERT a")
+		caller.query("SELECT 'y'")
+	}},
+	"primary_replaced": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("SELECT 'x'")
+		proxy.primary.lock(func() { proxy.primary.replica = true })
+		proxy.replica.lock(func() { proxy.replica.replica, proxy.replica.term = false, 2 })
+		time.AfterFunc(20*time.Millisecond, func() { proxy.setView(2, 1) })
+		caller.query("INSERT a")
+	}},
+	"drain": {"app", "", func(t *testing.T, proxy *proxy, caller *caller) {
+		caller.query("BEGIN")
+		drained := make(chan error, 1)
+		go func() { drained <- proxy.sessions.Drain(context.Background()) }()
+		caller.query("INSERT a")
+		caller.put(&pgproto3.Query{String: "COMMIT"})
+		caller.until(2)
+		if err := <-drained; err != nil {
+			t.Error(err)
+		}
+	}},
+}
+
+// awaitLine waits until the server has got a message with the text.
+func (database *database) awaitLine(t testing.TB, text string) {
+	await(t, func() (found bool) {
+		database.lock(func() {
+			for _, line := range database.lines {
+				found = found || strings.Contains(line, text)
+			}
+		})
+		return found
+	})
+}
+
+func (proxy *proxy) withdraw() {
+	changed := *proxy.contract.Load()
+	changed.Keys = []contract.Key{changed.Keys[0]}
+	changed.Keys[0].Withdrawn = time.Unix(1, 0)
+	proxy.contract.Store(&changed)
+	proxy.revision.Add(1)
+	proxy.sessions.Revoke("frissito")
+}
+
+// TestSessions guards against any change in what callers and servers see of whole sessions.
+func TestSessions(t *testing.T) {
+	for name, session := range golden {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 4)
+			caller := proxy.dial(session.route, session.options)
+			session.run(t, proxy, caller)
+			goldie.New(t).Assert(t, name, caller.transcript())
+		})
+	}
+}
--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -225,3 +225,14 @@
 }
 
 func (caller *caller) transcript() []byte { return []byte(strings.Join(caller.lines, "\n") + "\n") }
+
+// await waits until the condition holds; it fails the test after 5 s.
+func await(t testing.TB, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); !condition(); {
+		if time.Now().After(deadline) {
+			t.Fatal("the condition did not come true")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/io/session/refuse.go
+++ b/io/session/refuse.go
@@ -72,7 +72,11 @@
 			refused = refused.WithOutcome(refusal.RolledBack)
 		}
 		session.rollback()
-		if session.tx != wire.Idle {
+		switch {
+		case refused.Outcome == refusal.Unknown:
+			// The lost request was to end the transaction; saying that it was rolled back now could be wrong.
+			session.tx = wire.Idle
+		case session.tx != wire.Idle:
 			session.aborted, session.tx = true, wire.Failed
 		}
 	}
