Assemble the proxy process; the thin whole path runs in the demo

Replacing a lost primary is still missing. core/limit: a budget has four parts that are dealt to the holders, so that a change from three to two VMs moves only the parts of the VM that went; the first share record needs no hand-over time.

--- a/cmd/dotterel-demo/setup.go
+++ b/cmd/dotterel-demo/setup.go
@@ -36,7 +36,7 @@
 func demoOptions(programs, directory string) fleet.Options {
 	return fleet.Options{
 		Programs: programs, Directory: directory, Zones: []ids.AvailabilityZone{"pt-norte-a", "pt-norte-b", "pt-norte-c"},
-		VMs: 3, Groups: 2, Connections: 30, Lag: 20 * time.Millisecond, DrainDelay: 200 * time.Millisecond,
+		VMs: 3, Groups: 2, Connections: 30, Slots: 8, Lag: 20 * time.Millisecond, DrainDelay: 200 * time.Millisecond,
 	}
 }
 
--- /dev/null
+++ b/cmd/dotterelgw/main.go
@@ -0,0 +1,98 @@
+// Command dotterelgw is the database proxy.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"dotterelgw/io/gateway"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/settings"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "dotterelgw:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, arguments []string, stdout, stderr io.Writer) error {
+	// The settings parse their own flags, so these commands pass everything on.
+	passOn := func(name string) *flag.FlagSet { return flag.NewFlagSet(name, flag.ContinueOnError) }
+	if len(arguments) > 0 && arguments[0] == "serve" {
+		return serve(ctx, arguments[1:], stdout, stderr)
+	}
+	check := &ffcli.Command{
+		Name: "check", ShortUsage: "dotterelgw config check FILE", ShortHelp: "checks a settings file and prints every fault", FlagSet: passOn("check"),
+		Exec: func(_ context.Context, arguments []string) error { return checkSettings(arguments, stdout) },
+	}
+	config := &ffcli.Command{
+		Name: "config", ShortUsage: "dotterelgw config check FILE", Subcommands: []*ffcli.Command{check},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	version := &ffcli.Command{
+		Name: "version", ShortHelp: "prints the version", Exec: func(context.Context, []string) error { return printVersion(stdout) },
+	}
+	serve := &ffcli.Command{Name: "serve", ShortUsage: "dotterelgw serve -config FILE", ShortHelp: "runs the proxy until SIGTERM"}
+	root := &ffcli.Command{
+		Name: "dotterelgw", ShortUsage: "dotterelgw serve|config|version", Subcommands: []*ffcli.Command{serve, config, version},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	return root.ParseAndRun(ctx, arguments)
+}
+
+// serve runs the proxy; its addresses go to stdout as one line of JSON.
+func serve(ctx context.Context, arguments []string, stdout, stderr io.Writer) error {
+	settings, err := settings.Load(arguments)
+	if err != nil {
+		return err
+	}
+	gateway, err := gateway.New(settings, observe.NewLogger(stderr, settings.Log.Level))
+	if err != nil {
+		return fmt.Errorf("starting: %w", err)
+	}
+	if err := json.NewEncoder(stdout).Encode(gateway.Addresses()); err != nil {
+		return fmt.Errorf("printing the addresses: %w", err)
+	}
+	return gateway.Run(ctx)
+}
+
+func checkSettings(arguments []string, stdout io.Writer) error {
+	if len(arguments) != 1 {
+		return errors.New("config check takes one file")
+	}
+	if _, err := settings.Load([]string{"-config", arguments[0]}); err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout, arguments[0]+": valid")
+	return nil
+}
+
+func printVersion(stdout io.Writer) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the program holds no build information")
+	}
+	revision := "unknown"
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			revision = setting.Value
+		}
+	}
+	fmt.Fprintln(stdout, "dotterelgw", info.Main.Version, "revision", revision, info.GoVersion)
+	return nil
+}
--- a/core/limit/borrower.go
+++ b/core/limit/borrower.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// maxGrants bounds the grants that a borrower keeps; with asks at a quarter of the validity and MaxHolders
+	// maxGrants bounds the grants that a borrower keeps; with asks at a quarter of the validity and MaxParts
 	// holders no more are alive at a time.
 	maxGrants = 32
 	// askSize is the number of tokens asked of one holder before the next holder is asked as well.
@@ -102,8 +102,8 @@
 
 // Split divides the amount over the holders, from a different one each time. A small amount goes to few holders, since
 // tokens beyond the demand expire unspent.
-func (borrower *Borrower) Split(amount int64, holders int) [MaxHolders]int64 {
-	var parts [MaxHolders]int64
+func (borrower *Borrower) Split(amount int64, holders int) [MaxParts]int64 {
+	var parts [MaxParts]int64
 	if holders < 1 {
 		return parts
 	}
--- a/core/limit/holder.go
+++ b/core/limit/holder.go
@@ -25,10 +25,10 @@
 	Burst float64
 }
 
-// holders returns how many holders may share the budget so that each collects at least minPart tokens.
-func (budget Budget) holders() int {
+// parts returns into how many parts the budget is divided so that each collects at least minPart tokens.
+func (budget Budget) parts() int {
 	whole := Divide(budget.Rate, budget.Burst, 1).Burst
-	return max(1, min(MaxHolders, int(whole/minPart)))
+	return max(1, min(MaxParts, int(whole/minPart)))
 }
 
 // Ranker returns the first n of the record's VMs for the organisation, best first.
@@ -42,14 +42,15 @@
 	record   Record
 	known    bool
 	budgets  map[ids.OrganisationID]Budget
-	parts    map[ids.OrganisationID]*part
+	parts    map[ids.OrganisationID]*owned
 	ranked   map[ids.OrganisationID][]ids.VMID
 }
 
-type part struct {
-	bucket  Bucket
+// owned is what the VM owns of one organisation's budget: one bucket for each of its parts, those held longest first.
+type owned struct {
+	buckets []Bucket
 	share   Share
-	holders int
+	parts   int
 }
 
 // NewHolder returns a holder without parts. The handover time is how long a VM that missed a new record may still
@@ -57,7 +58,7 @@
 func NewHolder(self ids.VMID, rank Ranker, handover time.Duration) *Holder {
 	return &Holder{
 		self: self, rank: rank, handover: handover,
-		budgets: make(map[ids.OrganisationID]Budget), parts: make(map[ids.OrganisationID]*part),
+		budgets: make(map[ids.OrganisationID]Budget), parts: make(map[ids.OrganisationID]*owned),
 		ranked: make(map[ids.OrganisationID][]ids.VMID),
 	}
 }
@@ -84,7 +85,7 @@
 	// Parts are kept only from the record directly before: another VM may have held them in a record that was missed.
 	keep := holder.known && record.Epoch == holder.record.Epoch+1
 	if !keep {
-		holder.parts = make(map[ids.OrganisationID]*part)
+		holder.parts = make(map[ids.OrganisationID]*owned)
 	}
 	holder.record, holder.known = record, true
 	for organisation := range holder.budgets {
@@ -104,32 +105,44 @@
 	holder.place(now, organisation)
 }
 
-// place gives the VM its part of the organisation's budget, changes it or takes it away.
+// place gives the VM its parts of the organisation's budget, changes them or takes them away. With fewer VMs than parts
+// some VMs own several. Parts are alike, so a VM keeps as many buckets as it owns parts both before and after.
 func (holder *Holder) place(now time.Duration, organisation ids.OrganisationID) {
 	if !holder.known || len(holder.record.VMs) == 0 {
 		return
 	}
 	budget := holder.budgets[organisation]
-	vms := holder.rank(organisation, min(budget.holders(), len(holder.record.VMs)), holder.record.VMs)
+	parts := budget.parts()
+	vms := holder.rank(organisation, min(parts, len(holder.record.VMs)), holder.record.VMs)
 	holder.ranked[organisation] = vms
-	owned := false
-	for _, vm := range vms {
-		owned = owned || vm == holder.self
+	count := 0
+	for part := range parts {
+		if vms[part%len(vms)] == holder.self {
+			count++
+		}
 	}
-	if !owned {
-		delete(holder.parts, organisation)
-		return
-	}
-	share := Divide(budget.Rate, budget.Burst, len(vms))
 	held, ok := holder.parts[organisation]
-	if ok && held.holders == len(vms) {
-		held.bucket.Resize(now, share)
-		held.share = share
-		return
+	if !ok || held.parts != parts {
+		held = &owned{parts: parts}
+		holder.parts[organisation] = held
+	}
+	held.share = Divide(budget.Rate, budget.Burst, parts)
+	held.buckets = held.buckets[:min(count, len(held.buckets))]
+	for index := range held.buckets {
+		held.buckets[index].Resize(now, held.share)
+	}
+	for len(held.buckets) < count {
+		held.buckets = append(held.buckets, NewBucket(held.share, now+holder.delay()))
 	}
-	// A previous holder may go on until its configuration check is too old, and its last grants are spent after that.
-	start := now + holder.handover + MaxValidity
-	holder.parts[organisation] = &part{bucket: NewBucket(share, start), share: share, holders: len(vms)}
+}
+
+// delay returns how long a new part stays empty. A previous holder may go on until its configuration check is too old,
+// and its last grants are spent after that. The first record has no previous holders.
+func (holder *Holder) delay() time.Duration {
+	if holder.record.Epoch <= 1 {
+		return 0
+	}
+	return holder.handover + MaxValidity
 }
 
 // Borrow draws up to amount tokens for a VM that knows the same record. It returns the tokens and their validity.
@@ -138,5 +151,9 @@
 	if !ok || epoch != holder.record.Epoch || amount <= 0 {
 		return 0, 0
 	}
-	return held.bucket.Take(now, amount), held.share.Validity
+	drawn := int64(0)
+	for index := range held.buckets {
+		drawn += held.buckets[index].Take(now, amount-drawn)
+	}
+	return drawn, held.share.Validity
 }
--- /dev/null
+++ b/io/gateway/doc.go
@@ -0,0 +1,2 @@
+// Package gateway assembles one proxy process from its parts and runs it.
+package gateway
--- /dev/null
+++ b/io/gateway/run.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"dotterelgw/core/allot"
+	"dotterelgw/core/config"
+	"dotterelgw/core/member"
+)
+
+const (
+	// followInterval is the time between two looks at the members and at the leaving backend servers.
+	followInterval = 500 * time.Millisecond
+	// shutdownTimeout bounds the end of the administration API.
+	shutdownTimeout = 2 * time.Second
+)
+
+// Run serves until the context ends or a drain is complete.
+func (gateway *Gateway) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	gateway.controller.OnChange(gateway.apply)
+	var running sync.WaitGroup
+	failures := make(chan error, 8)
+	start := func(name string, run func() error) {
+		running.Go(func() {
+			if err := run(); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+				failures <- fmt.Errorf("%s: %w", name, err)
+			}
+		})
+	}
+	// The parts outlive the drain: sessions that finish still need configuration, limits and group states.
+	parts, stopParts := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopParts()
+	start("control", func() error { return gateway.controller.Run(parts) })
+	start("limiter", func() error { return gateway.limiter.Run(parts) })
+	start("follow", func() error { return gateway.follow(parts) })
+	start("peers", func() error { return gateway.peers.Serve(gateway.listeners.peer) })
+	start("admin", func() error { return gateway.admin.Serve(gateway.listeners.admin) })
+	start("frontend", func() error { return gateway.frontend.Serve(gateway.listeners.caller) })
+
+	var failure error
+	select {
+	case <-ctx.Done():
+		gateway.Drain()
+	case <-gateway.drain:
+	case failure = <-failures:
+		gateway.Drain()
+	}
+	gateway.stop()
+	stopParts()
+	running.Wait()
+	return failure
+}
+
+// stop lets the balancer notice, closes the listener, and ends the sessions.
+func (gateway *Gateway) stop() {
+	level.Info(gateway.logger).Log("msg", "draining", "sessions", gateway.sessions.Sessions())
+	time.Sleep(gateway.settings.Drain.Delay())
+	_ = gateway.listeners.caller.Close()
+	grace, cancel := context.WithTimeout(context.Background(), gateway.settings.Drain.Grace())
+	defer cancel()
+	if err := gateway.sessions.Drain(grace); err != nil {
+		level.Warn(gateway.logger).Log("msg", "sessions were cut", "err", err)
+	}
+	shutdown, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancelShutdown()
+	if err := gateway.admin.Shutdown(shutdown); err != nil {
+		level.Warn(gateway.logger).Log("msg", "administration API did not end in time", "err", err)
+	}
+	gateway.peers.Close()
+	gateway.groups.Close()
+	gateway.pools.Close()
+	_ = gateway.dialer.Close()
+	_ = gateway.store.Close()
+	level.Info(gateway.logger).Log("msg", "stopped")
+}
+
+// apply hands a changed configuration entry to the parts that follow it.
+func (gateway *Gateway) apply(entry config.Entry) {
+	if organisation, ok := config.ContractOf(entry.Key); ok {
+		gateway.sessions.Revoke(organisation)
+		return
+	}
+	if _, ok := config.GroupOf(entry.Key); ok {
+		record, err := config.Decode[config.GroupRecord](entry)
+		if err != nil {
+			level.Error(gateway.logger).Log("msg", "group record is malformed", "key", entry.Key, "err", err)
+			return
+		}
+		gateway.groups.Apply(record)
+		gateway.keep(record)
+		return
+	}
+	if group, ok := config.TermOf(entry.Key); ok {
+		record, err := config.Decode[config.TermRecord](entry)
+		if err != nil {
+			level.Error(gateway.logger).Log("msg", "term record is malformed", "key", entry.Key, "err", err)
+			return
+		}
+		gateway.groups.ApplyTerm(group, record)
+	}
+}
+
+// follow keeps the allotments of connections and the leaving backend servers in step with the membership.
+func (gateway *Gateway) follow(ctx context.Context) error {
+	ticker := time.NewTicker(followInterval)
+	defer ticker.Stop()
+	allotments := allot.New()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			gateway.followServers(allotments)
+		}
+	}
+}
+
+func (gateway *Gateway) followServers(allotments *allot.Allotments) {
+	members := gateway.controller.Members()
+	for _, record := range gateway.groupRecords() {
+		for _, server := range record.Servers {
+			gateway.groups.SetLeaving(server.ID, gateway.controller.Leaving(server.ID))
+			rank := gateway.rankFor(string(server.ID), members)
+			connections := allot.Divide(record.Connections, len(members), rank)
+			gateway.pools.SetAllotment(server.ID, allotments.Set(gateway.groups.Now(), server.ID, connections))
+		}
+	}
+}
+
+func (gateway *Gateway) keep(record config.GroupRecord) {
+	gateway.mutex.Lock()
+	defer gateway.mutex.Unlock()
+	gateway.records[record.Group] = record
+}
+
+func (gateway *Gateway) groupRecords() []config.GroupRecord {
+	gateway.mutex.Lock()
+	defer gateway.mutex.Unlock()
+	return slices.Collect(maps.Values(gateway.records))
+}
+
+// rankFor returns this VM's place in the rendezvous order of the key; a VM that is not listed yet comes last.
+func (gateway *Gateway) rankFor(key string, members []member.Member) int {
+	for rank, member := range member.Top("connections/"+key, len(members), members) {
+		if member.ID == gateway.settings.VM {
+			return rank
+		}
+	}
+	return len(members)
+}
--- /dev/null
+++ b/io/gateway/tls.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"crypto/tls"
+	"fmt"
+
+	"dotterelgw/io/peer"
+)
+
+// peerTLS returns the configuration for peers, or nil when the settings name no certificate.
+func (gateway *Gateway) peerTLS() (*tls.Config, error) {
+	files := gateway.settings.TLS
+	if files.Certificate == "" {
+		return nil, nil
+	}
+	return peer.LoadTLS(files.Certificate, files.Key, files.CA)
+}
+
+// callerTLS returns the configuration for callers, or nil when the settings name no certificate.
+func (gateway *Gateway) callerTLS() (*tls.Config, error) {
+	files := gateway.settings.TLS
+	if files.CallerCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(files.CallerCertificate, files.CallerKey)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s and %s: %w", files.CallerCertificate, files.CallerKey, err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
--- a/io/limiter/account.go
+++ b/io/limiter/account.go
@@ -62,7 +62,7 @@
 }
 
 // plan returns how many tokens to ask of each of the holders.
-func (account *account) plan(now time.Duration, holders int) [limit.MaxHolders]int64 {
+func (account *account) plan(now time.Duration, holders int) [limit.MaxParts]int64 {
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
 	return account.borrower.Split(account.borrower.Plan(now), holders)
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -56,6 +56,8 @@
 	Admit(organisation ids.OrganisationID) bool
 	// Wait waits up to 50 ms for a token, after Admit returned false.
 	Wait(ctx context.Context, organisation ids.OrganisationID) bool
+	// Ready tells whether this VM knows the share record, without which nothing is admitted.
+	Ready() bool
 	// Describe returns the limit and its usage on this VM in words.
 	Describe(organisation ids.OrganisationID) string
 	// Borrow implements the peer call of the same name.
@@ -166,6 +168,13 @@
 	return account.leave(waiter)
 }
 
+// Ready implements Limiter.Ready.
+func (limiter *limiter) Ready() bool {
+	limiter.mutex.Lock()
+	defer limiter.mutex.Unlock()
+	return limiter.holder.Record().Epoch > 0
+}
+
 // Describe implements Limiter.Describe.
 func (limiter *limiter) Describe(organisation ids.OrganisationID) string {
 	account, ok := limiter.account(organisation)
--- a/io/limiter/record.go
+++ b/io/limiter/record.go
@@ -20,6 +20,8 @@
 	// settleTime is how long the set of live VMs must stay the same before the record follows it, so that a VM that
 	// is away for a moment does not move shares.
 	settleTime = 2 * time.Second
+	// firstSettleTime is the same for the first record, before which nothing is admitted.
+	firstSettleTime = time.Second
 	// proposeTimeout bounds the write of a record.
 	proposeTimeout = 2 * time.Second
 )
@@ -48,8 +50,11 @@
 			level.Error(limiter.logger).Log("msg", "share record is malformed", "err", err)
 		}
 	}
-	settled := now-limiter.records.since >= settleTime
-	if slices.Equal(record.VMs, live) || (found && !settled) {
+	wait := settleTime
+	if !found {
+		wait = firstSettleTime
+	}
+	if slices.Equal(record.VMs, live) || now-limiter.records.since < wait {
 		return
 	}
 	if err := limiter.writeRecord(ctx, entry.Revision, limit.Record{Epoch: record.Epoch + 1, VMs: live}); err != nil {
--- a/standin/fleet/access.go
+++ b/standin/fleet/access.go
@@ -14,11 +14,15 @@
 	"os"
 	"os/exec"
 	"strings"
+	"time"
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 )
 
+// readyInterval is the time between two looks at a VM that is starting.
+const readyInterval = 20 * time.Millisecond
+
 // Admin returns the URL of the VM's administration API.
 func (fleet *Fleet) Admin(vm ids.VMID) string {
 	return "https://" + fleet.VMs[vm].Addresses["admin"]
@@ -141,18 +145,10 @@
 
 // Metrics returns the VM's metrics by name.
 func (fleet *Fleet) Metrics(ctx context.Context, vm ids.VMID) (map[string]json.RawMessage, error) {
-	client, err := fleet.httpClient()
+	response, err := fleet.get(ctx, vm, "/metrics")
 	if err != nil {
 		return nil, err
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fleet.Admin(vm)+"/metrics", nil)
-	if err != nil {
-		return nil, fmt.Errorf("preparing the metrics of %s: %w", vm, err)
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return nil, fmt.Errorf("reading the metrics of %s: %w", vm, err)
-	}
 	defer func() { _ = response.Body.Close() }()
 	metrics := make(map[string]json.RawMessage)
 	if err := json.NewDecoder(response.Body).Decode(&metrics); err != nil {
@@ -161,6 +157,46 @@
 	return metrics, nil
 }
 
+// Ready tells whether the VM takes new connections.
+func (fleet *Fleet) Ready(ctx context.Context, vm ids.VMID) bool {
+	response, err := fleet.get(ctx, vm, "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (fleet *Fleet) waitReady(ctx context.Context, vm ids.VMID) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for !fleet.Ready(ctx, vm) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("not ready: %w", ctx.Err())
+		case <-time.After(readyInterval):
+		}
+	}
+	return nil
+}
+
+// get reads a path of the VM's administration API that needs no credential.
+func (fleet *Fleet) get(ctx context.Context, vm ids.VMID, path string) (*http.Response, error) {
+	client, err := fleet.httpClient()
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fleet.Admin(vm)+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("preparing %s of %s: %w", path, vm, err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, fmt.Errorf("reading %s of %s: %w", path, vm, err)
+	}
+	return response, nil
+}
+
 func (fleet *Fleet) httpClient() (*http.Client, error) {
 	authority, err := os.ReadFile(fleet.file("ca.pem"))
 	if err != nil {
@@ -168,7 +204,7 @@
 	}
 	pool := x509.NewCertPool()
 	pool.AppendCertsFromPEM(authority)
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
 }
 
 // Primary returns the group's primary as the VMs report it.
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -66,6 +66,11 @@
 	if err := fleet.startAllVMs(ctx); err != nil {
 		return fmt.Errorf("starting proxies: %w", err)
 	}
+	for vm := range fleet.VMs {
+		if err := fleet.waitReady(ctx, vm); err != nil {
+			return fmt.Errorf("waiting for %s: %w", vm, err)
+		}
+	}
 	return nil
 }
 
