--- a/io/control/fleet_test.go
+++ b/io/control/fleet_test.go
@@ -277,7 +277,10 @@
 func (fleet *fleet) Peer(address string) (peerpb.PeerClient, error) {
 	fleet.lock.Lock()
 	defer fleet.lock.Unlock()
-	return &link{fleet: fleet, node: fleet.nodes[address]}, nil
+	if node := fleet.nodes[address]; node != nil {
+		return &link{fleet: fleet, node: node}, nil
+	}
+	return nil, fmt.Errorf("nothing listens on %s", address)
 }
 
 type link struct {
