--- a/cmd/dotterelctl/client.go
+++ b/cmd/dotterelctl/client.go
@@ -82,17 +82,25 @@
 	return client, nil
 }
 
-// call sends a request to the first API that answers. Requests that change something carry a change id, so that they may
+// call sends a request to the first API that answers and can serve it. Requests that change something carry a change id, so that they may
 // be sent again to another VM.
 func (client *client) call(ctx context.Context, method, path string, query url.Values, body, into any) error {
 	var failed error
+	var unavailable *admin.Problem
 	for _, base := range client.urls {
 		err := client.callOne(ctx, base, method, path, query, body, into)
 		var problem *admin.Problem
-		if err == nil || errors.As(err, &problem) || ctx.Err() != nil {
+		switch {
+		case errors.As(err, &problem) && problem.Code == admin.CodeUnavailable:
+			unavailable = problem // another VM may hear from a majority
+		case err == nil || problem != nil || ctx.Err() != nil:
 			return err
+		default:
+			failed = errors.Join(failed, err)
 		}
-		failed = errors.Join(failed, err)
+	}
+	if unavailable != nil {
+		return unavailable
 	}
 	return &unreachableError{err: failed}
 }
--- /dev/null
+++ b/cmd/dotterelctl/main_test.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/admin"
+)
+
+// answer is what the API under test answers to "METHOD path".
+type answer struct {
+	status int
+	body   any
+}
+
+// serve starts an API with fixed answers, and returns its URL and the bodies that it received.
+func serve(t *testing.T, answers map[string]answer) (string, *[]string) {
+	t.Helper()
+	var received []string
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		body, _ := io.ReadAll(request.Body)
+		received = append(received, request.URL.RawQuery+" "+string(body))
+		answer, ok := answers[request.Method+" "+request.URL.Path]
+		if !ok || request.Header.Get("Authorization") != "Bearer secret" {
+			writer.WriteHeader(http.StatusTeapot)
+			return
+		}
+		writer.WriteHeader(answer.status)
+		_ = json.NewEncoder(writer).Encode(answer.body)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, &received
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// call runs the tool and returns the exit code and both outputs.
+func call(t *testing.T, url string, arguments ...string) (int, string, string) {
+	t.Helper()
+	var stdout, stderr bytes.Buffer
+	flags := []string{"-admin", url, "-credential-file", write(t, "secret\n")}
+	code := run(context.Background(), append(flags, arguments...), &stdout, &stderr)
+	return code, stdout.String(), stderr.String()
+}
+
+// The exit codes are documented, scripts rely on them, and every error must say what to do next.
+func TestExitCodes(t *testing.T) {
+	file := write(t, "organisation = \"acme\"\n")
+	no, yes := false, true
+	problem := func(code admin.Code) admin.Problem {
+		return admin.Problem{Code: code, Message: "refused", Next: "advice", Current: &admin.Version{Revision: 8, Text: "stored text"}, Yours: &admin.Version{Text: "refused text"}}
+	}
+	tests := map[string]struct {
+		answer    answer
+		arguments []string
+		code      int
+		stdout    string
+		stderr    string
+	}{
+		"stored":        {answer{200, admin.Changed{Entry: "e", Revision: 9, Replaced: 8}}, nil, 0, "stored e at revision 9, replacing revision 8", ""},
+		"in force":      {answer{200, admin.Changed{Revision: 9, InForce: &yes}}, nil, 0, "in force on every live VM", ""},
+		"not in force":  {answer{200, admin.Changed{Revision: 9, InForce: &no, Missing: []ids.VMID{"vm2"}}}, nil, 5, "revision 9", "vm2"},
+		"invalid":       {answer{400, problem(admin.CodeInvalid)}, nil, 2, "", "next: advice"},
+		"unauthorized":  {answer{401, problem(admin.CodeUnauthorized)}, nil, 2, "", "next: advice"},
+		"conflict":      {answer{409, problem(admin.CodeConflict)}, nil, 3, "", "stored version (revision 8):\nstored text"},
+		"unavailable":   {answer{503, problem(admin.CodeUnavailable)}, nil, 4, "", "next: advice"},
+		"unknown":       {answer{504, problem(admin.CodeOutcomeUnknown)}, nil, 4, "", "next: advice"},
+		"no API":        {answer{200, "text"}, nil, 4, "", "-change-id"},
+		"no file":       {answer{}, []string{"contract", "apply", "/nonexistent"}, 1, "", "next: name a file"},
+		"no command":    {answer{}, []string{"contract"}, 1, "", "USAGE"},
+		"unknown flag":  {answer{}, []string{"contract", "list", "-x"}, 1, "", "-x"},
+		"no arguments":  {answer{}, []string{"key", "withdraw", "acme"}, 1, "", "next: see"},
+		"not TOML":      {answer{}, []string{"contract", "apply", write(t, "x = ")}, 2, "", "next: correct"},
+		"no name":       {answer{}, []string{"group", "apply", write(t, "slots = 3")}, 2, "", "next: add the line group"},
+		"bad URL":       {answer{}, []string{"status", "-admin", "vm1:80"}, 1, "", "next: give URLs"},
+		"no credential": {answer{}, []string{"status", "-credential-file", "/nonexistent"}, 1, "", "next: name a file"},
+		"JSON":          {answer{409, problem(admin.CodeConflict)}, []string{"-json", "contract", "apply", file}, 3, "", `"code":"conflict"`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			url, _ := serve(t, map[string]answer{"PUT /v1/contracts/acme": test.answer})
+			arguments := test.arguments
+			if arguments == nil {
+				arguments = []string{"contract", "apply", file}
+			}
+			code, stdout, stderr := call(t, url, arguments...)
+			if code != test.code || !strings.Contains(stdout, test.stdout) || !strings.Contains(stderr, test.stderr) {
+				t.Errorf("code %d, want %d\nstdout: %s\nstderr: %s", code, test.code, stdout, stderr)
+			}
+		})
+	}
+}
+
+// A VM that does not answer, or hears no majority, must not keep the change from being made through another.
+func TestNextURL(t *testing.T) {
+	changed := answer{200, admin.Changed{Revision: 9}}
+	good, received := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": changed})
+	cut, _ := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": {503, admin.Problem{Code: admin.CodeUnavailable}}})
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	code, _, stderr := call(t, closed.URL+","+cut+","+good, "key", "withdraw", "-change-id", "c1", "acme", "k1")
+	if code != 0 || len(*received) != 1 || !strings.Contains((*received)[0], "change_id=c1") {
+		t.Errorf("code %d, received %q: %s", code, *received, stderr)
+	}
+}
+
+// What contract show prints must be usable for contract apply, and must not overwrite a version newer than the one shown.
+func TestShowThenApply(t *testing.T) {
+	withdrawn := time.Unix(1_800_000_000, 0).UTC()
+	view := admin.ContractView{
+		Organisation: "acme", Revision: 42, ChangeID: "c", Text: "organisation = \"acme\"\nrate = 5.0\n",
+		Keys: []admin.KeyView{{ID: "k1"}, {ID: "k2", Withdrawn: &withdrawn}},
+	}
+	url, received := serve(t, map[string]answer{
+		"GET /v1/contracts/acme": {200, view}, "PUT /v1/contracts/acme": {200, admin.Changed{}},
+	})
+	code, stdout, stderr := call(t, url, "contract", "show", "acme")
+	if code != 0 || !strings.Contains(stdout, "# key k2, given 0001-01-01T00:00:00Z, withdrawn 2027-01-15T08:00:00Z") {
+		t.Fatalf("code %d: %s%s", code, stdout, stderr)
+	}
+	if code, _, stderr = call(t, url, "-wait", "contract", "apply", write(t, stdout)); code != 0 {
+		t.Fatalf("code %d: %s", code, stderr)
+	}
+	query, body, _ := strings.Cut((*received)[1], " ")
+	var change admin.Change
+	if err := json.Unmarshal([]byte(body), &change); err != nil || change.Expected == nil || *change.Expected != 42 || change.ChangeID == "" {
+		t.Errorf("sent %s, %v", body, err)
+	}
+	if query != "timeout=20s&wait=true" {
+		t.Errorf("query %q", query)
+	}
+}
+
+// The tables must hold what staff need to explain and to operate.
+func TestTables(t *testing.T) {
+	url, _ := serve(t, map[string]answer{
+		"GET /v1/contracts": {200, admin.List[admin.ContractView]{Items: []admin.ContractView{
+			{Organisation: "acme", Revision: 4, Rate: 2.5, Burst: 4, Routes: []ids.RouteName{"main", "old"}, Keys: []admin.KeyView{{}}},
+			{Organisation: "gone", Withdrawn: true},
+		}}},
+		"POST /v1/contracts/acme/keys": {200, admin.KeyGiven{ID: "k1", User: "acme.k1", Secret: "the-key"}},
+		"GET /v1/refusals/vm1-1":       {200, admin.Record{ID: "vm1-1", Reason: "rate_exceeded", SQLState: "53400", Clause: "rate", Outcome: "not run", ContractRevision: 4, Note: "5 of 5"}},
+		"GET /v1/groups":               {200, admin.List[admin.GroupView]{Items: []admin.GroupView{{Term: 3}}}},
+		"GET /v1/status": {200, admin.Status{
+			VM: "vm1", NotReady: "draining", Revision: 7, Behind: []ids.VMID{"vm2"},
+			Members: []admin.MemberView{{ID: "vm2", Leaving: true}}, Groups: []admin.GroupView{{Term: 3, Primary: "g1-a", Reachable: 2}},
+		}},
+	})
+	for command, parts := range map[string][]string{
+		"contract list":         {"ORGANISATION", "acme", "2.5", "main, old", "withdrawn"},
+		"key give acme k1":      {"acme.k1", "the-key", "shown this once"},
+		"refusal explain vm1-1": {"rate_exceeded (SQLSTATE 53400)", "revision 4", "5 of 5", "not run"},
+		"group list":            {"none"},
+		"status":                {"no: draining", "no: its configuration is not confirmed", "leaving", "g1-a", "vm2"},
+	} {
+		code, stdout, stderr := call(t, url, strings.Fields(command)...)
+		if code != 0 {
+			t.Errorf("%s: code %d: %s", command, code, stderr)
+		}
+		for _, part := range parts {
+			if !strings.Contains(stdout, part) {
+				t.Errorf("%s: %q is missing in:\n%s", command, part, stdout)
+			}
+		}
+		code, stdout, _ = call(t, url, append([]string{"-json"}, strings.Fields(command)...)...)
+		if code != 0 || !json.Valid([]byte(stdout)) {
+			t.Errorf("%s -json: code %d:\n%s", command, code, stdout)
+		}
+	}
+}
+
+// Drain must reach the named VM, and must not report success if its API is not among the URLs.
+func TestDrain(t *testing.T) {
+	other, _ := serve(t, map[string]answer{"POST /v1/drain/vm2": {421, admin.Problem{Code: admin.CodeOtherVM}}})
+	named, received := serve(t, map[string]answer{"POST /v1/drain/vm2": {200, map[string]any{"vm": "vm2"}}})
+	if code, stdout, stderr := call(t, other+","+named, "drain", "vm2"); code != 0 || !strings.Contains(stdout, "vm2") || len(*received) != 1 {
+		t.Errorf("code %d: %s%s", code, stdout, stderr)
+	}
+	if code, _, stderr := call(t, other, "drain", "vm2"); code != 2 || !strings.Contains(stderr, "next: add the URL") {
+		t.Errorf("code %d: %s", code, stderr)
+	}
+}
+
+// With TLS, the tool must refuse an API whose certificate another authority signed, and accept the one that -ca names.
+func TestAuthority(t *testing.T) {
+	server := httptest.NewTLSServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(writer).Encode(admin.Status{})
+	}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	t.Cleanup(server.Close)
+	if code, _, stderr := call(t, server.URL, "status"); code != 4 || !strings.Contains(stderr, "certificate") {
+		t.Errorf("without -ca: code %d: %s", code, stderr)
+	}
+	authority := string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw}))
+	if code, _, stderr := call(t, server.URL, "-ca", write(t, authority), "status"); code != 0 {
+		t.Errorf("with -ca: code %d: %s", code, stderr)
+	}
+}
--- a/io/admin/keys.go
+++ b/io/admin/keys.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"crypto/rand"
 	"encoding/base64"
 	"encoding/hex"
@@ -123,7 +124,9 @@
 		if err == nil || !errors.As(err, &problem) || problem.Code != CodeConflict || attempt >= keyAttempts {
 			return changed, err
 		}
-		entry, err := server.readBack(call.Context(), config.ContractKey(organisation))
+		ctx, cancel := context.WithTimeout(call.Context(), proposeTimeout)
+		entry, err := server.readBack(ctx, config.ContractKey(organisation))
+		cancel()
 		if err != nil {
 			return Changed{}, problemOf(proposal, err)
 		}
