--- /dev/null
+++ b/core/share/queue_test.go
@@ -0,0 +1,130 @@
+package share_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"dotterelgw/core/share"
+)
+
+// TestShares guards against a backlogged organisation getting less than its weight's share: whatever others queue, after
+// n services it has at least n·w/W less one service per organisation.
+func TestShares(t *testing.T) {
+	properties := gopter.NewProperties(nil)
+	properties.Property("backlogged flows are served by weight", prop.ForAll(
+		func(weights []int, served int) bool {
+			queue := share.New[int, int]()
+			total := 0
+			for flow, weight := range weights {
+				total += weight
+				for item := range served {
+					queue.Push(flow, float64(weight), item)
+				}
+			}
+			counts := make([]int, len(weights))
+			last := make([]int, len(weights))
+			for index := range last {
+				last[index] = -1
+			}
+			for range served {
+				flow := -1
+				item, ok := queue.Pop(nil)
+				if !ok {
+					return false
+				}
+				// The flow is found by its next item in order, which also checks that each flow is served in order.
+				for candidate := range weights {
+					if queue.Waiting(candidate) == served-counts[candidate]-1 {
+						flow = candidate
+					}
+				}
+				if flow < 0 || item != last[flow]+1 {
+					return false
+				}
+				last[flow] = item
+				counts[flow]++
+			}
+			for flow, weight := range weights {
+				fair := float64(served) * float64(weight) / float64(total)
+				if float64(counts[flow]) < fair-float64(len(weights)) {
+					return false
+				}
+			}
+			return true
+		},
+		gen.SliceOfN(4, gen.IntRange(1, 10)), gen.IntRange(1, 200),
+	))
+	properties.Property("what is pushed is popped or removed exactly once", prop.ForAll(
+		func(actions []int) bool {
+			queue := share.New[int, int]()
+			var tickets []share.Ticket[int]
+			var seen []int
+			next := 0
+			for _, action := range actions {
+				switch {
+				case action < 6:
+					tickets = append(tickets, queue.Push(action%3, float64(action), next))
+					next++
+				case action < 8:
+					if item, ok := queue.Pop(func(key, _ int) bool { return key != action%3 }); ok {
+						seen = append(seen, item)
+					}
+				case len(tickets) > 0:
+					if at := action % len(tickets); queue.Remove(tickets[at]) {
+						seen = append(seen, at)
+					}
+				}
+			}
+			for item, ok := queue.Pop(nil); ok; item, ok = queue.Pop(nil) {
+				seen = append(seen, item)
+			}
+			slices.Sort(seen)
+			for index, item := range seen {
+				if index != item {
+					return false
+				}
+			}
+			return len(seen) == next && queue.Len() == 0
+		},
+		gen.SliceOf(gen.IntRange(0, 11)),
+	))
+	properties.TestingRun(t)
+}
+
+// TestNoCreditForAbsence guards against an organisation that was absent taking every connection when it returns.
+func TestNoCreditForAbsence(t *testing.T) {
+	queue := share.New[string, string]()
+	for range 100 {
+		queue.Push("busy", 1, "busy")
+	}
+	for range 50 {
+		queue.Pop(nil)
+	}
+	for range 10 {
+		queue.Push("back", 1, "back")
+	}
+	counts := map[string]int{}
+	for range 10 {
+		item, _ := queue.Pop(nil)
+		counts[item]++
+	}
+	if counts["busy"] < 4 {
+		t.Errorf("the busy organisation got %d of 10", counts["busy"])
+	}
+}
+
+// BenchmarkQueue measures one wait and one service with 8 organisations.
+func BenchmarkQueue(b *testing.B) {
+	queue := share.New[int, int]()
+	for flow := range 8 {
+		queue.Push(flow, 1, flow)
+	}
+	for round := range b.N {
+		queue.Push(round%8, 1, round)
+		queue.Pop(nil)
+	}
+}
--- a/io/backend/pools.go
+++ b/io/backend/pools.go
@@ -84,6 +84,14 @@
 	return int(found.busy.Load())
 }
 
+// Waiting returns the number of requests that wait for a connection to the server.
+func (pools *Pools) Waiting(id ids.BackendServerID) int {
+	found := pools.server(id)
+	found.mutex.Lock()
+	defer found.mutex.Unlock()
+	return found.queue.Len()
+}
+
 // Acquire returns a connection in state Busy, after waiting in the organisation's queue if none is free. The error is a
 // *refusal.Refusal; nothing was run.
 func (pools *Pools) Acquire(ctx context.Context, request Request) (*Conn, error) {
