--- /dev/null
+++ b/io/frontend/frontend_test.go
@@ -0,0 +1,368 @@
+package frontend_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"dotterelgw/core/contract"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/refusal"
+	"dotterelgw/io/backend/wire"
+	"dotterelgw/io/frontend"
+	"dotterelgw/io/session"
+)
+
+// world is the fakes around a frontend.
+type world struct {
+	contracts map[ids.OrganisationID]*contract.Contract
+	unsure    atomic.Bool
+	panics    atomic.Bool
+	forwarded chan uint32
+	*session.Server
+}
+
+func (world *world) Contract(org ids.OrganisationID) (*contract.Contract, ids.Revision, bool) {
+	held, ok := world.contracts[org]
+	return held, 1, ok
+}
+
+func (world *world) Admitting() bool { return !world.unsure.Load() }
+
+func (world *world) Record(refused *refusal.Refusal, _ session.Caller) *refusal.Refusal {
+	return refused
+}
+
+func (world *world) Open(conn net.Conn, reader *wire.Reader, caller session.Caller) (*session.Session, error) {
+	if world.panics.Load() {
+		panic("fault in one start-up")
+	}
+	return world.Server.Open(conn, reader, caller)
+}
+
+// forwarder notes the cancel requests for other VMs.
+type forwarder chan uint32
+
+func (forwarder forwarder) Cancel(_ context.Context, processID uint32, _ []byte) {
+	forwarder <- processID
+}
+
+func verifier(key string) string {
+	client, _ := scram.SHA256.NewClient("", key, "")
+	stored, _ := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: "0123456789abcdef", Iters: 4096})
+	encode := func(data []byte) string { return base64.StdEncoding.EncodeToString(data) }
+	return fmt.Sprintf("SCRAM-SHA-256$4096:%s$%s:%s", encode([]byte(stored.Salt)), encode(stored.StoredKey), encode(stored.ServerKey))
+}
+
+func newWorld(t *testing.T, change func(*frontend.Dependencies)) (*world, string) {
+	world := &world{forwarded: make(chan uint32, 1), contracts: map[ids.OrganisationID]*contract.Contract{
+		"frissito": {
+			Organisation: "frissito", Limits: contract.Limits{Connections: 2},
+			Routes: []contract.Route{{Name: "app", Group: "g1"}},
+			Keys: []contract.Key{
+				{ID: "bot", Verifier: verifier("right")},
+				{ID: "old", Verifier: verifier("right"), Withdrawn: time.Unix(1, 0)},
+				{ID: "damaged", Verifier: "md5"},
+			},
+		},
+		"seixal": {Organisation: "seixal", Routes: []contract.Route{{Name: "open", Group: "g2", Open: true}, {Name: "own", Group: "g2"}}},
+	}}
+	world.Server = session.New(session.Dependencies{Control: world, Recorder: world, VM: "vm1"})
+	dependencies := frontend.Dependencies{Control: world, Sessions: world, Recorder: world, Plaintext: true, Forwarder: forwarder(world.forwarded)}
+	if change != nil {
+		change(&dependencies)
+	}
+	front, err := frontend.New(dependencies)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = front.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		ctx, stop := context.WithCancel(context.Background())
+		stop()
+		_ = world.Drain(ctx)
+		front.Wait()
+	})
+	return world, listener.Addr().String()
+}
+
+// connect logs in with pgx and returns the SQLSTATE of the refusal, or "" on success.
+func connect(t *testing.T, address, user, password, database, parameters string) (*pgconn.PgConn, string) {
+	t.Helper()
+	conn, err := pgconn.Connect(context.Background(), fmt.Sprintf("postgres://%s:%s@%s/%s?%s", user, password, address, database, parameters))
+	var refused *pgconn.PgError
+	switch {
+	case err == nil:
+		t.Cleanup(func() { _ = conn.Close(context.Background()) })
+		return conn, ""
+	case errors.As(err, &refused):
+		return nil, refused.Code
+	}
+	return nil, err.Error()
+}
+
+// TestLogin guards against a caller that gets in with anything but its own key in force and a route that it may use.
+func TestLogin(t *testing.T) {
+	cases := map[string]struct{ user, password, database, want string }{
+		"own route":             {"frissito.bot", "right", "app", ""},
+		"open route":            {"frissito.bot", "right", "seixal%2fopen", ""},
+		"route of another":      {"frissito.bot", "right", "seixal%2fown", "42501"},
+		"unknown route":         {"frissito.bot", "right", "other", "3D000"},
+		"wrong key":             {"frissito.bot", "wrong", "app", "28P01"},
+		"unknown key":           {"frissito.none", "right", "app", "28P01"},
+		"unknown organisation":  {"none.bot", "right", "app", "28P01"},
+		"user of another form":  {"postgres", "right", "app", "28P01"},
+		"withdrawn key":         {"frissito.old", "right", "app", "28000"},
+		"withdrawn, wrong key":  {"frissito.old", "wrong", "app", "28P01"},
+		"damaged verifier":      {"frissito.damaged", "right", "app", "28P01"},
+		"key of another's user": {"seixal.bot", "right", "app", "28P01"},
+	}
+	for name, tested := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, address := newWorld(t, nil)
+			conn, got := connect(t, address, tested.user, tested.password, tested.database, "sslmode=disable")
+			if got != tested.want {
+				t.Fatalf("got %q, want %q", got, tested.want)
+			}
+			if conn != nil && conn.ParameterStatus("standard_conforming_strings") != "on" {
+				t.Error("a setting that drivers need is not reported")
+			}
+		})
+	}
+}
+
+// exchange runs the start-up and SCRAM with a key and returns everything that the frontend said, without the nonce.
+func exchange(t *testing.T, address, user string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	caller := pgproto3.NewFrontend(conn, conn)
+	caller.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": user, "database": "app"}})
+	client, _ := scram.SHA256.NewClient("", "wrong", "")
+	conversation := client.NewConversation()
+	first, _ := conversation.Step("")
+	said := ""
+	for _, data := range []string{"", first} {
+		if data != "" {
+			caller.Send(&pgproto3.SASLInitialResponse{AuthMechanism: "SCRAM-SHA-256", Data: []byte(data)})
+		}
+		if err := caller.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		message, err := caller.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if challenge, ok := message.(*pgproto3.AuthenticationSASLContinue); ok {
+			reply, err := conversation.Step(string(challenge.Data))
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, salt, _ := cut3(string(challenge.Data))
+			said += fmt.Sprintf("challenge of %d bytes, salt of %d bytes\n", len(challenge.Data), len(salt))
+			caller.Send(&pgproto3.SASLResponse{Data: []byte(reply)})
+		} else {
+			said += fmt.Sprintf("%T %+v\n", message, message)
+		}
+	}
+	_ = caller.Flush()
+	message, err := caller.Receive()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return said + fmt.Sprintf("%+v", message)
+}
+
+func cut3(challenge string) (nonce, salt, iterations string) {
+	var parts [3]string
+	part := 0
+	for index := range len(challenge) {
+		if challenge[index] == ',' && part < 2 {
+			part++
+			continue
+		}
+		parts[part] += string(challenge[index])
+	}
+	return parts[0], parts[1], parts[2]
+}
+
+// TestUnknownUser guards against answers that tell an unknown user from a wrong key.
+func TestUnknownUser(t *testing.T) {
+	_, address := newWorld(t, nil)
+	known := exchange(t, address, "frissito.bot")
+	for _, user := range []string{"frissito.none", "none.bot", "postgres"} {
+		if got := exchange(t, address, user); got != known {
+			t.Errorf("%s:\n%s\nwant:\n%s", user, got, known)
+		}
+	}
+}
+
+func certificate(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour)}
+	signed, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{signed}, PrivateKey: key}}}
+}
+
+// TestTLS guards against plain text where the setting does not allow it, and against a failure of TLS where it is offered.
+func TestTLS(t *testing.T) {
+	_, address := newWorld(t, func(dependencies *frontend.Dependencies) {
+		dependencies.TLS, dependencies.Plaintext = certificate(t), false
+	})
+	if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=require"); got != "" {
+		t.Errorf("TLS: %q", got)
+	}
+	if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable"); got != "0A000" {
+		t.Errorf("plain text: %q", got)
+	}
+}
+
+// TestLimits guards against connections beyond the limits of the contract and of the VM, and on an unconfirmed VM.
+func TestLimits(t *testing.T) {
+	world, address := newWorld(t, func(dependencies *frontend.Dependencies) { dependencies.MaxConnections = 4 })
+	for _, want := range []string{"", "", "53300"} {
+		if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable"); got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+	}
+	world.unsure.Store(true)
+	if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable"); got != "57P03" {
+		t.Errorf("unconfirmed VM: %q", got)
+	}
+}
+
+// TestPanic guards against a fault in one start-up that ends others.
+func TestPanic(t *testing.T) {
+	world, address := newWorld(t, nil)
+	world.panics.Store(true)
+	if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable"); got == "" {
+		t.Error("the start-up that panicked succeeded")
+	}
+	world.panics.Store(false)
+	if _, got := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable"); got != "" {
+		t.Errorf("after the panic: %q", got)
+	}
+}
+
+func packet(code uint32, body string) []byte {
+	packet := binary.BigEndian.AppendUint32(nil, uint32(8+len(body)))
+	return append(binary.BigEndian.AppendUint32(packet, code), body...)
+}
+
+// TestMalformed guards against packets that are not answered with the right error, or that end more than their connection.
+func TestMalformed(t *testing.T) {
+	const version30, version39 = 3 << 16, 3<<16 | 9
+	valid := "user\x00frissito.bot\x00database\x00app\x00\x00"
+	_, address := newWorld(t, nil)
+	open, _ := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable")
+	cases := map[string]struct {
+		data []byte
+		want string
+	}{
+		"too long":              {[]byte{0, 1, 0, 0, 0, 3, 0, 0}, "08P01"},
+		"too short":             {[]byte{0, 0, 0, 7, 0, 3, 0, 0}, "08P01"},
+		"no parameters":         {packet(version30, ""), "08P01"},
+		"version 2":             {packet(2<<16, valid), "08P01"},
+		"replication":           {packet(version30, "user\x00a.b\x00replication\x00on\x00\x00"), "0A000"},
+		"query instead of key":  {append(packet(version30, valid), "Q\x00\x00\x00\x05\x00"...), "08P01"},
+		"large authentication":  {append(packet(version30, valid), "p\x00\xff\x00\x00"...), "08P01"},
+		"unknown mechanism":     {append(packet(version30, valid), "p\x00\x00\x00\x0aX\x00\x00\x00\x00\x00"...), "08P01"},
+		"GSS, TLS, later minor": {append(append(packet(80877104, ""), packet(80877103, "")...), append(packet(version39, valid), "Q\x00\x00\x00\x05\x00"...)...), "NNv08P01"},
+	}
+	for name, tested := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if _, err := conn.Write(tested.data); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+			got := ""
+			for len(tested.want) > len(got)+5 && len(got) < 2 {
+				answer := make([]byte, 1)
+				if _, err := io.ReadFull(conn, answer); err != nil {
+					t.Fatal(err)
+				}
+				got += string(answer)
+			}
+			reader := wire.NewReader(conn, 10_000)
+			for {
+				frame, err := reader.Next()
+				if err != nil {
+					break
+				}
+				switch frame.Type() {
+				case wire.ErrorResponse:
+					got += wire.ErrorField(frame, 'C')
+				case 'v':
+					got += "v"
+				}
+			}
+			if got != tested.want {
+				t.Errorf("got %q, want %q", got, tested.want)
+			}
+		})
+	}
+	if open.IsClosed() || open.CheckConn() != nil {
+		t.Error("another connection was ended")
+	}
+}
+
+// TestCancelForwarded guards against cancel requests that get lost because the balancer chose another VM.
+func TestCancelForwarded(t *testing.T) {
+	world, address := newWorld(t, nil)
+	own, _ := connect(t, address, "frissito.bot", "right", "app", "sslmode=disable")
+	for _, processID := range []uint32{own.PID(), own.PID() + 1} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err = conn.Write(packet(80877102, string(binary.BigEndian.AppendUint32(nil, processID))+"wxyz")); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		_ = conn.Close()
+	}
+	select {
+	case processID := <-world.forwarded:
+		if processID != own.PID()+1 || session.PrefixOf(processID) != session.ProcessIDPrefix("vm1") {
+			t.Errorf("forwarded %d", processID)
+		}
+	default:
+		t.Error("the request was not forwarded")
+	}
+}
