--- /dev/null
+++ b/core/failover/simulation_test.go
@@ -0,0 +1,390 @@
+package failover
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+)
+
+// The simulation runs three VMs, three servers and the key-value service on a test clock. Nodes 0 to 2 are the VMs,
+// 3 to 5 the servers, 6 the key-value service.
+const (
+	vmCount    = 3
+	nodeCount  = 7
+	service    = 6
+	probeEvery = 40 * time.Millisecond
+)
+
+type event struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type events []event
+
+func (events events) Len() int { return len(events) }
+
+func (events events) Less(i, j int) bool {
+	if events[i].at != events[j].at {
+		return events[i].at < events[j].at
+	}
+	return events[i].order < events[j].order
+}
+func (events events) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
+func (events *events) Push(x any)   { *events = append(*events, x.(event)) }
+func (events *events) Pop() any {
+	old := *events
+	last := old[len(old)-1]
+	*events = old[:len(old)-1]
+	return last
+}
+
+type row struct {
+	term ids.Term
+	id   int
+}
+
+type database struct {
+	node      int
+	record    config.ServerRecord
+	log       []row
+	primary   bool
+	term      ids.Term
+	promised  ids.Term
+	following int
+	leaving   bool
+}
+
+type vm struct {
+	node    int
+	plan    *Plan
+	watch   [3]Watch
+	latest  [3]*Status
+	probing [3]bool
+	writes  []pendingWrite
+}
+
+type pendingWrite struct {
+	want position.Position
+	ran  ids.BackendServerID
+	id   int
+	at   time.Duration
+}
+
+type promotion struct {
+	term ids.Term
+	log  []row
+}
+
+// simulation holds the world and the violations found.
+type simulation struct {
+	random     *rand.Rand
+	now        time.Duration
+	queue      events
+	sequence   int
+	blocked    [nodeCount][nodeCount]bool
+	paused     [nodeCount]time.Duration
+	loseAnswer float64 // share of the answers of the key-value service that are lost
+	slowSwap   time.Duration
+	vms        []*vm
+	servers    []*database
+	record     config.TermRecord
+	revision   ids.Revision
+	nextID     int
+	acked      map[int]position.Position
+	promotions []promotion
+	claims     int
+	violations []string
+
+	// naiveAck acknowledges on the primary's answer alone.
+	naiveAck bool
+}
+
+func newSimulation(seed int64, change func(*Plan)) *simulation {
+	sim := &simulation{random: rand.New(rand.NewSource(seed)), acked: map[int]position.Position{}}
+	group := config.GroupRecord{Group: "g"}
+	for index := range 3 {
+		record := config.ServerRecord{ID: ids.BackendServerID(fmt.Sprint("s", index)), Address: fmt.Sprint(index)}
+		group.Servers = append(group.Servers, record)
+		sim.servers = append(sim.servers, &database{
+			node: vmCount + index, record: record, primary: index == 0, term: 1, promised: 1, following: 0,
+		})
+	}
+	for index := range vmCount {
+		plan, err := NewPlan(ids.VMID(fmt.Sprint("vm", index)), group)
+		if err != nil {
+			panic(err)
+		}
+		if change != nil {
+			change(plan)
+		}
+		sim.vms = append(sim.vms, &vm{node: index, plan: plan})
+	}
+	for index, vm := range sim.vms {
+		sim.every(time.Duration(index)*time.Millisecond, 20*time.Millisecond, func() { sim.onVM(vm, sim.tick) })
+		sim.every(0, probeEvery, func() { sim.onVM(vm, sim.probeAll) })
+		sim.every(0, 30*time.Millisecond, func() { sim.onVM(vm, sim.write) })
+		sim.every(0, 100*time.Millisecond, func() { sim.onVM(vm, sim.readRecord) })
+	}
+	for _, server := range sim.servers {
+		sim.every(0, 7*time.Millisecond, func() { sim.replicate(server) })
+	}
+	return sim
+}
+
+func (sim *simulation) at(delay time.Duration, run func()) {
+	sim.sequence++
+	heap.Push(&sim.queue, event{at: sim.now + delay, order: sim.sequence, run: run})
+}
+
+func (sim *simulation) every(first, period time.Duration, run func()) {
+	sim.at(first, func() {
+		run()
+		sim.every(period, period, run)
+	})
+}
+
+func (sim *simulation) runUntil(end time.Duration) {
+	for len(sim.queue) > 0 && sim.queue[0].at <= end && len(sim.violations) == 0 {
+		next := heap.Pop(&sim.queue).(event)
+		sim.now = next.at
+		next.run()
+	}
+	sim.now = max(sim.now, end)
+}
+
+// onVM runs a periodic task unless the VM is paused.
+func (sim *simulation) onVM(vm *vm, task func(*vm)) {
+	if sim.now >= sim.paused[vm.node] {
+		task(vm)
+	}
+}
+
+// send delivers a message after a delay unless the link is cut in that direction; a paused receiver gets it late.
+func (sim *simulation) send(from, to int, deliver func()) {
+	delay := time.Duration(500+sim.random.Intn(2500)) * time.Microsecond
+	sim.at(delay, func() {
+		if sim.blocked[from][to] {
+			return
+		}
+		if wait := sim.paused[to] - sim.now; wait > 0 {
+			sim.at(wait, deliver)
+			return
+		}
+		deliver()
+	})
+}
+
+// call runs a function at a server or the service and brings the result back.
+func (sim *simulation) call(vm *vm, to int, run func() func()) {
+	sim.send(vm.node, to, func() {
+		if answer := run(); answer != nil {
+			sim.send(to, vm.node, answer)
+		}
+	})
+}
+
+func (server *database) status() Status {
+	status := Status{
+		Server: server.record.ID, Primary: server.primary, Term: server.term, Promised: server.promised, Leaving: server.leaving,
+	}
+	if count := len(server.log); count > 0 {
+		status.LogTerm = server.log[count-1].term
+		status.Written, status.Received, status.Replayed = ids.LogPosition(count), ids.LogPosition(count), ids.LogPosition(count)
+	}
+	return status
+}
+
+func (sim *simulation) probeAll(vm *vm) {
+	for index, server := range sim.servers {
+		if vm.probing[index] {
+			continue
+		}
+		vm.probing[index] = true
+		open := true
+		sim.call(vm, server.node, func() func() {
+			status := server.status()
+			return func() {
+				if open {
+					open, vm.probing[index] = false, false
+					vm.watch[index].Answered(sim.now, status)
+					vm.latest[index] = &status
+					sim.confirm(vm)
+				}
+			}
+		})
+		sim.at(ProbeTimeout, func() {
+			sim.afterPause(vm, func() {
+				if open {
+					open, vm.probing[index] = false, false
+					vm.watch[index].Failed()
+				}
+			})
+		})
+	}
+}
+
+func (sim *simulation) afterPause(vm *vm, run func()) {
+	if wait := sim.paused[vm.node] - sim.now; wait > 0 {
+		sim.at(wait, func() { sim.afterPause(vm, run) })
+		return
+	}
+	run()
+}
+
+func (sim *simulation) evidence(vm *vm) []Evidence {
+	evidence := make([]Evidence, 0, 3)
+	for index, server := range sim.servers {
+		one := vm.watch[index].Evidence(sim.now)
+		one.Server = server.record.ID
+		evidence = append(evidence, one)
+	}
+	return evidence
+}
+
+func (sim *simulation) tick(vm *vm) {
+	situation := Situation{Own: sim.evidence(vm), Rank: vm.node, Watchers: vmCount}
+	if vm.plan.NeedsOthers(situation.Own) {
+		for _, other := range sim.vms {
+			if other != vm && !sim.blocked[vm.node][other.node] && !sim.blocked[other.node][vm.node] && sim.now >= sim.paused[other.node] {
+				situation.Others = append(situation.Others, sim.evidence(other))
+			}
+		}
+	}
+	sim.execute(vm, vm.plan.Tick(sim.now, situation))
+}
+
+func (sim *simulation) execute(vm *vm, commands []Command) {
+	for _, command := range commands {
+		switch command.Kind {
+		case Swap:
+			sim.swap(vm, command)
+		case Read:
+			sim.read(vm, true)
+		default:
+			sim.command(vm, command)
+		}
+	}
+}
+
+func (sim *simulation) swap(vm *vm, command Command) {
+	if command.Record.Step == Fencing {
+		sim.claims++
+	}
+	open := true
+	finish := func(result SwapResult, revision ids.Revision) {
+		if open {
+			open = false
+			sim.execute(vm, vm.plan.Swapped(sim.now, result, command.Record, revision))
+		}
+	}
+	deliver := func() func() {
+		result, revision := SwapConflict, ids.Revision(0)
+		if sim.revision == command.Expected {
+			sim.revision++
+			sim.record, result, revision = command.Record, SwapStored, sim.revision
+		}
+		if sim.random.Float64() < sim.loseAnswer {
+			return nil
+		}
+		return func() { finish(result, revision) }
+	}
+	sim.at(time.Duration(sim.random.Int63n(int64(sim.slowSwap)+1)), func() { sim.call(vm, service, deliver) })
+	sim.at(500*time.Millisecond, func() { sim.afterPause(vm, func() { finish(SwapUnknown, 0) }) })
+}
+
+func (sim *simulation) read(vm *vm, asked bool) {
+	open := true
+	finish := func(record config.TermRecord, revision ids.Revision, failed bool) {
+		if open {
+			open = false
+			if asked {
+				sim.execute(vm, vm.plan.Read(sim.now, record, revision, failed))
+			} else if revision > 0 {
+				sim.execute(vm, vm.plan.Applied(sim.now, record, revision))
+			}
+		}
+	}
+	sim.call(vm, service, func() func() {
+		record, revision := sim.record, sim.revision
+		return func() { finish(record, revision, false) }
+	})
+	if asked {
+		sim.at(500*time.Millisecond, func() { sim.afterPause(vm, func() { finish(config.TermRecord{}, 0, true) }) })
+	}
+}
+
+func (sim *simulation) readRecord(vm *vm) { sim.read(vm, false) }
+
+// command runs a group function at a server.
+func (sim *simulation) command(vm *vm, command Command) {
+	var server *database
+	for _, one := range sim.servers {
+		if one.record.ID == command.Server.ID {
+			server = one
+		}
+	}
+	sim.call(vm, server.node, func() func() {
+		refused := false
+		switch command.Kind {
+		case Fence:
+			refused = server.promised > command.Term
+			server.promised = max(server.promised, command.Term)
+		case Promote:
+			refused = server.promised != command.Term
+			if !refused && !(server.primary && server.term == command.Term) {
+				server.primary, server.term = true, command.Term
+				sim.promoted(server)
+			}
+		case Follow:
+			refused = server.promised > command.Term || server.primary && server.term == command.Term
+			if !refused {
+				server.primary, server.term, server.promised = false, command.Term, command.Term
+				server.following = int(command.Primary.Address[0] - '0')
+				server.drop(command.Term, command.Start)
+			}
+		}
+		sim.checkPrimaries()
+		status := server.status()
+		return func() {
+			switch command.Kind {
+			case Fence:
+				sim.execute(vm, vm.plan.Fenced(sim.now, command.Term, status, refused))
+			case Examine:
+				sim.execute(vm, vm.plan.Examined(sim.now, status))
+			case Promote:
+				sim.execute(vm, vm.plan.Promoted(sim.now, command.Term, status, refused))
+			}
+		}
+	})
+}
+
+// drop removes the records of older terms beyond the start, as group_follow does.
+func (server *database) drop(term ids.Term, start ids.LogPosition) {
+	for index := int(start); index < len(server.log); index++ {
+		if server.log[index].term < term {
+			server.log = append([]row(nil), server.log[:index]...)
+			return
+		}
+	}
+}
+
+// replicate copies records from the primary that the server follows, a random part at a time. Like the start that
+// group_follow gives, it relies on nothing but positions: a log that was not cut where it parts stays wrong.
+func (sim *simulation) replicate(server *database) {
+	source := sim.servers[server.following]
+	healthy := !sim.blocked[source.node][server.node] && !sim.blocked[server.node][source.node] &&
+		sim.now >= sim.paused[source.node] && sim.now >= sim.paused[server.node]
+	if server.primary || !healthy || !source.primary || source.term != server.term || server.promised > server.term {
+		return
+	}
+	if have, all := len(server.log), len(source.log); all > have {
+		server.log = append(server.log, source.log[have:have+1+sim.random.Intn(all-have)]...)
+	}
+}
--- /dev/null
+++ b/core/failover/situation.go
@@ -0,0 +1,86 @@
+package failover
+
+import (
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+)
+
+// WatcherCount is the number of VMs that watch a group.
+const WatcherCount = 3
+
+// Situation is what a watcher knows when it decides.
+type Situation struct {
+	// Own holds this VM's evidence in the order of the group record.
+	Own []Evidence
+	// Others holds the fresh evidence of the other watchers that answered.
+	Others [][]Evidence
+	// Rank is this VM's place among the watchers, 0 for the first.
+	Rank int
+	// Watchers is the number of watchers, this VM included.
+	Watchers int
+}
+
+// find returns the evidence of the server.
+func find(evidence []Evidence, server ids.BackendServerID) (Evidence, bool) {
+	for _, one := range evidence {
+		if one.Server == server {
+			return one, true
+		}
+	}
+	return Evidence{}, false
+}
+
+// lost states whether the evidence shows that the record's primary is silent, or answers in another role.
+func lost(evidence []Evidence, record config.TermRecord) bool {
+	primary, ok := find(evidence, record.Primary)
+	if !ok {
+		return false
+	}
+	return primary.Silent >= LostAfter || primary.Status.Server != "" && !(primary.Status.Accepts() && primary.Status.Term >= record.Term)
+}
+
+// suspected states whether this VM misses the primary, so that it is worth asking the other watchers.
+func (situation Situation) suspected(record config.TermRecord) bool {
+	primary, ok := find(situation.Own, record.Primary)
+	return ok && primary.Silent >= LostAfter*2/3 || lost(situation.Own, record)
+}
+
+// lost states whether this VM and, if there are others, another watcher have lost the record's primary.
+func (situation Situation) lost(record config.TermRecord) bool {
+	if !lost(situation.Own, record) {
+		return false
+	}
+	for _, other := range situation.Others {
+		if lost(other, record) {
+			return true
+		}
+	}
+	return situation.Watchers == 1
+}
+
+// reachable returns the number of servers that answer this VM.
+func (situation Situation) reachable() int {
+	count := 0
+	for _, evidence := range situation.Own {
+		if evidence.Silent == 0 && evidence.Status.Server != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// replaceable states whether the record's primary is leaving and another server can take its place.
+func (situation Situation) replaceable(record config.TermRecord) bool {
+	primary, ok := find(situation.Own, record.Primary)
+	if !ok || !primary.Status.Leaving {
+		return false
+	}
+	for _, evidence := range situation.Own {
+		status := evidence.Status
+		if evidence.Server != record.Primary && evidence.Silent == 0 && !status.Primary && !status.Leaving &&
+			status.Term == record.Term && status.LogTerm == primary.Status.LogTerm {
+			return situation.reachable() >= FenceCount(len(situation.Own))
+		}
+	}
+	return false
+}
