--- a/standin/fleet/access.go
+++ b/standin/fleet/access.go
@@ -48,7 +48,17 @@
 
 // Control runs dotterelctl against all VMs and returns its JSON output.
 func (fleet *Fleet) Control(ctx context.Context, arguments ...string) ([]byte, error) {
-	command := exec.CommandContext(ctx, fleet.program("dotterelctl"), append(fleet.controlFlags(), arguments...)...)
+	return fleet.control(ctx, fleet.admins(), arguments)
+}
+
+// ControlAt runs dotterelctl against one VM and returns its JSON output.
+func (fleet *Fleet) ControlAt(ctx context.Context, vm ids.VMID, arguments ...string) ([]byte, error) {
+	return fleet.control(ctx, fleet.Admin(vm), arguments)
+}
+
+func (fleet *Fleet) control(ctx context.Context, admins string, arguments []string) ([]byte, error) {
+	flags := append(fleet.controlFlags(admins), "-json")
+	command := exec.CommandContext(ctx, fleet.program("dotterelctl"), append(flags, arguments...)...)
 	var stdout, stderr bytes.Buffer
 	command.Stdout, command.Stderr = &stdout, &stderr
 	if err := command.Run(); err != nil {
@@ -59,23 +69,22 @@
 
 // ControlCommand returns the command line of dotterelctl without a subcommand.
 func (fleet *Fleet) ControlCommand() string {
-	var flags []string
-	for _, flag := range fleet.controlFlags() {
-		if flag != "-json" {
-			flags = append(flags, flag)
-		}
-	}
-	return fleet.program("dotterelctl") + " " + strings.Join(flags, " ")
+	return fleet.program("dotterelctl") + " " + strings.Join(fleet.controlFlags(fleet.admins()), " ")
 }
 
-func (fleet *Fleet) controlFlags() []string {
+// admins returns the URLs of the administration APIs of all VMs that were started.
+func (fleet *Fleet) admins() string {
 	var admins []string
 	for number := range fleet.options.VMs {
-		if process, ok := fleet.VMs[VMID(number+1)]; ok {
-			admins = append(admins, "https://"+process.Addresses["admin"])
+		if _, ok := fleet.VMs[VMID(number+1)]; ok {
+			admins = append(admins, fleet.Admin(VMID(number+1)))
 		}
 	}
-	return []string{"-admin", strings.Join(admins, ","), "-credential-file", fleet.file("credential"), "-ca", fleet.file("ca.pem"), "-json"}
+	return strings.Join(admins, ",")
+}
+
+func (fleet *Fleet) controlFlags(admins string) []string {
+	return []string{"-admin", admins, "-credential-file", fleet.file("credential"), "-ca", fleet.file("ca.pem")}
 }
 
 // ApplyGroups stores the group records.
@@ -167,7 +176,8 @@
 	return response.StatusCode == http.StatusOK
 }
 
-func (fleet *Fleet) waitReady(ctx context.Context, vm ids.VMID) error {
+// WaitReady waits until the VM takes new connections.
+func (fleet *Fleet) WaitReady(ctx context.Context, vm ids.VMID) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for !fleet.Ready(ctx, vm) {
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -67,7 +67,7 @@
 		return fmt.Errorf("starting proxies: %w", err)
 	}
 	for vm := range fleet.VMs {
-		if err := fleet.waitReady(ctx, vm); err != nil {
+		if err := fleet.WaitReady(ctx, vm); err != nil {
 			return fmt.Errorf("waiting for %s: %w", vm, err)
 		}
 	}
