--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -53,7 +53,7 @@
 	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", stored.Iters, b64([]byte(stored.Salt)), b64(stored.StoredKey), b64(stored.ServerKey))
 }
 
-func newProxy(t testing.TB, connections int) *proxy {
+func newProxy(t testing.TB, connections int, changes ...func(*session.Dependencies)) *proxy {
 	proxy := &proxy{t: t, primary: newDatabase(t, "primary", false), replica: newDatabase(t, "replica", true), metrics: metrics.NewRegistry()}
 	proxy.contract.Store(&contract.Contract{
 		Organisation: "frissito", Rate: 1000, Burst: 100, Weight: 1,
@@ -68,9 +68,13 @@
 	proxy.revision.Store(1)
 	proxy.setView(1, 0)
 	proxy.pools = backend.New(backend.Login{User: "dotterel", Password: "own", VM: "vm1"}, backend.WithAllotment(connections))
-	proxy.sessions = session.New(session.Dependencies{
+	dependencies := session.Dependencies{
 		Control: proxy, Groups: proxy, Pools: proxy.pools, Limiter: proxy, Recorder: proxy, VM: "vm1", Zone: "a", Metrics: proxy.metrics,
-	})
+	}
+	for _, change := range changes {
+		change(&dependencies)
+	}
+	proxy.sessions = session.New(dependencies)
 	front, err := frontend.New(frontend.Dependencies{Control: proxy, Sessions: proxy.sessions, Recorder: proxy, Plaintext: true, MaxMessageBytes: 1 << 20})
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/io/session/safety_test.go
@@ -0,0 +1,307 @@
+package session_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"dotterelgw/core/position"
+	"dotterelgw/io/backend"
+	"dotterelgw/io/session"
+)
+
+// mixed returns a description of the first statement that ran within a transaction of another caller, or "". Every
+// statement of the test names its caller, in the form INSERT caller or COMMIT.
+func mixed(lines []string) string {
+	owners := make(map[string]string)
+	for _, line := range lines {
+		conn, statement, _ := strings.Cut(line, " > Query ")
+		_, owner, named := strings.Cut(strings.Trim(statement, `"`), "INSERT ")
+		switch {
+		case strings.Contains(statement, "COMMIT"):
+			delete(owners, conn)
+		case named && owners[conn] != "" && owners[conn] != owner:
+			return fmt.Sprintf("%s: %s within a transaction of %s", conn, statement, owners[conn])
+		case named:
+			owners[conn] = owner
+		}
+	}
+	return ""
+}
+
+// transactions runs transactions of several callers at the same time and returns what the primary got.
+func transactions(t *testing.T, proxy *proxy, callers, count int) []string {
+	var running sync.WaitGroup
+	for index := range callers {
+		conn := proxy.connect("app", "")
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			for range count {
+				for _, text := range []string{"BEGIN", "INSERT " + string(rune('a'+index)), "INSERT " + string(rune('a'+index)), "COMMIT"} {
+					if _, err := conn.PgConn().Exec(context.Background(), text).ReadAll(); err != nil {
+						var refused *pgconn.PgError
+						if !errors.As(err, &refused) {
+							t.Error(err)
+						}
+						return
+					}
+				}
+			}
+		}()
+	}
+	running.Wait()
+	var lines []string
+	proxy.primary.lock(func() { lines = proxy.primary.lines })
+	return lines
+}
+
+// sharing is a naive pool that hands one connection to everybody, one statement at a time.
+type sharing struct {
+	session.Pools
+	mutex sync.Mutex
+	conn  *backend.Conn
+}
+
+func (sharing *sharing) Acquire(ctx context.Context, request backend.Request) (*backend.Conn, error) {
+	sharing.mutex.Lock()
+	defer sharing.mutex.Unlock()
+	if sharing.conn == nil {
+		conn, err := sharing.Pools.Acquire(ctx, request)
+		if err != nil {
+			return nil, err
+		}
+		sharing.conn = conn
+	}
+	return sharing.conn, nil
+}
+
+func (sharing *sharing) Release(*backend.Conn) {}
+
+// TestTransactionsDoNotMix guards against statements of two transactions on one connection. The check itself is tested
+// with a pool that shares a connection.
+func TestTransactionsDoNotMix(t *testing.T) {
+	lines := transactions(t, newProxy(t, 2), 6, 30)
+	if len(lines) < 6*30*4 {
+		t.Errorf("only %d statements ran", len(lines))
+	}
+	if found := mixed(lines); found != "" {
+		t.Error(found)
+	}
+
+	proxy := newProxy(t, 2, func(dependencies *session.Dependencies) { dependencies.Pools = &sharing{Pools: dependencies.Pools} })
+	one, two := proxy.dial("app", ""), proxy.dial("app", "")
+	one.query("BEGIN")
+	one.put(&pgproto3.Query{String: "INSERT a"})
+	one.until(1)
+	two.put(&pgproto3.Query{String: "INSERT b"})
+	two.until(1)
+	if mixed(append(one.lines, two.lines...)) == "" {
+		t.Error("the check does not see that a shared connection mixes transactions")
+	}
+	// The sessions end one after the other, since the shared connection is not safe for concurrent use.
+	_ = one.conn.Close()
+	await(t, func() bool { return proxy.sessions.Sessions() == 1 })
+}
+
+// acknowledged states whether the caller got a success for the INSERT.
+func acknowledged(caller *caller) bool {
+	return strings.Contains(string(caller.transcript()), "caller < CommandComplete INSERT")
+}
+
+// TestNoAcknowledgementWithoutConfirmation guards against a success that reaches the caller before the write is durable.
+// A Confirm that always succeeds shows that the check sees an acknowledgement.
+func TestNoAcknowledgementWithoutConfirmation(t *testing.T) {
+	for name, messages := range map[string][]pgproto3.FrontendMessage{
+		"simple":   {&pgproto3.Query{String: "INSERT a"}},
+		"extended": append(extended("", "INSERT a"), &pgproto3.Sync{}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 2)
+			entered, leave := make(chan position.Position, 1), make(chan error)
+			confirm := func(at position.Position) error {
+				entered <- at
+				return <-leave
+			}
+			proxy.confirm.Store(&confirm)
+			caller := proxy.dial("app", "")
+			caller.put(messages...)
+			if at := <-entered; at != (position.Position{Term: 1, Log: 101}) {
+				t.Errorf("confirmed %v", at)
+			}
+			if proxy.pools.Busy("primary") != 0 {
+				t.Error("the connection is held while the confirmation is awaited")
+			}
+			_ = caller.conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if message, err := caller.frontend.Receive(); err == nil {
+				t.Errorf("the caller got %s before the confirmation", describe(message))
+			}
+			leave <- unknown(position.Position{})
+			caller.until(1)
+			if acknowledged(caller) {
+				t.Error("an unconfirmed write was acknowledged")
+			}
+			proxy.confirm.Store(nil)
+			caller.put(messages...)
+			caller.until(1)
+			if !acknowledged(caller) {
+				t.Error("the check does not see an acknowledgement")
+			}
+		})
+	}
+}
+
+// TestCancel guards against a cancel request that reaches another caller's statement, or that works without the secret.
+func TestCancel(t *testing.T) {
+	proxy := newProxy(t, 4)
+	one, two := proxy.dial("app", ""), proxy.dial("app", "")
+	for _, caller := range []*caller{one, two} {
+		caller.put(&pgproto3.Query{String: "SELECT wait()"})
+	}
+	waiting := func(want int) {
+		await(t, func() bool { return proxy.pools.Busy("primary") == want })
+	}
+	waiting(2)
+	proxy.sessions.Cancel(two.pid, one.secret)
+	proxy.sessions.Cancel(one.pid, one.secret)
+	one.until(1)
+	if !strings.Contains(string(one.transcript()), "57014") {
+		t.Errorf("not canceled:\n%s", one.transcript())
+	}
+	waiting(1)
+	proxy.sessions.Cancel(two.pid, two.secret)
+	two.until(1)
+}
+
+// TestWithdrawal guards against sessions that go on after their key was withdrawn: idle ones, ones whose statement runs,
+// and ones whose control did not notify them.
+func TestWithdrawal(t *testing.T) {
+	proxy := newProxy(t, 4)
+	idle, busy := proxy.dial("app", ""), proxy.dial("app", "")
+	busy.query("BEGIN")
+	busy.put(&pgproto3.Query{String: "SELECT wait()"})
+	start := time.Now()
+	proxy.withdraw()
+	for _, caller := range []*caller{idle, busy} {
+		caller.until(2)
+		if lines := string(caller.transcript()); !strings.Contains(lines, "FATAL 28000") || !strings.HasSuffix(lines, "end of the connection\n") {
+			t.Errorf("the session goes on:\n%s", lines)
+		}
+	}
+	if passed := time.Since(start); passed > 3*time.Second {
+		t.Errorf("took %v", passed)
+	}
+
+	proxy = newProxy(t, 4)
+	caller := proxy.dial("app", "")
+	changed := *proxy.contract.Load()
+	changed.Keys = nil
+	proxy.contract.Store(&changed)
+	caller.query("INSERT a")
+	if lines := string(caller.transcript()); !strings.Contains(lines, "FATAL 28000") || strings.Contains(lines, "primary") {
+		t.Errorf("a request ran without a key:\n%s", lines)
+	}
+}
+
+// TestViolations guards against messages that end more than their own connection, or that are not answered.
+func TestViolations(t *testing.T) {
+	proxy := newProxy(t, 4)
+	other := proxy.dial("app", "")
+	cases := map[string]struct{ data, want string }{
+		"too large":         {"Q\x00\xff\xff\xff", "54000"},
+		"negative length":   {"Q\xff\xff\xff\xff", "08P01"},
+		"unknown type":      {"!\x00\x00\x00\x04", "08P01"},
+		"damaged bind":      {"B\x00\x00\x00\x06\x00x", "08P01"},
+		"query without end": {"Q\x00\x00\x00\x05x", "08P01"},
+		"second start-up":   {"p\x00\x00\x00\x05\x00", "08P01"},
+	}
+	for name, tested := range cases {
+		t.Run(name, func(t *testing.T) {
+			caller := proxy.dial("app", "")
+			if _, err := caller.conn.Write([]byte(tested.data)); err != nil {
+				t.Fatal(err)
+			}
+			caller.until(1)
+			if lines := string(caller.transcript()); !strings.Contains(lines, "FATAL "+tested.want) || !strings.HasSuffix(lines, "end of the connection\n") {
+				t.Errorf("got:\n%s", lines)
+			}
+		})
+	}
+	other.query("INSERT a")
+	if !acknowledged(other) {
+		t.Error("another connection was ended")
+	}
+}
+
+// TestGracePeriod guards against a stop that waits for ever, or that hides what became of an open transaction.
+func TestGracePeriod(t *testing.T) {
+	proxy := newProxy(t, 4)
+	open, running := proxy.dial("app", ""), proxy.dial("app", "")
+	open.query("BEGIN")
+	open.query("INSERT a")
+	running.put(&pgproto3.Query{String: "SELECT wait()"})
+	await(t, func() bool { return proxy.pools.Busy("primary") == 2 })
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	if err := proxy.sessions.Drain(ctx); !errors.Is(err, context.Canceled) {
+		t.Errorf("drain: %v", err)
+	}
+	open.until(1)
+	running.until(1)
+	if lines := string(open.transcript()); !strings.Contains(lines, "57P01") || !strings.Contains(lines, "outcome: rolled back") {
+		t.Errorf("open transaction:\n%s", lines)
+	}
+	if lines := string(running.transcript()); !strings.Contains(lines, "57P01") || !strings.Contains(lines, "outcome: unknown") {
+		t.Errorf("running statement:\n%s", lines)
+	}
+}
+
+// TestToken guards against a session that reads before its token's position on another proxy.
+func TestToken(t *testing.T) {
+	sealer, err := position.NewSealer([]byte("0123456789abcdef"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	proxy := newProxy(t, 4, func(dependencies *session.Dependencies) { dependencies.Sealer = sealer })
+	conn := proxy.connect("auto", "-c dotterel.token=")
+	if _, err := conn.Exec(context.Background(), "INSERT a"); err != nil {
+		t.Fatal(err)
+	}
+	token := conn.PgConn().ParameterStatus("dotterel.token")
+	held, err := sealer.Open("frissito", token)
+	if err != nil || len(held) != 1 || held[0].Position != (position.Position{Term: 1, Log: 101}) {
+		t.Fatalf("token %q holds %v: %v", token, held, err)
+	}
+	// No replica has reached the position, so the read goes to the primary.
+	view := *proxy.view.Load()
+	view.Servers = append(view.Servers[:0:0], view.Servers...)
+	view.Servers[1].Replayed = position.Position{Term: 1, Log: 100}
+	proxy.view.Store(&view)
+	for _, options := range []string{"-c dotterel.token=" + token, ""} {
+		caller := proxy.dial("auto", options)
+		caller.query("SELECT 'x'")
+		replica := strings.Contains(string(caller.transcript()), "replica #")
+		if want := options == ""; replica != want {
+			t.Errorf("options %q: read on a replica: %v, want %v", options, replica, want)
+		}
+	}
+}
+
+// TestCounters guards against counters that operators would read wrongly.
+func TestCounters(t *testing.T) {
+	proxy := newProxy(t, 4)
+	proxy.replica.lock(func() { proxy.replica.fault["SELECT 'x'"] = "write" })
+	proxy.dial("auto", "").query("SELECT 'x'")
+	for name, want := range map[string]int64{"route_replica": 1, "route_primary": 1, "retry_replica_read_only": 1, "retry_read_lost": 0} {
+		if counter, ok := proxy.metrics.Get(name).(interface{ Count() int64 }); !ok || counter.Count() != want {
+			t.Errorf("%s: %v, want %d", name, counter, want)
+		}
+	}
+}
