--- /dev/null
+++ b/io/load/engine/primary.go
@@ -0,0 +1,58 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"dotterelgw/io/load/experiment"
+)
+
+// controlUser is the user whose connections are not counted; see design section 2.2.
+const controlUser = "dotterel_control"
+
+// statusTimeout bounds the question to one server for its role.
+const statusTimeout = time.Second
+
+// primary returns the primary of the highest term that answers.
+func (target *Target) primary(ctx context.Context, group string) (experiment.Server, error) {
+	var found experiment.Server
+	highest := int64(-1)
+	for _, server := range target.Servers {
+		if server.Group != group || server.Address == "" {
+			continue
+		}
+		role, term, err := status(ctx, server.Address)
+		if err == nil && role == "primary" && term > highest {
+			found, highest = server, term
+		}
+	}
+	if highest < 0 {
+		return found, fmt.Errorf("no primary of group %q answers", group)
+	}
+	return found, nil
+}
+
+// status asks a server for its role and term.
+func status(ctx context.Context, address string) (role string, term int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	connection, err := pgx.Connect(ctx, "postgres://"+controlUser+"@"+address+"/postgres?sslmode=disable")
+	if err != nil {
+		return "", 0, fmt.Errorf("connecting to %s: %w", address, err)
+	}
+	defer func() { _ = connection.Close(ctx) }()
+	rows, err := connection.Query(ctx, "SELECT * FROM group_status()", pgx.QueryExecModeExec)
+	if err != nil {
+		return "", 0, fmt.Errorf("asking %s for its status: %w", address, err)
+	}
+	row, err := pgx.CollectExactlyOneRow(rows, pgx.RowToMap)
+	if err != nil {
+		return "", 0, fmt.Errorf("reading the status of %s: %w", address, err)
+	}
+	role, _ = row["role"].(string)
+	term, _ = row["term"].(int64)
+	return role, term, nil
+}
--- /dev/null
+++ b/io/load/engine/progress.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"dotterelgw/io/load/history"
+	"dotterelgw/io/load/result"
+)
+
+// progress writes one line a second about the run.
+type progress struct {
+	writer   io.Writer
+	duration time.Duration
+
+	mutex                        sync.Mutex
+	ok, refused, failed, unknown int
+	recorder                     *result.Recorder
+}
+
+func newProgress(writer io.Writer, duration time.Duration) *progress {
+	return &progress{writer: writer, duration: duration, recorder: result.NewRecorder()}
+}
+
+// add counts a finished request.
+func (progress *progress) add(request *history.Request) {
+	progress.mutex.Lock()
+	defer progress.mutex.Unlock()
+	switch request.Outcome {
+	case history.OK:
+		progress.ok++
+		progress.recorder.Record(request.Latency())
+	case history.Refused:
+		progress.refused++
+	case history.Failed:
+		progress.failed++
+	case history.Unknown:
+		progress.unknown++
+	}
+}
+
+// report writes a line each second until the context ends.
+func (progress *progress) report(ctx context.Context, now func() time.Duration) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			progress.tick(now())
+		}
+	}
+}
+
+func (progress *progress) tick(now time.Duration) {
+	progress.mutex.Lock()
+	latency := progress.recorder.Latency()
+	progress.recorder.Reset()
+	ok, refused, failed, unknown := progress.ok, progress.refused, progress.failed, progress.unknown
+	progress.mutex.Unlock()
+	progress.line("%3.0f/%.0f s  ok %d  refused %d  failed %d  unknown %d  last second: %d ok, p50 %.1f ms, p99 %.1f ms",
+		now.Seconds(), progress.duration.Seconds(), ok, refused, failed, unknown, latency.Count, latency.P50, latency.P99)
+}
+
+func (progress *progress) line(format string, arguments ...any) {
+	progress.mutex.Lock()
+	defer progress.mutex.Unlock()
+	fmt.Fprintf(progress.writer, format+"\n", arguments...)
+}
--- /dev/null
+++ b/io/load/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes a result as Markdown with an SVG plot.
+package report
--- /dev/null
+++ b/io/load/report/plot.go
@@ -0,0 +1,109 @@
+package report
+
+import (
+	"fmt"
+	"html"
+	"math"
+	"strings"
+
+	"dotterelgw/io/load/result"
+)
+
+// Sizes of the plot in pixels.
+const (
+	plotWidth   = 900
+	panelHeight = 200
+	panelGap    = 50
+	marginLeft  = 70
+	marginTop   = 40
+	marginRight = 20
+)
+
+// series is one line of a panel.
+type series struct {
+	name, colour string
+	values       []float64
+}
+
+// Plot returns an SVG with the answers a second and the latency over the run; vertical lines mark failures.
+func Plot(measured *result.Result) string {
+	var answers, latencies []series
+	pick := func(name, colour string, value func(result.Second) float64) series {
+		line := series{name: name, colour: colour}
+		for _, second := range measured.Seconds {
+			line.values = append(line.values, value(second))
+		}
+		return line
+	}
+	answers = append(answers,
+		pick("ok", "#2b7a3d", func(second result.Second) float64 { return float64(second.OK) }),
+		pick("refused", "#b07d00", func(second result.Second) float64 { return float64(second.Refused) }),
+		pick("failed or unknown", "#b3261e", func(second result.Second) float64 { return float64(second.Failed + second.Unknown) }))
+	latencies = append(latencies,
+		pick("p50", "#1f5fa8", func(second result.Second) float64 { return second.P50MS }),
+		pick("p99", "#7a3fa0", func(second result.Second) float64 { return second.P99MS }))
+
+	var text strings.Builder
+	height := marginTop + 2*panelHeight + panelGap + 40
+	fmt.Fprintf(&text, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n", plotWidth, height)
+	fmt.Fprintf(&text, `<rect width="100%%" height="100%%" fill="white"/><text x="%d" y="20" font-size="14">%s</text>`+"\n",
+		marginLeft, html.EscapeString(measured.Experiment.Name))
+	writePanel(&text, marginTop, "requests/s", answers, measured)
+	writePanel(&text, marginTop+panelHeight+panelGap, "latency in ms", latencies, measured)
+	text.WriteString("</svg>\n")
+	return text.String()
+}
+
+func writePanel(text *strings.Builder, top int, title string, lines []series, measured *result.Result) {
+	width := float64(plotWidth - marginLeft - marginRight)
+	count := len(measured.Seconds)
+	highest := 1.0
+	for _, line := range lines {
+		for _, value := range line.values {
+			highest = math.Max(highest, value)
+		}
+	}
+	highest = ceiling(highest)
+	x := func(second float64) float64 { return marginLeft + width*second/math.Max(1, float64(count)) }
+	y := func(value float64) float64 { return float64(top+panelHeight) - panelHeight*value/highest }
+
+	for _, failure := range measured.Failures {
+		until := failure.Until
+		if until == 0 {
+			until = failure.At
+		}
+		fmt.Fprintf(text, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#f3dcda"><title>%s</title></rect>`+"\n",
+			x(failure.At), top, math.Max(2, x(until)-x(failure.At)), panelHeight, html.EscapeString(failure.Target+": "+failure.What))
+	}
+	const steps = 4
+	for step := range steps + 1 {
+		value := highest * float64(step) / steps
+		fmt.Fprintf(text, `<line x1="%d" x2="%d" y1="%.1f" y2="%.1f" stroke="#ddd"/><text x="%d" y="%.1f" text-anchor="end">%g</text>`+"\n",
+			marginLeft, plotWidth-marginRight, y(value), y(value), marginLeft-6, y(value)+4, value)
+	}
+	for second := 0; second <= count; second += max(1, count/10) {
+		fmt.Fprintf(text, `<text x="%.1f" y="%d" text-anchor="middle">%d s</text>`+"\n", x(float64(second)), top+panelHeight+16, second)
+	}
+	fmt.Fprintf(text, `<text x="%d" y="%d" font-weight="bold">%s</text>`+"\n", marginLeft, top-6, title)
+	legend := float64(marginLeft + 150)
+	for _, line := range lines {
+		fmt.Fprintf(text, `<text x="%.0f" y="%d" fill="%s">%s</text>`+"\n", legend, top-6, line.colour, line.name)
+		legend += float64(30 + 8*len(line.name))
+		var points strings.Builder
+		for second, value := range line.values {
+			fmt.Fprintf(&points, "%.1f,%.1f ", x(float64(second)+0.5), y(value))
+		}
+		fmt.Fprintf(text, `<polyline points="%s" fill="none" stroke="%s" stroke-width="1.5"/>`+"\n", strings.TrimSpace(points.String()), line.colour)
+	}
+}
+
+// ceiling rounds up to 1, 2 or 5 times a power of ten, so that the scale has round values.
+func ceiling(value float64) float64 {
+	power := math.Pow(10, math.Floor(math.Log10(value)))
+	for _, factor := range []float64{1, 2, 5} {
+		if value <= factor*power {
+			return factor * power
+		}
+	}
+	return 10 * power
+}
