--- /dev/null
+++ b/cmd/dotterel-load/fleet.go
@@ -0,0 +1,167 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/template"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/load/engine"
+	"dotterelgw/io/load/experiment"
+	"dotterelgw/standin/fleet"
+)
+
+var contractTemplate = template.Must(template.New("contract").Parse(`organisation = "{{.Name}}"
+rate = {{printf "%.3f" .Contract.Rate}}
+burst = {{printf "%.3f" .Contract.Burst}}
+weight = {{printf "%.3f" .Contract.Weight}}
+
+[limits]
+connections = {{.Contract.Connections}}
+transactions = {{.Contract.Transactions}}
+queue = {{.Contract.Queue}}
+queue_timeout_ms = {{.Contract.QueueTimeoutMS}}
+
+[[routes]]
+name = "{{.Route}}"
+group = "{{.Group}}"
+access = "auto"
+max_age_ms = {{.Contract.MaxAgeMS}}
+`))
+
+// startFleet starts the processes that the experiment describes, with a contract and a key for each organisation.
+func startFleet(ctx context.Context, described *experiment.Experiment, options runOptions) (*engine.Target, func(), error) {
+	if options.programs == "" {
+		program, err := os.Executable()
+		if err != nil {
+			return nil, nil, fmt.Errorf("finding the programs: %w", err)
+		}
+		options.programs = filepath.Dir(program)
+	}
+	remove := func() {}
+	if options.directory == "" {
+		directory, err := os.MkdirTemp("", "dotterel-load-")
+		if err != nil {
+			return nil, nil, fmt.Errorf("creating a directory: %w", err)
+		}
+		options.directory = directory
+		remove = func() { _ = os.RemoveAll(directory) }
+	}
+	fmt.Fprintf(os.Stderr, "starting the fleet, logs in %s\n", options.directory)
+	running, err := fleet.Start(ctx, fleet.Options{
+		Programs: options.programs, Directory: options.directory, Zones: described.Fleet.Zones, VMs: described.Fleet.VMs,
+		Groups: described.Fleet.Groups, Connections: described.Fleet.Connections, Slots: described.Fleet.Slots,
+		Lag: time.Duration(described.Fleet.LagMS) * time.Millisecond,
+	})
+	if err != nil {
+		remove()
+		return nil, nil, err
+	}
+	closeFleet := func() {
+		running.Close()
+		remove()
+	}
+	target, err := fleetTarget(ctx, described, running, options.directory)
+	if err != nil {
+		running.Close()
+		return nil, nil, fmt.Errorf("preparing the fleet, logs in %s: %w", options.directory, err)
+	}
+	return target, closeFleet, nil
+}
+
+// fleetTarget stores groups, contracts and keys and returns the fleet as the target of a run.
+func fleetTarget(ctx context.Context, described *experiment.Experiment, running *fleet.Fleet, directory string) (*engine.Target, error) {
+	if err := running.ApplyGroups(ctx); err != nil {
+		return nil, err
+	}
+	target := &engine.Target{Process: processControl(running)}
+	for number := 1; number <= len(running.VMs); number++ {
+		vm := fleet.VMID(number)
+		target.Proxies = append(target.Proxies, engine.Proxy{Name: string(vm), Admin: running.Admin(vm), DSN: map[string]string{}})
+	}
+	for _, organisation := range described.Organisations {
+		id := ids.OrganisationID(organisation.Name)
+		var text strings.Builder
+		if err := contractTemplate.Execute(&text, organisation); err != nil {
+			return nil, fmt.Errorf("contract of %s: %w", id, err)
+		}
+		if err := running.ApplyContract(ctx, id, text.String()); err != nil {
+			return nil, fmt.Errorf("contract of %s: %w", id, err)
+		}
+		key, err := running.GiveKey(ctx, id)
+		if err != nil {
+			return nil, fmt.Errorf("key of %s: %w", id, err)
+		}
+		for index := range target.Proxies {
+			target.Proxies[index].DSN[organisation.Name] = running.DSN(fleet.VMID(index+1), id, key, organisation.Route)
+		}
+	}
+	target.Servers = append(target.Servers, experiment.Server{ID: "platform", Switches: "http://" + running.Platform.Addresses["switches"]})
+	for _, group := range running.Groups {
+		for _, server := range group.Servers {
+			target.Servers = append(target.Servers, experiment.Server{
+				ID: string(server.ID), Group: string(group.Group), Address: server.Address,
+				Switches: "http://" + running.Databases[server.ID].Addresses["switches"],
+			})
+		}
+	}
+	client, err := httpClient(filepath.Join(directory, "ca.pem"))
+	target.HTTP = client
+	return target, err
+}
+
+// httpClient returns a client that trusts the fleet's authority.
+func httpClient(authority string) (*http.Client, error) {
+	text, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, fmt.Errorf("reading the authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.New("the authority's file has no certificate")
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS13}}}, nil
+}
+
+// processControl acts on the fleet's processes by name, such as vm2 or g1-a.
+func processControl(running *fleet.Fleet) func(context.Context, string, string) error {
+	return func(ctx context.Context, name, action string) error {
+		process := running.VMs[ids.VMID(name)]
+		if process == nil {
+			process = running.Databases[ids.BackendServerID(name)]
+		}
+		if name == "platform" {
+			process = running.Platform
+		}
+		if process == nil {
+			return fmt.Errorf("no process %q", name)
+		}
+		switch action {
+		case "kill":
+			process.Kill()
+			return nil
+		case "pause":
+			return process.Pause()
+		case "resume":
+			return process.Resume()
+		case "terminate":
+			return process.Terminate()
+		case "start":
+			number, err := strconv.Atoi(strings.TrimPrefix(name, "vm"))
+			if err != nil {
+				return fmt.Errorf("only proxies can be started again, not %s", name)
+			}
+			return running.StartVM(ctx, number)
+		}
+		return fmt.Errorf("unknown action %q", action)
+	}
+}
