--- a/core/member/duty.go
+++ b/core/member/duty.go
@@ -13,6 +13,8 @@
 	// triedPerZone bounds the VMs per zone that try the service while it answers none of them, so that an outage does
 	// not make the whole fleet call it.
 	triedPerZone = 4
+	// substitutes is the number of relays of other zones that a VM with an old confirmation asks.
+	substitutes = 2
 )
 
 // Assign computes the VM's duties from its present view; IsRelay and Partners return the result.
@@ -55,6 +57,21 @@
 // Partners returns the VMs to which this one sends heartbeats; silent VMs of a mesh are included.
 func (view *View) Partners() []Member { return slices.Clone(view.partners) }
 
+// Substitutes returns relays of two other zones, chosen by this VM's id. A VM whose confirmation has grown old asks
+// them as well, since the relays of its own zone may have failed together and their successors need SilentAfter to
+// take over.
+func (view *View) Substitutes(now time.Duration) []Member {
+	var first []Member
+	for _, zone := range view.zones() {
+		if zone != view.self.Zone {
+			if relays := view.relays(zone, now); len(relays) > 0 {
+				first = append(first, relays[0])
+			}
+		}
+	}
+	return Top("substitute/"+string(view.self.ID), substitutes, first)
+}
+
 // Silent names the listed VMs that this VM excludes, for its heartbeats; it is empty unless the VM is a relay of a
 // fleet larger than a mesh.
 func (view *View) Silent(now time.Duration) []ids.VMID {
--- a/io/control/controller.go
+++ b/io/control/controller.go
@@ -24,6 +24,9 @@
 	listPeriod = time.Second
 	// loadTimeout bounds the first round of heartbeats, before the VM turns to the service.
 	loadTimeout = 300 * time.Millisecond
+	// substituteAfter is the age of the confirmation above which a VM of a large fleet also asks relays of other zones;
+	// it is above the 1 s that a confirmation takes through a relay.
+	substituteAfter = 1200 * time.Millisecond
 	// reachableWindow is the age of the service's last answer up to which the service counts as reachable.
 	reachableWindow = time.Second
 )
@@ -175,8 +178,11 @@
 	controller.view.SetSelf(controller.state(), controller.reachable(now))
 	controller.view.Assign(now)
 	partners := controller.view.Partners()
-	if controller.standsIn(now) {
+	switch old, known := controller.freshness.Age(now); {
+	case controller.standsIn(now):
 		partners = controller.others()
+	case !controller.view.Mesh() && known && old > substituteAfter:
+		partners = append(partners, controller.view.Substitutes(now)...)
 	}
 	controller.publish(nil)
 	relay := controller.view.IsRelay()
--- /dev/null
+++ b/io/control/scale_test.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/io/peer"
+	"dotterelgw/io/peer/peerpb"
+)
+
+var sizes = []int{8, 32, 96}
+
+// cost is what one VM's share of the control traffic was over a time on the controllers' clock.
+type cost struct{ calls, watches, messages, bytes float64 }
+
+func (cost cost) all() float64 { return cost.calls + cost.watches }
+
+// measure lets the fleet run and returns the cost per second of the controllers' time.
+func (fleet *fleet) measure(duration time.Duration) cost {
+	calls, messages, bytes, before := fleet.calls.Load(), fleet.sent.Load(), fleet.bytes.Load(), time.Now()
+	time.Sleep(duration / time.Duration(fleet.speed))
+	seconds := time.Since(before).Seconds() * float64(fleet.speed)
+	return cost{
+		calls: float64(fleet.calls.Load()-calls) / seconds, watches: float64(fleet.watches.Load()),
+		messages: float64(fleet.sent.Load()-messages) / seconds, bytes: float64(fleet.bytes.Load()-bytes) / seconds,
+	}
+}
+
+// TestServiceCallsGrowSlowly guards against a fleet whose calls to the service grow with its size, since the platform
+// counts them.
+func TestServiceCallsGrowSlowly(t *testing.T) {
+	t.Parallel()
+	var wait sync.WaitGroup
+	started, running := make([]int64, len(sizes)), make([]cost, len(sizes))
+	for i, size := range sizes {
+		fleet := newFleet(t, size, 4, 2)
+		wait.Go(func() {
+			fleet.ready()
+			fleet.settle()
+			started[i] = fleet.calls.Load()
+			running[i] = fleet.measure(2 * time.Second)
+		})
+	}
+	wait.Wait()
+	for i, size := range sizes {
+		t.Logf("%d VMs: %d calls to start, then %.1f calls/s and %.0f watches", size, started[i], running[i].calls, running[i].watches)
+		if i > 0 {
+			growth, fleetGrowth := running[i].all()/running[i-1].all(), float64(size)/float64(sizes[i-1])
+			if growth > fleetGrowth/2 || float64(started[i])/float64(started[i-1]) > fleetGrowth/1.5 {
+				t.Errorf("from %d to %d VMs, calls grew by %.1f running, %d to %d starting", sizes[i-1], size, growth, started[i-1], started[i])
+			}
+		}
+	}
+}
+
+// settle waits until each zone is down to the two relays that the service answers.
+func (fleet *fleet) settle() {
+	zones := map[ids.AvailabilityZone]bool{}
+	for _, vm := range fleet.vms {
+		zones[vm.AvailabilityZone] = true
+	}
+	fleet.until("relays settled", func() bool { return fleet.watches.Load() == int64(2*len(zones)) })
+}
+
+// TestLargeFleet guards the paths that a fleet above the size of a mesh takes: distribution through the relays of a
+// zone, the loss of all relays of a zone, the restart of a relay, and an outage in which relays ask everybody.
+func TestLargeFleet(t *testing.T) {
+	t.Parallel()
+	const size, zones = 24, 3
+	fleet := newFleet(t, size, zones, 2)
+	fleet.ready()
+	fleet.settle()
+	revision := fleet.propose(0, "give", 0, false)
+	fleet.until("in force", func() bool {
+		missing, err := fleet.node(1).InForce(context.Background(), revision)
+		return err == nil && len(missing) == 0
+	})
+	var lost, left []int
+	for i := range size {
+		if i%zones == 0 && fleet.node(i).isRelay() {
+			lost = append(lost, i)
+		} else {
+			left = append(left, i)
+		}
+	}
+	for _, i := range lost {
+		fleet.stop(i)
+		fleet.silence(i)
+	}
+	fleet.until("lost relays excluded everywhere", func() bool {
+		excluded := 0
+		for _, i := range left {
+			if !fleet.node(i).Admitting() {
+				t.Fatalf("VM %d stopped admitting after the loss of the relays %v", i, lost)
+			}
+			if len(fleet.node(i).Members()) == len(left) {
+				excluded++
+			}
+		}
+		return excluded == len(left)
+	})
+	for _, i := range lost {
+		fleet.start(i)
+	}
+	fleet.ready()
+	for i := range size {
+		fleet.answer(false, i)
+	}
+	for outage := time.Now(); time.Since(outage) < 4*time.Second/time.Duration(fleet.speed); time.Sleep(5 * time.Millisecond) {
+		for i := range size {
+			if !fleet.node(i).Admitting() {
+				t.Fatalf("VM %d stopped admitting %s after the outage began", i, time.Since(outage))
+			}
+		}
+	}
+}
+
+func (node *node) isRelay() bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.view.IsRelay()
+}
+
+// silence makes the address of a stopped VM refuse connections.
+func (fleet *fleet) silence(i int) {
+	fleet.lock.Lock()
+	defer fleet.lock.Unlock()
+	delete(fleet.nodes, fleet.vms[i].Address)
+}
+
+// TestOverGRPC guards the path through io/peer: heartbeats, deltas and the loss of a process.
+func TestOverGRPC(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 0, 1, 2)
+	dialer := peer.NewDialer(nil)
+	t.Cleanup(func() { _ = dialer.Close() })
+	fleet.dialer = dialer
+	var listeners []net.Listener
+	for i := range 3 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		fleet.add(fmt.Sprint("vm-", i), listener.Addr().String(), "zone")
+	}
+	for i, listener := range listeners {
+		fleet.start(i)
+		server := peer.NewServer(peer.Handlers{Exchange: fleet.node(i).Exchange}, nil)
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() {
+			fleet.stop(i)
+			server.Close()
+		})
+	}
+	fleet.ready()
+	fleet.answer(false, 2)
+	revision := fleet.propose(0, "give", 0, false)
+	fleet.until("contract at all VMs", fleet.all(func(node *node) bool { return node.Revision() >= revision && has(true)(node) }))
+}
+
+func BenchmarkReadPath(b *testing.B) {
+	fleet := newFleet(b, 1, 1, 1)
+	fleet.ready()
+	fleet.swap(config.ContractKey("org"), 0, contractValue(b, "x", "org", false))
+	fleet.until("contract", fleet.all(has(true)))
+	node := fleet.node(0)
+	b.Run("Contract", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, _, ok := node.Contract("org"); !ok {
+				b.Fatal("contract lost")
+			}
+		}
+	})
+	b.Run("Admitting", func(b *testing.B) {
+		b.ReportAllocs()
+		admitting := 0
+		for b.Loop() {
+			if node.Admitting() {
+				admitting++
+			}
+		}
+	})
+}
+
+// BenchmarkControlCost reports the idle cost per VM; a message is one direction of an exchange, without transport.
+func BenchmarkControlCost(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size, "VMs"), func(b *testing.B) {
+			fleet := newFleet(b, size, 4, 1)
+			fleet.ready()
+			fleet.settle()
+			spent := fleet.measure(3 * time.Second)
+			vms := float64(size)
+			b.ReportMetric(spent.bytes/vms, "bytes/s/VM")
+			b.ReportMetric(spent.messages/vms, "messages/s/VM")
+			b.ReportMetric(spent.calls+spent.watches, "service-calls+watches")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	fleet := newFleet(b, 2, 1, 1)
+	fleet.ready()
+	node := fleet.node(0)
+	said := &peerpb.Heartbeat{Vm: "vm-01", AvailabilityZone: "zone-0", State: peerpb.VMState_VM_STATE_LIVE}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := node.Exchange(context.Background(), said); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApplyDelta measures one changed contract among 1,000 until it is visible.
+func BenchmarkApplyDelta(b *testing.B) {
+	controller := New(newFleet(b, 1, 1, 1).node(0).self, nil, nil, nil)
+	value := contractValue(b, "x", "org", false)
+	entry := func(revision int) []config.Entry {
+		organisation := ids.OrganisationID(fmt.Sprint("org-", revision%1000))
+		return []config.Entry{{Key: config.ContractKey(organisation), Value: value, Revision: ids.Revision(revision)}}
+	}
+	for i := range 1000 {
+		controller.publish(controller.entries.ApplyComplete(entry(i+1), ids.Revision(i+1)))
+	}
+	b.ReportAllocs()
+	for i := 1001; b.Loop(); i++ {
+		controller.publish(controller.entries.ApplyComplete(entry(i), ids.Revision(i)))
+		if i%1000 == 0 {
+			controller.changes.flush()
+		}
+	}
+}
