--- a/cmd/dotterelctl/client.go
+++ b/cmd/dotterelctl/client.go
@@ -23,7 +23,7 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	// callTimeout is longer than the 10 s that the API takes to settle a change.
+	// callTimeout is longer than the 6 s that the API takes to settle a change.
 	callTimeout = 15 * time.Second
 	// responseLimit bounds a response; 7,000 groups at 500 bytes are 3.5 MB.
 	responseLimit = 64 << 20
@@ -82,27 +82,35 @@
 	return client, nil
 }
 
-// call sends a request to the first API that answers and can serve it. Requests that change something carry a change id, so that they may
-// be sent again to another VM.
+// call sends a request to the first API that answers and can serve it. Requests that change something carry a change id,
+// so that they may be sent again to another VM.
 func (client *client) call(ctx context.Context, method, path string, query url.Values, body, into any) error {
 	var failed error
-	var unavailable *admin.Problem
+	var unknown, unavailable *admin.Problem
 	for _, base := range client.urls {
 		err := client.callOne(ctx, base, method, path, query, body, into)
 		var problem *admin.Problem
 		switch {
 		case errors.As(err, &problem) && problem.Code == admin.CodeUnavailable:
 			unavailable = problem // another VM may hear from a majority
+		case problem != nil && problem.Code == admin.CodeOutcomeUnknown && unknown == nil:
+			unknown = problem // another VM may reach the service; a second such answer is taken as an outage
+		case problem != nil && problem.Code != admin.CodeConflict && unknown != nil:
+			return unknown // what this VM refuses may have been stored by the other; a conflict would have found it
 		case err == nil || problem != nil || ctx.Err() != nil:
 			return err
 		default:
 			failed = errors.Join(failed, err)
 		}
 	}
-	if unavailable != nil {
+	switch {
+	case unknown != nil:
+		return unknown // it must not be hidden by a VM that changed nothing
+	case unavailable != nil:
 		return unavailable
+	default:
+		return &unreachableError{err: failed}
 	}
-	return &unreachableError{err: failed}
 }
 
 // callOne sends a request to one API. The error is an *admin.Problem if the API answered with one.
--- a/cmd/dotterelctl/main_test.go
+++ b/cmd/dotterelctl/main_test.go
@@ -115,9 +115,17 @@
 	changed := answer{200, admin.Changed{Revision: 9}}
 	good, received := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": changed})
 	cut, _ := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": {503, admin.Problem{Code: admin.CodeUnavailable}}})
+	unknown, _ := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": {504, admin.Problem{Code: admin.CodeOutcomeUnknown, Message: "not known"}}})
 	closed := httptest.NewServer(http.NotFoundHandler())
 	closed.Close()
-	code, _, stderr := call(t, closed.URL+","+cut+","+good, "key", "withdraw", "-change-id", "c1", "acme", "k1")
+	if code, _, stderr := call(t, unknown+","+cut, "key", "withdraw", "acme", "k1"); code != 4 || !strings.Contains(stderr, "not known") {
+		t.Errorf("an unknown outcome was hidden: code %d: %s", code, stderr)
+	}
+	refusing, _ := serve(t, map[string]answer{"DELETE /v1/contracts/acme/keys/k1": {404, admin.Problem{Code: admin.CodeNotFound}}})
+	if code, _, stderr := call(t, unknown+","+refusing, "key", "withdraw", "acme", "k1"); code != 4 || !strings.Contains(stderr, "not known") {
+		t.Errorf("an unknown outcome was hidden by a refusal: code %d: %s", code, stderr)
+	}
+	code, _, stderr := call(t, closed.URL+","+cut+","+unknown+","+good, "key", "withdraw", "-change-id", "c1", "acme", "k1")
 	if code != 0 || len(*received) != 1 || !strings.Contains((*received)[0], "change_id=c1") {
 		t.Errorf("code %d, received %q: %s", code, *received, stderr)
 	}
--- a/io/admin/api_test.go
+++ b/io/admin/api_test.go
@@ -201,6 +201,20 @@
 	}
 }
 
+// A request that is repeated on another VM must not answer with a key other than the stored one.
+func TestRepeatedKeyGive(t *testing.T) {
+	api := start(t)
+	api.apply(admin.Change{Text: acme})
+	path := "/v1/contracts/acme/keys?change_id=c1"
+	api.control.Entry("")
+	api.control.frozen = true // as on a VM that has not heard of the first answer
+	first := get[admin.KeyGiven](api, http.StatusOK, http.MethodPost, path, map[string]string{"key_id": "k1"})
+	problem := get[admin.Problem](api, http.StatusConflict, http.MethodPost, path, map[string]string{"key_id": "k1"})
+	if !strings.Contains(problem.Message, "stored before") || len(api.stored().Keys) != 1 || first.Secret == "" {
+		t.Errorf("got %+v, stored %+v", problem, api.stored().Keys)
+	}
+}
+
 // Giving and withdrawing keys must not be lost to other changes of the contract, and a withdrawn key must stay withdrawn.
 func TestKeysAndOtherChanges(t *testing.T) {
 	api := start(t)
@@ -237,12 +251,13 @@
 	now := time.Unix(1_800_000_000, 0)
 	registry := metrics.NewRegistry()
 	recorder := admin.NewRecorder("vm-1", registry, func() time.Time { return now })
+	quiet := recorder.Record(refusal.New(refusal.QueueFull, "1 of 1"), admin.Caller{Organisation: "quiet"}).ID
 	var recorded []ids.RequestID
-	for range 10_001 {
+	for range 10_000 {
 		refused := refusal.New(refusal.RateExceeded, "5 of 5").WithOutcome(refusal.RolledBack)
 		recorded = append(recorded, recorder.Record(refused, admin.Caller{Organisation: "acme", ContractRevision: 9}).ID)
 	}
-	record, ok := recorder.Find(recorded[10_000])
+	record, ok := recorder.Find(recorded[9_999])
 	if !ok || record.Reason != refusal.RateExceeded || record.SQLState != "53400" || record.Clause != "rate" ||
 		record.Outcome != refusal.RolledBack || record.Note != "5 of 5" || record.ContractRevision != 9 || record.VM != "vm-1" {
 		t.Errorf("got %+v, %t", record, ok)
@@ -255,11 +270,14 @@
 			t.Errorf("%s: found a record", name)
 		}
 	}
-	if count := metrics.GetOrRegisterCounter("rate_exceeded", registry).Count(); count != 10_001 {
+	if _, ok := recorder.Find(quiet); !ok {
+		t.Error("an organisation's only record was displaced by another's flood")
+	}
+	if count := metrics.GetOrRegisterCounter("rate_exceeded", registry).Count(); count != 10_000 {
 		t.Errorf("counted %d", count)
 	}
 	now = now.Add(10*time.Minute + time.Second)
-	if _, ok := recorder.Find(recorded[10_000]); ok {
+	if _, ok := recorder.Find(recorded[9_999]); ok {
 		t.Error("found a record older than 10 minutes")
 	}
 }
--- a/io/admin/change_test.go
+++ b/io/admin/change_test.go
@@ -35,6 +35,22 @@
 			},
 			status: http.StatusOK, attempts: 1,
 		},
+		"took effect through another VM and was replaced": {
+			prepare: func(api *api) {
+				api.control.Entry("")
+				api.control.frozen = true // as on a VM that has not heard of either change
+				entry, _ := api.control.Entry(config.ContractKey("acme"))
+				value, err := config.Encode(config.ContractRecord{ChangeID: "mine", Text: acme})
+				if err != nil {
+					api.t.Fatal(err)
+				}
+				if _, _, err := api.client.CompareAndSwap(context.Background(), entry.Key, entry.Revision, value); err != nil {
+					api.t.Fatal(err)
+				}
+				api.overwrite("70.0")
+			},
+			status: http.StatusOK, attempts: 1,
+		},
 		"took no effect": {
 			prepare: func(api *api) {
 				api.control.notStored = func(attempt int) (error, bool) { return control.ErrUnknownOutcome, attempt == 1 }
--- a/io/admin/keys.go
+++ b/io/admin/keys.go
@@ -1,8 +1,10 @@
 package admin
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/sha256"
 	"encoding/base64"
 	"encoding/hex"
 	"errors"
@@ -22,7 +24,7 @@
 	// saltBytes and scramIterations are PostgreSQL's defaults.
 	saltBytes       = 16
 	scramIterations = 4096
-	// keyIDBytes is the number of random bytes in an identifier that the operator did not choose.
+	// keyIDBytes is the number of bytes, from a digest, in an identifier that the operator did not choose.
 	keyIDBytes = 4
 	// keyAttempts bounds the repetitions against other changes of the same contract.
 	keyAttempts = 10
@@ -42,8 +44,11 @@
 	if err != nil {
 		return nil, err
 	}
+	changeID := newChangeID(call.URL.Query().Get("change_id"))
 	if request.KeyID == "" {
-		request.KeyID = ids.KeyID("k" + hex.EncodeToString(randomBytes(keyIDBytes)))
+		// The identifier follows from the change id, so that a repeated request cannot give a second key.
+		digest := sha256.Sum256([]byte(changeID))
+		request.KeyID = ids.KeyID("k" + hex.EncodeToString(digest[:keyIDBytes]))
 	}
 	if !keyIDPattern.MatchString(string(request.KeyID)) {
 		return nil, invalid(fmt.Sprintf("key id %q is not 1 to 63 characters of a-z, 0-9, _ and -", request.KeyID),
@@ -55,7 +60,7 @@
 		return nil, err
 	}
 	given := contract.Key{ID: request.KeyID, Verifier: verifier, Given: server.now().UTC()}
-	changed, err := server.edit(call, organisation, func(edited *contract.Contract) error {
+	changed, err := server.edit(call, organisation, changeID, true, func(edited *contract.Contract) error {
 		if _, ok := edited.Key(given.ID); ok {
 			return invalid(fmt.Sprintf("organisation %s has had a key %s; a withdrawn key's id is not used again", organisation, given.ID),
 				"choose another id or none; nothing was changed")
@@ -73,7 +78,8 @@
 func (server *Server) withdrawKey(call call) (any, error) {
 	organisation, id := ids.OrganisationID(call.PathValue("organisation")), ids.KeyID(call.PathValue("key"))
 	now := server.now().UTC()
-	return server.edit(call, organisation, func(edited *contract.Contract) error {
+	changeID := newChangeID(call.URL.Query().Get("change_id"))
+	return server.edit(call, organisation, changeID, false, func(edited *contract.Contract) error {
 		for i := range edited.Keys {
 			key := &edited.Keys[i]
 			if key.ID != id {
@@ -94,17 +100,26 @@
 var errUnchanged = errors.New("unchanged")
 
 // edit changes the newest version of a contract, and repeats the change on a newer version after a conflict: giving and
-// withdrawing a key does not depend on what else changes in the contract.
-func (server *Server) edit(call call, organisation ids.OrganisationID, change func(*contract.Contract) error) (Changed, error) {
-	changeID := newChangeID(call.URL.Query().Get("change_id"))
+// withdrawing a key does not depend on what else changes in the contract. With exact, a stored version counts as this
+// change only if it is the same in every byte: a request that was repeated on another VM has the same change id, but made
+// another key.
+func (server *Server) edit(call call, organisation ids.OrganisationID, changeID string, exact bool,
+	change func(*contract.Contract) error,
+) (Changed, error) {
 	found, err := server.existing(organisation)
 	if err != nil {
 		return Changed{}, err
 	}
 	for attempt := 1; ; attempt++ {
-		if _, ok := repeated(found, changeID); ok {
-			return Changed{}, invalid("this change was stored before, and its answer cannot be repeated",
-				"see `dotterelctl contract show "+string(organisation)+"`; withdraw a key whose secret was lost and give another")
+		if done, ok := repeated(found, changeID); ok {
+			if !exact {
+				return server.await(call, done)
+			}
+			return Changed{}, &Problem{
+				Code: CodeConflict, Message: "this change was stored before, and its answer cannot be repeated",
+				Next:     "see `dotterelctl contract show " + string(organisation) + "`; withdraw a key whose secret was lost and give another",
+				ChangeID: changeID,
+			}
 		}
 		edited := *found.contract
 		edited.Keys = append([]contract.Key(nil), found.contract.Keys...)
@@ -119,6 +134,9 @@
 		if err != nil {
 			return Changed{}, err
 		}
+		if exact {
+			proposal.mine = func(entry config.Entry) bool { return bytes.Equal(entry.Value, proposal.value) }
+		}
 		changed, err := server.submit(call, proposal)
 		var problem *Problem
 		if err == nil || !errors.As(err, &problem) || problem.Code != CodeConflict || attempt >= keyAttempts {
--- a/io/admin/propose.go
+++ b/io/admin/propose.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// proposeTimeout bounds a change with all its repetitions.
-	proposeTimeout = 10 * time.Second
+	// proposeTimeout bounds a change with all its repetitions; one attempt of io/control takes up to 5 s.
+	proposeTimeout = 6 * time.Second
 	// readTimeout bounds one read from the key-value service.
 	readTimeout = time.Second
 	// defaultWait bounds the wait until a change is in force; at the planned size that takes up to 18 s.
@@ -80,14 +80,13 @@
 			return current.Revision, nil
 		}
 		if current.Revision != proposal.expected {
-			if unknown {
-				revision, found, err := server.searchHistory(ctx, proposal, current)
-				if err != nil {
-					return 0, errors.Join(errNotSettled, err)
-				}
-				if found {
-					return revision, nil
-				}
+			// The change may have been stored by an attempt of this VM, or through another VM under the same change id.
+			revision, found, err := server.searchHistory(ctx, proposal, current)
+			if err != nil && unknown {
+				return 0, errors.Join(errNotSettled, err)
+			}
+			if found {
+				return revision, nil
 			}
 			return 0, &conflictError{current: current}
 		}
--- a/io/admin/recorder.go
+++ b/io/admin/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"hash/crc32"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,9 @@
 	recordAge = 10 * time.Minute
 	// recordLimit bounds the records; at about 400 bytes each they take 4 MB.
 	recordLimit = 10_000
+	// recordQueues is the number of queues that organisations are spread over. A full recorder drops from the longest
+	// queue, so that an organisation that is refused very often does not displace the records of the others.
+	recordQueues = 64
 	// sequenceShift leaves room for a million refusals per millisecond of uptime, so that the identifiers of a restarted
 	// process do not repeat those of its predecessor on the same VM.
 	sequenceShift = 20
@@ -80,16 +84,16 @@
 	Refusals(ctx context.Context, request *peerpb.RefusalRequest) (*peerpb.RefusalReply, error)
 }
 
-// recorder keeps the last records in a ring; the sequence number in an identifier gives the place.
+// recorder keeps the last records of all organisations.
 type recorder struct {
 	vm       ids.VMID
 	now      func() time.Time
 	counters map[refusal.Reason]metrics.Counter
-	first    uint64 // sequence number of the first record
 
-	mutex sync.Mutex
-	count uint64
-	ring  []Record
+	mutex  sync.Mutex
+	next   uint64 // sequence number of the next record
+	kept   int
+	queues [recordQueues]queue
 }
 
 // NewRecorder returns a recorder for the VM. The registry gets a counter for each reason, under
@@ -97,7 +101,7 @@
 func NewRecorder(vm ids.VMID, registry metrics.Registry, now func() time.Time) Recorder {
 	recorder := &recorder{
 		vm: vm, now: now, counters: map[refusal.Reason]metrics.Counter{},
-		first: uint64(now().UnixMilli()) << sequenceShift,
+		next: uint64(now().UnixMilli()) << sequenceShift,
 	}
 	for _, reason := range refusal.All() {
 		recorder.counters[reason] = metrics.GetOrRegisterCounter(string(reason), registry)
@@ -119,13 +123,19 @@
 	}
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
-	record.ID = ids.NewRequestID(recorder.vm, recorder.first+recorder.count)
-	if len(recorder.ring) < recordLimit {
-		recorder.ring = append(recorder.ring, record)
-	} else {
-		recorder.ring[recorder.count%recordLimit] = record
+	record.ID = ids.NewRequestID(recorder.vm, recorder.next)
+	own := &recorder.queues[crc32.ChecksumIEEE([]byte(caller.Organisation))%recordQueues]
+	for own.size() > 0 && record.Time.Sub(own.oldest().Time) > recordAge {
+		own.drop()
+		recorder.kept--
 	}
-	recorder.count++
+	if recorder.kept == recordLimit {
+		recorder.longest().drop()
+		recorder.kept--
+	}
+	own.add(recorder.next, record)
+	recorder.kept++
+	recorder.next++
 	recorded := *refused
 	recorded.ID = record.ID
 	return &recorded
@@ -139,14 +149,23 @@
 	}
 	recorder.mutex.Lock()
 	defer recorder.mutex.Unlock()
-	if sequence < recorder.first || sequence-recorder.first >= recorder.count {
-		return Record{}, false
+	for i := range recorder.queues {
+		record, ok := recorder.queues[i].find(sequence)
+		if ok && record.ID == id && recorder.now().Sub(record.Time) <= recordAge {
+			return record, true
+		}
 	}
-	record := recorder.ring[(sequence-recorder.first)%recordLimit]
-	if record.ID != id || recorder.now().Sub(record.Time) > recordAge {
-		return Record{}, false
+	return Record{}, false
+}
+
+func (recorder *recorder) longest() *queue {
+	longest := &recorder.queues[0]
+	for i := range recorder.queues {
+		if recorder.queues[i].size() > longest.size() {
+			longest = &recorder.queues[i]
+		}
 	}
-	return record, true
+	return longest
 }
 
 // Refusals implements Recorder.Refusals.
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -112,7 +112,7 @@
 		mux.HandleFunc(pattern, server.guard(handler))
 	}
 	mux.HandleFunc("/", func(writer http.ResponseWriter, request *http.Request) {
-		writeProblem(writer, notFound("no such endpoint: "+request.Method+" "+request.URL.Path, "see the endpoints in io/admin/server.go"))
+		writeProblem(writer, notFound("no such endpoint: "+request.Method+" "+request.URL.Path, "use `dotterelctl`, which knows the endpoints"))
 	})
 	return mux
 }
