--- a/core/member/duty.go
+++ b/core/member/duty.go
@@ -17,7 +17,7 @@
 	substitutes = 2
 )
 
-// Assign computes the VM's duties from its present view; IsRelay and Partners return the result.
+// Assign computes the VM's duties from its present view; IsRelay, Partners and Silent return the result.
 func (view *View) Assign(now time.Duration) {
 	relays := view.relays(view.self.Zone, now)
 	relay := slices.ContainsFunc(relays, func(member Member) bool { return member.ID == view.self.ID })
@@ -29,7 +29,7 @@
 	case view.Mesh():
 		relays = view.listed
 	case relay:
-		for _, zone := range view.zones() {
+		for zone := range view.zones {
 			if zone != view.self.Zone {
 				relays = append(relays, view.relays(zone, now)...)
 			}
@@ -49,6 +49,7 @@
 		asked[member.ID] = since
 	}
 	view.asked = asked
+	view.findSilent(now)
 }
 
 // IsRelay states whether this VM watches the service for its zone.
@@ -62,7 +63,7 @@
 // take over.
 func (view *View) Substitutes(now time.Duration) []Member {
 	var first []Member
-	for _, zone := range view.zones() {
+	for zone := range view.zones {
 		if zone != view.self.Zone {
 			if relays := view.relays(zone, now); len(relays) > 0 {
 				first = append(first, relays[0])
@@ -74,25 +75,26 @@
 
 // Silent names the listed VMs that this VM excludes, for its heartbeats; it is empty unless the VM is a relay of a
 // fleet larger than a mesh.
-func (view *View) Silent(now time.Duration) []ids.VMID {
+func (view *View) Silent() []ids.VMID { return view.silent }
+
+func (view *View) findSilent(now time.Duration) {
+	view.silent = nil
 	if view.Mesh() || !view.relay {
-		return nil
+		return
 	}
-	var silent []ids.VMID
 	for _, member := range view.listed {
 		if !view.alive(member, now) {
-			silent = append(silent, member.ID)
+			view.silent = append(view.silent, member.ID)
 		}
 	}
-	return silent
 }
 
 // relays returns the zone's relays: by rendezvous hash the first VMs until relaysPerZone of them reach the service,
 // at most triedPerZone. VMs that are leaving serve only if the zone has no others.
 func (view *View) relays(zone ids.AvailabilityZone, now time.Duration) []Member {
 	var staying, leaving []Member
-	for _, member := range view.listed {
-		if member.Zone != zone || !view.alive(member, now) {
+	for _, member := range view.zones[zone] {
+		if !view.alive(member, now) {
 			continue
 		}
 		said, ok := view.Heard(member.ID, now)
@@ -118,13 +120,3 @@
 	}
 	return ranked
 }
-
-func (view *View) zones() []ids.AvailabilityZone {
-	var zones []ids.AvailabilityZone
-	for _, member := range view.listed {
-		if !slices.Contains(zones, member.Zone) {
-			zones = append(zones, member.Zone)
-		}
-	}
-	return zones
-}
--- a/core/member/view.go
+++ b/core/member/view.go
@@ -45,6 +45,7 @@
 	self   Member
 	start  time.Duration
 	listed []Member
+	zones  map[ids.AvailabilityZone][]Member // listed, by zone
 	heard  map[ids.VMID]heard
 	asked  map[ids.VMID]time.Duration // since when the VM has been a partner without a break
 	state  State
@@ -53,6 +54,7 @@
 	relay      bool
 	relaySince time.Duration
 	partners   []Member
+	silent     []ids.VMID
 }
 
 type heard struct {
@@ -64,6 +66,7 @@
 func NewView(self Member, start time.Duration) *View {
 	return &View{
 		self: self, start: start, listed: []Member{self},
+		zones: map[ids.AvailabilityZone][]Member{self.Zone: {self}},
 		heard: map[ids.VMID]heard{}, asked: map[ids.VMID]time.Duration{},
 	}
 }
@@ -77,8 +80,10 @@
 	slices.SortFunc(listed, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	view.listed = slices.CompactFunc(listed, func(a, b Member) bool { return a.ID == b.ID })
 	known := make(map[ids.VMID]bool, len(view.listed))
+	clear(view.zones)
 	for _, member := range view.listed {
 		known[member.ID] = true
+		view.zones[member.Zone] = append(view.zones[member.Zone], member)
 	}
 	maps.DeleteFunc(view.heard, func(id ids.VMID, _ heard) bool { return !known[id] })
 	maps.DeleteFunc(view.asked, func(id ids.VMID, _ time.Duration) bool { return !known[id] })
@@ -87,11 +92,14 @@
 // SetSelf sets what the VM knows of itself.
 func (view *View) SetSelf(state State, reachable bool) { view.state, view.reachable = state, reachable }
 
-// Hear records a heartbeat received at the given time.
-func (view *View) Hear(said Heard, now time.Duration) {
-	if said.Member.ID != view.self.ID {
-		view.heard[said.Member.ID] = heard{Heard: said, at: now}
+// Hear records a heartbeat received at the given time, and returns whether it may change the live members.
+func (view *View) Hear(said Heard, now time.Duration) bool {
+	if said.Member.ID == view.self.ID {
+		return false
 	}
+	before, fresh := view.Heard(said.Member.ID, now)
+	view.heard[said.Member.ID] = heard{Heard: said, at: now}
+	return !fresh || before.State != said.State
 }
 
 // Listed returns the VMs of the list, this one included, sorted by id.
--- a/io/control/controller.go
+++ b/io/control/controller.go
@@ -22,8 +22,10 @@
 	exchangeTimeout = freshness.AnswerWindow
 	// listPeriod is the time between reads of the VM list.
 	listPeriod = time.Second
-	// loadTimeout bounds the first round of heartbeats, before the VM turns to the service.
+	// loadTimeout bounds each question by which a starting VM asks a peer for the entries.
 	loadTimeout = 300 * time.Millisecond
+	// loadAttempts is the number of peers asked before the VM turns to the service, if it is a relay.
+	loadAttempts = 3
 	// substituteAfter is the age of the confirmation above which a VM of a large fleet also asks relays of other zones;
 	// it is above the 1 s that a confirmation takes through a relay.
 	substituteAfter = 1200 * time.Millisecond
@@ -59,6 +61,8 @@
 	draining  bool
 	listed    bool // the VM list says that this VM is leaving
 	relay     context.CancelFunc
+	// triedMajority is when answers were last counted during an outage.
+	triedMajority time.Duration
 
 	changes changes
 }
@@ -133,7 +137,7 @@
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	controller.draining = true
-	controller.publish(nil)
+	controller.publishMembers(controller.clock.now())
 }
 
 func (controller *Controller) start(run func()) {
@@ -157,18 +161,23 @@
 	}
 }
 
-// load asks the peers once, so that a starting VM gets the entries from them and not from the service.
+// load asks a few peers in turn, so that a starting VM gets the entries once, and from a peer and not the service.
 func (controller *Controller) load(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, controller.clock.real(loadTimeout))
-	defer cancel()
 	controller.mutex.Lock()
 	controller.view.Assign(controller.clock.now())
 	partners := controller.view.Partners()
 	controller.mutex.Unlock()
-	controller.askAll(ctx, partners, func() bool {
+	for _, partner := range member.Top("load/"+string(controller.self.ID), loadAttempts, partners) {
+		attempt, cancel := context.WithTimeout(ctx, controller.clock.real(loadTimeout))
+		controller.ask(attempt, partner)
+		cancel()
+		controller.mutex.Lock()
 		_, known := controller.freshness.AdmitUntil()
-		return known
-	})
+		controller.mutex.Unlock()
+		if known {
+			return
+		}
+	}
 }
 
 // tick assigns duties and sends heartbeats to all partners that have answered the last one.
@@ -185,6 +194,7 @@
 		partners = append(partners, controller.view.Substitutes(now)...)
 	}
 	controller.publish(nil)
+	controller.publishMembers(now)
 	relay := controller.view.IsRelay()
 	controller.mutex.Unlock()
 	controller.watch(ctx, relay)
--- a/io/control/exchange.go
+++ b/io/control/exchange.go
@@ -140,7 +140,9 @@
 	for _, silent := range said.GetSilent() {
 		heard.Silent = append(heard.Silent, ids.VMID(silent))
 	}
-	controller.view.Hear(heard, now)
+	if controller.view.Hear(heard, now) {
+		controller.publishMembers(now)
+	}
 }
 
 // heartbeat describes this VM without entries. The caller holds the mutex.
@@ -160,7 +162,7 @@
 	case member.Leaving:
 		said.State = peerpb.VMState_VM_STATE_LEAVING
 	}
-	for _, silent := range controller.view.Silent(now) {
+	for _, silent := range controller.view.Silent() {
 		said.Silent = append(said.Silent, string(silent))
 	}
 	return said
--- a/io/control/publish.go
+++ b/io/control/publish.go
@@ -51,7 +51,10 @@
 	return controller.entries.Get(key)
 }
 
-// publish makes changed entries and the present state visible. Contracts come before the admission limit, so that no
+// majorityPeriod bounds the cost of counting answers during an outage.
+const majorityPeriod = 50 * time.Millisecond
+
+// publish makes changed entries and the confirmation visible. Contracts come before the admission limit, so that no
 // confirmation is visible without the entries that it covers. The caller holds the mutex.
 func (controller *Controller) publish(changed []config.Entry) {
 	controller.publishContracts(changed)
@@ -59,12 +62,23 @@
 	now := controller.clock.now()
 	revision := controller.entries.Revision()
 	controller.revision.Store(int64(revision))
-	if !controller.reachable(now) && !controller.view.PlatformHeard(now, reachableWindow) {
-		controller.freshness.ConfirmMajority(revision, now)
-	}
+	controller.confirmMajority(now)
 	if until, ok := controller.freshness.AdmitUntil(); ok {
 		controller.admitUntil.Store(int64(until))
 	}
+}
+
+// confirmMajority lets a majority stand in for the service. The caller holds the mutex.
+func (controller *Controller) confirmMajority(now time.Duration) {
+	if now-controller.triedMajority < majorityPeriod || controller.reachable(now) || controller.view.PlatformHeard(now, reachableWindow) {
+		return
+	}
+	controller.triedMajority = now
+	controller.freshness.ConfirmMajority(controller.entries.Revision(), now)
+}
+
+// publishMembers makes the present membership visible. The caller holds the mutex.
+func (controller *Controller) publishMembers(now time.Duration) {
 	controller.view.SetSelf(controller.state(), controller.reachable(now))
 	members := controller.view.Members(now)
 	controller.members.Store(&members)
--- a/io/control/relay.go
+++ b/io/control/relay.go
@@ -113,4 +113,5 @@
 		}
 	}
 	controller.publish(nil)
+	controller.publishMembers(controller.clock.now())
 }
