--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -80,8 +80,8 @@
 	portals  map[string]string
 	skip     bool
 	readOnly bool
-	// hold keeps the answer until the next message is answered, so that the server has read all that was sent.
-	hold bool
+	// hold is the number of messages to read before the answer is sent, so that the server has read all that was sent.
+	hold int
 }
 
 func (database *database) serve(conn net.Conn) {
@@ -109,8 +109,8 @@
 	})
 	link.send(&pgproto3.AuthenticationOk{}, &pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"},
 		&pgproto3.BackendKeyData{ProcessID: link.id, SecretKey: []byte{1, 2, 3, 4}}, &pgproto3.ReadyForQuery{TxStatus: 'I'})
-	for link.hold || link.backend.Flush() == nil {
-		link.hold = false
+	for link.hold > 0 || link.backend.Flush() == nil {
+		link.hold--
 		message, err := link.backend.Receive()
 		if err != nil || !link.handle(message) {
 			_ = link.backend.Flush()
@@ -205,6 +205,7 @@
 	case "crossed":
 		query = "SELECT 'answer of another'"
 		simple = !simple
+		link.hold = 2
 	}
 	if fault == "write" {
 		link.fail("25006", "cannot write in a read-only transaction")
@@ -215,7 +216,7 @@
 		link.skip = false
 	}
 	if fault == "twice" {
-		link.hold = true
+		link.hold = 1
 		if simple {
 			link.send(&pgproto3.ReadyForQuery{TxStatus: link.status})
 		}
