--- a/io/load/engine/failures.go
+++ b/io/load/engine/failures.go
@@ -64,7 +64,7 @@
 	if err == nil {
 		err = run.change(ctx, server, name, failure.Switches, failure.Action)
 	}
-	done.At = run.now().Seconds()
+	done.At, done.Happened = run.now().Seconds(), err == nil
 	run.progress.line("%s: %s", name, done.What)
 	if err != nil {
 		done.Error = err.Error()
@@ -151,7 +151,7 @@
 func (run *run) gaps(recorded *history.History, failures []result.Failure) []result.Failure {
 	for index := range failures {
 		failure := &failures[index]
-		if failure.Group == "" || failure.Error == "the run ended before" {
+		if failure.Group == "" || !failure.Happened {
 			continue
 		}
 		organisations := map[string]bool{}
--- a/io/load/report/markdown.go
+++ b/io/load/report/markdown.go
@@ -77,11 +77,11 @@
 
 func writeOrganisations(text *strings.Builder, measured *result.Result) {
 	text.WriteString("\n## Organisations\n\nLatencies in ms from the intended start of each request.\n\n")
-	text.WriteString("| organisation | requests | ok | refused | failed | unknown | wrongly refused | service level | read p50 | read p99 | write p50 | write p99 |\n")
+	text.WriteString("| organisation | requests | ok | refused | failed | unknown | refused within rate | service level | read p50 | read p99 | write p50 | write p99 |\n")
 	text.WriteString("|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
 	for _, one := range append([]result.Organisation{measured.Total}, measured.Organisations...) {
 		fmt.Fprintf(text, "| %s | %d | %d | %d | %d | %d | %d | %.2f %% | %.1f | %.1f | %.1f | %.1f |\n",
-			one.Name, one.Requests, one.OK, one.Refused, one.Failed, one.Unknown, one.WronglyRefused, 100*one.ServiceLevel,
+			one.Name, one.Requests, one.OK, one.Refused, one.Failed, one.Unknown, one.RefusedWithinRate, 100*one.ServiceLevel,
 			one.Reads.P50, one.Reads.P99, one.Writes.P50, one.Writes.P99)
 	}
 }
@@ -97,7 +97,7 @@
 			target += " (" + failure.Server + ")"
 		}
 		gap := ""
-		if failure.Group != "" {
+		if failure.Group != "" && failure.Happened {
 			gap = fmt.Sprintf("%.0f ms", failure.GapMS)
 			if !failure.Recovered {
 				gap += ", not recovered"
--- a/io/load/report/report_test.go
+++ b/io/load/report/report_test.go
@@ -19,7 +19,7 @@
 	measured := &result.Result{
 		Experiment:     &experiment.Experiment{Name: "a <b> & c"},
 		Seconds:        []result.Second{{OK: 130, P50MS: 1, P99MS: 12}, {OK: 90, Refused: 3, Unknown: 1, P99MS: 900}},
-		Failures:       []result.Failure{{At: 0.5, Until: 1, Target: "primary:g1", Server: "g1-a", Group: "g1", What: "frozen=true", GapMS: 2345}},
+		Failures:       []result.Failure{{At: 0.5, Until: 1, Target: "primary:g1", Server: "g1-a", Group: "g1", What: "frozen=true", GapMS: 2345, Happened: true}},
 		Violations:     []history.Violation{{Fault: history.LostWrite, Organisation: "org", Session: 4, Detail: "write 7"}},
 		ViolationCount: map[history.Fault]int{history.LostWrite: 1},
 	}
--- a/io/load/result/compare.go
+++ b/io/load/result/compare.go
@@ -33,7 +33,8 @@
 		{"reads served by replicas", percent(result.Replica.Share), "%", true},
 		{"longest failover gap", gap, "ms", false},
 		{"worst-served organisation", percent(worst), "%", true},
-		{"wrongly refused", percent(result.Total.WrongfulShare()), "%", false},
+		{"refused within the rate", percent(share(result.Total.RefusedWithinRate, result.Total.Requests)), "%", false},
+		{"refused for the rate within it", percent(result.Total.WrongfulShare()), "%", false},
 		{"acknowledged", percent(share(result.Total.OK, result.Total.Requests)), "%", true},
 		{"unknown outcome", percent(share(result.Total.Unknown, result.Total.Requests)), "%", false},
 	}
--- a/io/load/result/result.go
+++ b/io/load/result/result.go
@@ -44,9 +44,11 @@
 	Refused  int    `json:"refused"`
 	Failed   int    `json:"failed"`
 	Unknown  int    `json:"unknown"`
-	// RefusedForRate counts refusals for the rate, WronglyRefused those of them that were within rate and burst.
-	RefusedForRate int `json:"refused_for_rate"`
-	WronglyRefused int `json:"wrongly_refused"`
+	// RefusedWithinRate counts refusals for any reason although the request was within rate and burst. RefusedForRate
+	// counts refusals for the rate, WronglyRefused those of them that were within it.
+	RefusedWithinRate int `json:"refused_within_rate"`
+	RefusedForRate    int `json:"refused_for_rate"`
+	WronglyRefused    int `json:"wrongly_refused"`
 	// ServiceLevel is the share of requests acknowledged within the objective, of those not rightly refused for the rate.
 	ServiceLevel float64 `json:"service_level"`
 	// Latency is that of acknowledged requests, from the intended start; Reads and Writes are parts of it.
@@ -94,6 +96,8 @@
 	Group  string `json:"group,omitempty"`
 	What   string `json:"what"`
 	Error  string `json:"error,omitempty"`
+	// Happened is false if the run ended before.
+	Happened bool `json:"happened"`
 	// GapMS is the longest time in milliseconds without an acknowledged write of the group that ended after the fault
 	// began; Recovered is false if no write was acknowledged afterwards.
 	GapMS     float64 `json:"gap_ms,omitempty"`
--- a/io/load/result/result_test.go
+++ b/io/load/result/result_test.go
@@ -48,7 +48,7 @@
 	if slow.Requests != 2 || slow.ServiceLevel != 0.5 || slow.Writes.Max < 1990 || result.Total.Requests != 5 {
 		t.Errorf("slow: %+v", slow)
 	}
-	if greedy.RefusedForRate != 2 || greedy.WronglyRefused != 1 || greedy.ServiceLevel != 0.5 {
+	if greedy.RefusedForRate != 2 || greedy.WronglyRefused != 1 || greedy.RefusedWithinRate != 1 || greedy.ServiceLevel != 0.5 {
 		t.Errorf("greedy: %+v", greedy)
 	}
 	if len(result.Violations) != 0 || result.Reasons["no answer rate_exceeded (refused)"] != 2 {
--- a/io/load/result/summary.go
+++ b/io/load/result/summary.go
@@ -84,6 +84,9 @@
 		}
 	case history.Refused:
 		tally.Refused++
+		if within {
+			tally.RefusedWithinRate++
+		}
 	case history.Failed:
 		tally.Failed++
 	case history.Unknown:
