--- a/io/admin/api_test.go
+++ b/io/admin/api_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -98,6 +100,44 @@
 	}
 }
 
+// With TLS settings the API must be served over TLS only, and Shutdown must end Serve without an error.
+func TestServeTLS(t *testing.T) {
+	certificate := httptest.NewUnstartedServer(http.NotFoundHandler())
+	certificate.StartTLS()
+	defer certificate.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := admin.New(admin.Dependencies{VM: "vm1", Control: &fakeControl{}, Ready: func() error { return nil }},
+		admin.WithTLS(&tls.Config{Certificates: certificate.TLS.Certificates, MinVersion: tls.VersionTLS13}))
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	response, err := certificate.Client().Get("https://" + listener.Addr().String() + "/healthz")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Errorf("status %s", response.Status)
+	}
+	if response, err = http.Get("http://" + listener.Addr().String() + "/healthz"); err == nil {
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			t.Error("served without TLS")
+		}
+	}
+	certificate.Client().CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	if err := <-served; err != nil {
+		t.Errorf("serve: %v", err)
+	}
+}
+
 // The key that is shown must be the one whose verifier is stored; otherwise callers cannot use it.
 func TestGivenKeyAuthenticates(t *testing.T) {
 	api := start(t)
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -202,6 +202,33 @@
 	}
 }
 
+// After the service has gone and come back, calls must succeed again without a new client.
+func TestReconnect(t *testing.T) {
+	service, client, ctx := start(t)
+	put(ctx, t, client, "/k", 0, "1")
+	address := service.Addresses().KeyValue
+	if err := service.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := client.Get(ctx, "/k"); err == nil {
+		t.Error("a call succeeded without a service")
+	}
+	again, err := standin.New(standin.Settings{Listen: address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = again.Close() }()
+	for {
+		_, found, err := client.Get(ctx, "/k")
+		if err == nil && !found {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("found %t, %v", found, err)
+		}
+	}
+}
+
 // A lease must delete its keys when it is revoked, and renewing it afterwards must fail.
 func TestLease(t *testing.T) {
 	_, client, ctx := start(t)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -63,6 +63,7 @@
 	grpc      *grpc.Server
 	http      []*http.Server
 	stop      chan struct{}
+	once      sync.Once
 	done      sync.WaitGroup
 }
 
@@ -142,7 +143,7 @@
 
 // Close ends all calls and listeners; nothing is kept.
 func (platform *Platform) Close() error {
-	close(platform.stop)
+	platform.once.Do(func() { close(platform.stop) })
 	if platform.grpc != nil {
 		platform.grpc.Stop()
 	}
