--- a/cmd/dotterel-demo/foreground.go
+++ b/cmd/dotterel-demo/foreground.go
@@ -32,7 +32,7 @@
 	}
 	defer running.Close()
 	var env strings.Builder
-	for number := 1; number <= len(running.VMs); number++ {
+	for number := 1; number <= running.Size(); number++ {
 		vm := fleet.VMID(number)
 		fmt.Fprintf(&env, "DSN_%d='%s'\n", number, running.DSN(vm, seixal, keys[seixal], route))
 		fmt.Fprintf(&env, "ADMIN_%d='%s'\n", number, running.Admin(vm))
--- a/proof/environment_test.go
+++ b/proof/environment_test.go
@@ -136,3 +136,12 @@
 	}
 	return ""
 }
+
+// detail returns the detail of the error, or an empty text.
+func detail(err error) string {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) {
+		return refused.Detail
+	}
+	return ""
+}
--- a/proof/key_test.go
+++ b/proof/key_test.go
@@ -54,7 +54,7 @@
 func (environment *environment) withdrawUnderLoad() time.Duration {
 	environment.t.Helper()
 	var sessions sync.WaitGroup
-	lasts := make([]time.Time, len(environment.VMs))
+	lasts := make([]time.Time, environment.Size())
 	for number := range lasts {
 		conn := environment.mustConnect(fleet.VMID(number + 1))
 		sessions.Go(func() { lasts[number] = environment.lastAccepted(conn) })
@@ -85,11 +85,11 @@
 	environment := start(t, 4, 0, ample)
 	conn := environment.mustConnect("vm4")
 	environment.must(environment.exec(conn, "SELECT 1"))
-	environment.must(environment.VMs["vm4"].Pause())
+	environment.must(environment.VM("vm4").Pause())
 	_, err := environment.Control(environment.ctx, "key", "withdraw", string(acme), string(environment.key.ID))
 	environment.must(err)
 	time.Sleep(withdrawalBound) // the bound within which the key may still work
-	environment.must(environment.VMs["vm4"].Resume())
+	environment.must(environment.VM("vm4").Resume())
 	if err := environment.exec(conn, "SELECT 1"); err == nil {
 		t.Error("the withdrawn key was admitted by the VM that was paused")
 	}
@@ -119,7 +119,7 @@
 		environment.must(environment.Switch(environment.ctx, environment.Platform, map[string]any{"lose_answers": 1}))
 		environment.applyRate(rate)
 		vm := 1 + round%3
-		environment.VMs[fleet.VMID(vm)].Kill()
+		environment.VM(fleet.VMID(vm)).Kill()
 		environment.must(environment.StartVM(environment.ctx, vm))
 		environment.expectRate(fleet.VMID(vm), rate)
 	}
--- a/proof/session_test.go
+++ b/proof/session_test.go
@@ -60,7 +60,7 @@
 	environment.must(err)
 	_, err = tx.Exec(environment.ctx, "INSERT INTO items VALUES (1)")
 	environment.must(err)
-	environment.VMs["vm1"].Kill()
+	environment.VM("vm1").Kill()
 	if err := tx.Commit(environment.ctx); err == nil {
 		t.Error("the commit was acknowledged by a killed proxy")
 	}
@@ -82,7 +82,7 @@
 	environment.must(err)
 	_, err = tx.Exec(environment.ctx, "INSERT INTO items VALUES (1)")
 	environment.must(err)
-	environment.must(environment.VMs["vm1"].Terminate())
+	environment.must(environment.VM("vm1").Terminate())
 	for environment.Ready(environment.ctx, "vm1") {
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -96,7 +96,7 @@
 	_, err = tx.Exec(environment.ctx, "INSERT INTO items VALUES (2)")
 	environment.must(err)
 	environment.must(tx.Commit(environment.ctx))
-	<-environment.VMs["vm1"].Ended()
+	<-environment.VM("vm1").Ended()
 	count, err := environment.count(environment.mustConnect("vm2"), "SELECT count(*) FROM items")
 	environment.must(err)
 	if count != 2 {
--- a/standin/fleet/access.go
+++ b/standin/fleet/access.go
@@ -25,14 +25,14 @@
 
 // Admin returns the URL of the VM's administration API.
 func (fleet *Fleet) Admin(vm ids.VMID) string {
-	return "https://" + fleet.VMs[vm].Addresses["admin"]
+	return "https://" + fleet.VM(vm).Addresses["admin"]
 }
 
 // DSN returns the URL with which a caller connects to the VM.
 func (fleet *Fleet) DSN(vm ids.VMID, organisation ids.OrganisationID, key Key, route string) string {
 	dsn := url.URL{
 		Scheme: "postgres", User: url.UserPassword(fmt.Sprintf("%s.%s", organisation, key.ID), key.Secret),
-		Host: fleet.VMs[vm].Addresses["caller"], Path: "/" + route,
+		Host: fleet.VM(vm).Addresses["caller"], Path: "/" + route,
 		RawQuery: url.Values{"sslmode": {"verify-full"}, "sslrootcert": {fleet.file("ca.pem")}}.Encode(),
 	}
 	return dsn.String()
@@ -76,7 +76,7 @@
 func (fleet *Fleet) admins() string {
 	var admins []string
 	for number := range fleet.options.VMs {
-		if _, ok := fleet.VMs[VMID(number+1)]; ok {
+		if fleet.VM(VMID(number+1)) != nil {
 			admins = append(admins, fleet.Admin(VMID(number+1)))
 		}
 	}
--- a/standin/fleet/certificates.go
+++ b/standin/fleet/certificates.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"math/big"
 	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"time"
@@ -21,13 +22,14 @@
 // authority signs the certificates of one fleet.
 type authority struct {
 	directory   string
+	address     net.IP
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
 	serial      int64
 }
 
 // newAuthority writes the file ca.pem and returns the authority.
-func newAuthority(directory string) (*authority, error) {
+func newAuthority(directory string, address netip.Addr) (*authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, fmt.Errorf("generating the authority's key: %w", err)
@@ -37,14 +39,14 @@
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(certificateLife),
 		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
 	}
-	authority := &authority{directory: directory, certificate: template, key: key, serial: 1}
+	authority := &authority{directory: directory, address: address.AsSlice(), certificate: template, key: key, serial: 1}
 	if err := authority.write("ca", template, key); err != nil {
 		return nil, fmt.Errorf("writing the authority: %w", err)
 	}
 	return authority, nil
 }
 
-// issue writes NAME.pem and NAME.key for a process on the loopback address.
+// issue writes NAME.pem and NAME.key for a process of the fleet.
 func (authority *authority) issue(name string) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -56,7 +58,7 @@
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(certificateLife),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, DNSNames: []string{name, "localhost"},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1), authority.address}, DNSNames: []string{name, "localhost"},
 	}
 	if err := authority.write(name, template, key); err != nil {
 		return fmt.Errorf("issuing the certificate of %s: %w", name, err)
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -8,7 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,8 +24,6 @@
 	Platform *Process
 	// Databases holds the database stand-ins by server identifier, such as g1-a.
 	Databases map[ids.BackendServerID]*Process
-	// VMs holds the proxies by VM identifier, such as vm1.
-	VMs map[ids.VMID]*Process
 	// Groups holds the group records.
 	Groups []config.GroupRecord
 	// Credential is the operator's credential for the administration API.
@@ -33,8 +31,11 @@
 
 	options Options
 	secret  string
+	address netip.Addr
+	used    int
 	ports   map[ids.VMID]string
-	mutex   sync.Mutex
+	mutex   sync.Mutex // guards vms
+	vms     map[ids.VMID]*Process
 }
 
 // VMID returns the identifier of the VM with the number, from 1.
@@ -43,8 +44,8 @@
 // Start starts all processes and stores the group records through the administration API.
 func Start(ctx context.Context, options Options) (*Fleet, error) {
 	fleet := &Fleet{
-		options: options, Databases: make(map[ids.BackendServerID]*Process), VMs: make(map[ids.VMID]*Process),
-		Credential: randomHex(), secret: randomHex(), ports: make(map[ids.VMID]string),
+		options: options, Databases: make(map[ids.BackendServerID]*Process), vms: make(map[ids.VMID]*Process),
+		Credential: randomHex(), address: loopbackAddress(), secret: randomHex(), ports: make(map[ids.VMID]string),
 	}
 	if err := fleet.start(ctx); err != nil {
 		fleet.Close()
@@ -66,16 +67,16 @@
 	if err := fleet.startAllVMs(ctx); err != nil {
 		return fmt.Errorf("starting proxies: %w", err)
 	}
-	for vm := range fleet.VMs {
-		if err := fleet.WaitReady(ctx, vm); err != nil {
-			return fmt.Errorf("waiting for %s: %w", vm, err)
+	for number := range fleet.options.VMs {
+		if err := fleet.WaitReady(ctx, VMID(number+1)); err != nil {
+			return fmt.Errorf("waiting for %s: %w", VMID(number+1), err)
 		}
 	}
 	return nil
 }
 
 func (fleet *Fleet) issueCertificates() error {
-	authority, err := newAuthority(fleet.options.Directory)
+	authority, err := newAuthority(fleet.options.Directory, fleet.address)
 	if err != nil {
 		return err
 	}
@@ -89,10 +90,7 @@
 
 func (fleet *Fleet) startDatabases(ctx context.Context) error {
 	for number := 1; number <= fleet.options.Groups; number++ {
-		record, err := fleet.groupRecord(number)
-		if err != nil {
-			return err
-		}
+		record := fleet.groupRecord(number)
 		fleet.Groups = append(fleet.Groups, record)
 		for index := range record.Servers {
 			process, err := fleet.startDatabase(ctx, record, index)
@@ -105,20 +103,16 @@
 	return nil
 }
 
-func (fleet *Fleet) groupRecord(number int) (config.GroupRecord, error) {
+func (fleet *Fleet) groupRecord(number int) config.GroupRecord {
 	record := config.GroupRecord{
 		Group: ids.GroupID(fmt.Sprintf("g%d", number)), Connections: fleet.options.Connections, Slots: fleet.options.Slots,
 	}
 	for index := range serversPerGroup {
-		address, err := freeAddress()
-		if err != nil {
-			return record, err
-		}
 		record.Servers = append(record.Servers, config.ServerRecord{
-			ID: ids.BackendServerID(fmt.Sprintf("g%d-%c", number, 'a'+index)), Address: address, AvailabilityZone: fleet.options.zone(index),
+			ID: ids.BackendServerID(fmt.Sprintf("g%d-%c", number, 'a'+index)), Address: fleet.nextAddress(), AvailabilityZone: fleet.options.zone(index),
 		})
 	}
-	return record, nil
+	return record
 }
 
 // startDatabase starts the server with the index; the first of a group begins as its primary.
@@ -164,10 +158,7 @@
 		VMs []vm `json:"vms"`
 	}
 	for number := range fleet.options.VMs {
-		address, err := freeAddress()
-		if err != nil {
-			return nil, err
-		}
+		address := fleet.nextAddress()
 		fleet.ports[VMID(number+1)] = address
 		list.VMs = append(list.VMs, vm{string(VMID(number + 1)), "proxy", address, fleet.options.zone(number)})
 	}
@@ -201,15 +192,25 @@
 	}
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	fleet.VMs[vm] = process
+	fleet.vms[vm] = process
 	return nil
 }
 
+// VM returns the proxy's process, or nil if it was never started.
+func (fleet *Fleet) VM(id ids.VMID) *Process {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.vms[id]
+}
+
+// Size returns the number of proxies.
+func (fleet *Fleet) Size() int { return fleet.options.VMs }
+
 // Close stops all processes, proxies first.
 func (fleet *Fleet) Close() {
 	fleet.mutex.Lock()
 	defer fleet.mutex.Unlock()
-	stopAll(fleet.VMs)
+	stopAll(fleet.vms)
 	stopAll(fleet.Databases)
 	if fleet.Platform != nil {
 		fleet.Platform.Stop()
@@ -228,15 +229,21 @@
 
 func (fleet *Fleet) file(name string) string { return filepath.Join(fleet.options.Directory, name) }
 
-// freeAddress returns a loopback address with a port that was free a moment ago; servers of a group must know each
-// other's addresses before they start.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("finding a free port: %w", err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+// firstPort is the first port that a fleet uses on its own loopback address.
+const firstPort = 10000
+
+// nextAddress returns an address that nothing else uses. Servers must know each other's addresses before they start, and
+// a port that was free a moment ago may be taken by another process, so each fleet has a loopback address of its own.
+func (fleet *Fleet) nextAddress() string {
+	fleet.used++
+	return netip.AddrPortFrom(fleet.address, uint16(firstPort+fleet.used)).String()
+}
+
+// loopbackAddress returns a random address of 127.0.0.0/8 other than those that programs use by default.
+func loopbackAddress() netip.Addr {
+	var random [3]byte
+	_, _ = rand.Read(random[:])
+	return netip.AddrFrom4([4]byte{127, 1 + random[0]%250, random[1], 1 + random[2]%250})
 }
 
 func randomHex() string {
