--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"dotterelgw/io/group"
 	"dotterelgw/io/limiter"
 	"dotterelgw/io/observe"
+	"dotterelgw/io/orderer"
 	"dotterelgw/io/peer"
 	"dotterelgw/io/peer/peerpb"
 	"dotterelgw/io/platform"
@@ -58,6 +59,7 @@
 	recorder   admin.Recorder
 	sessions   *session.Server
 	frontend   *frontend.Frontend
+	orderer    *orderer.Orderer
 	peers      *peer.Server
 	admin      *admin.Server
 
@@ -116,8 +118,10 @@
 	if err := gateway.assembleCallerSide(logger); err != nil {
 		return err
 	}
+	gateway.orderer = orderer.New(vm, gateway.store, gateway.groups, gateway.dialer, member.Top, gateway.controller.Members,
+		orderer.WithLogger(observe.Part(logger, "orderer")))
 	gateway.peers = peer.NewServer(peer.Handlers{
-		Exchange: gateway.controller.Exchange, Borrow: gateway.limiter.Borrow,
+		Exchange: gateway.controller.Exchange, Borrow: gateway.limiter.Borrow, Evidence: gateway.orderer.Evidence,
 		Refusals: gateway.recorder.Refusals, Cancel: gateway.cancel,
 	}, transport)
 	return gateway.assembleAdmin(logger, transport)
--- a/io/gateway/run.go
+++ b/io/gateway/run.go
@@ -43,6 +43,7 @@
 	defer stopParts()
 	start("control", func() error { return gateway.controller.Run(parts) })
 	start("limiter", func() error { return gateway.limiter.Run(parts) })
+	start("orderer", func() error { return gateway.orderer.Run(parts) })
 	start("follow", func() error { return gateway.follow(parts) })
 	start("peers", func() error { return gateway.peers.Serve(gateway.listeners.peer) })
 	start("admin", func() error { return gateway.admin.Serve(gateway.listeners.admin) })
@@ -98,6 +99,7 @@
 			return
 		}
 		gateway.groups.Apply(record)
+		gateway.orderer.Apply(record)
 		gateway.keep(record)
 		return
 	}
@@ -108,6 +110,7 @@
 			return
 		}
 		gateway.groups.ApplyTerm(group, record)
+		gateway.orderer.ApplyTerm(group, record, entry.Revision)
 	}
 }
 
