--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -37,6 +37,10 @@
 	maxAnswerBytes = 1 << 30
 	// resetTimeout bounds DISCARD ALL between two sessions.
 	resetTimeout = 5 * time.Second
+	// largeWrite is the size from which a write may exceed the socket's buffer and block on a server that hangs.
+	largeWrite = 16 << 10
+	// writeTimeout bounds a large write.
+	writeTimeout = 10 * time.Second
 	// cancelTimeout bounds the delivery of a cancel request.
 	cancelTimeout = 2 * time.Second
 )
@@ -113,7 +117,13 @@
 // Send writes messages that the server answers with due ReadyForQuery messages; sent is false if no byte was written.
 func (conn *Conn) Send(messages []byte, due int) (sent bool, err error) {
 	conn.due += due
+	if len(messages) > largeWrite {
+		_ = conn.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	}
 	count, err := conn.conn.Write(messages)
+	if len(messages) > largeWrite {
+		_ = conn.conn.SetWriteDeadline(time.Time{})
+	}
 	if err != nil {
 		conn.broken = true
 		return count > 0, fmt.Errorf("write to %s: %w", conn.request.Server, err)
@@ -193,10 +203,10 @@
 		return true
 	}
 	quiet := false
-	err := conn.raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, does not fail when the read deadline of an earlier answer has passed.
+	err := conn.raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), conn.peek[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = err == syscall.EAGAIN
-		return true
 	})
 	return err == nil && quiet
 }
--- a/io/backend/pools_test.go
+++ b/io/backend/pools_test.go
@@ -185,9 +185,13 @@
 		"canceled":       {func(_ *fake, conn *backend.Conn) { conn.SetCanceled() }, false},
 		"in transaction": {func(_ *fake, conn *backend.Conn) { exchange(conn, "BEGIN") }, false},
 		"answered":       {func(_ *fake, conn *backend.Conn) { exchange(conn, "INSERT") }, true},
-		"unread":         {func(_ *fake, conn *backend.Conn) { _, _ = conn.Send(wire.AppendQuery(nil, "INSERT"), 1) }, false},
-		"undeclared":     {func(_ *fake, conn *backend.Conn) { _, _ = conn.Send(wire.AppendQuery(nil, "INSERT"), 0) }, false},
-		"closed":         {func(fake *fake, _ *backend.Conn) { fake.conns[0].Close() }, false},
+		"deadline passed": {func(_ *fake, conn *backend.Conn) {
+			exchange(conn, "INSERT")
+			_, _ = conn.Next(time.Nanosecond)
+		}, true},
+		"unread":     {func(_ *fake, conn *backend.Conn) { _, _ = conn.Send(wire.AppendQuery(nil, "INSERT"), 1) }, false},
+		"undeclared": {func(_ *fake, conn *backend.Conn) { _, _ = conn.Send(wire.AppendQuery(nil, "INSERT"), 0) }, false},
+		"closed":     {func(fake *fake, _ *backend.Conn) { fake.conns[0].Close() }, false},
 	}
 	for name, tested := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// openTimeout bounds connecting and logging in; a healthy server takes about 12 ms.
-	openTimeout = 3 * time.Second
+	// openTimeout bounds connecting and logging in; a healthy server takes about 12 ms. Requests that wait for a server
+	// that is gone turn to its successor after this time.
+	openTimeout = time.Second
 	// reopenDelay is the pause after the server reported too many connections, which other VMs may hold.
 	reopenDelay = 50 * time.Millisecond
 	// sqlStateTooMany is too_many_connections.
--- a/io/frontend/frontend.go
+++ b/io/frontend/frontend.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"net"
 	"runtime/debug"
@@ -107,16 +108,17 @@
 	return &Frontend{Dependencies: dependencies}, nil
 }
 
-// Serve accepts connections until the listener is closed. Sessions run on after that; session.Server.Drain ends them.
+// Serve accepts connections until the listener is closed; the error wraps net.ErrClosed. Sessions run on after that; session.Server.Drain ends them.
 func (frontend *Frontend) Serve(listener net.Listener) error {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if temporary, ok := err.(net.Error); ok && temporary.Timeout() {
-				time.Sleep(acceptPause)
-				continue
+			if errors.Is(err, net.ErrClosed) {
+				return fmt.Errorf("accept: %w", err)
 			}
-			return fmt.Errorf("accept: %w", err)
+			_ = frontend.Logger.Log("component", "frontend", "msg", "accept failed", "err", err)
+			time.Sleep(acceptPause)
+			continue
 		}
 		frontend.running.Add(1)
 		go frontend.handle(conn)
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -152,12 +152,9 @@
 
 // admit checks that the request may run at all; nothing was sent yet.
 func (session *Session) admit() *refusal.Refusal {
-	if refused := session.review(); refused != nil {
+	if refused := session.entitled(); refused != nil {
 		return refused
 	}
-	if !session.server.Control.Admitting() {
-		return refusal.New(refusal.NotConfirmed, "")
-	}
 	if session.request.class.unsupported {
 		return refusal.New(refusal.Unsupported, "COPY, LISTEN, UNLISTEN and NOTIFY")
 	}
@@ -170,6 +167,17 @@
 	return nil
 }
 
+// entitled checks the caller's key and route and that this VM is up to date.
+func (session *Session) entitled() *refusal.Refusal {
+	if refused := session.review(); refused != nil {
+		return refused
+	}
+	if !session.server.Control.Admitting() {
+		return refusal.New(refusal.NotConfirmed, "")
+	}
+	return nil
+}
+
 // attempt runs the request once.
 func (session *Session) attempt(deadline time.Duration) ending {
 	attempt := &retry.Attempt{InTransaction: session.tx != wire.Idle || session.partial, Idempotent: session.caller.Idempotent}
@@ -182,6 +190,10 @@
 		}
 	}
 	attempt.Primary = session.primary
+	// The request may have waited: it must not run on a withdrawn key or an outdated configuration.
+	if refused := session.entitled(); refused != nil {
+		return ending{refused: refused}
+	}
 	attempt.ReadOnly = session.readOnly || !session.primary
 	return session.exchange(attempt)
 }
@@ -241,7 +253,19 @@
 			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database,
 		})
 		if err != nil {
-			return session.acquireRefused(err, attempt, chosen)
+			refused := session.acquireRefused(err, chosen)
+			if refused.Reason != refusal.BackendLost || attempt.InTransaction || session.stop.Load()&stopNow != 0 || server.Now() >= deadline {
+				return refused
+			}
+			// Nothing was sent, so the request turns to another server, or waits for the primary or its successor. This
+			// costs the servers one connection attempt for all that wait, so it does not draw on the budget of repeats.
+			server.retries[retry.NotSent].Inc(1)
+			if !attempt.Primary {
+				replica, session.request.tentative, session.request.primaryOnly = false, false, true
+				continue
+			}
+			session.waitTerm(uint64(view.Term), min(deadline, server.Now()+reconnectPause))
+			continue
 		}
 		session.mutex.Lock()
 		session.backend, session.primary = conn, attempt.Primary
@@ -255,17 +279,14 @@
 	}
 }
 
-func (session *Session) acquireRefused(err error, attempt *retry.Attempt, chosen *route.Server) *refusal.Refusal {
+// acquireRefused returns the refusal and reports a server that cannot be reached.
+func (session *Session) acquireRefused(err error, chosen *route.Server) *refusal.Refusal {
 	var refused *refusal.Refusal
 	if !errors.As(err, &refused) {
 		refused = refusal.New(refusal.BackendLost, err.Error())
 	}
 	if refused.Reason == refusal.BackendLost {
 		session.server.Groups.Observe(session.route.Group, chosen.ID, err)
-		if !attempt.Primary {
-			// The next attempt avoids the replica, which the view may still show as reachable.
-			session.request.primaryOnly = true
-		}
 	}
 	return refused
 }
