--- a/core/failover/durability_test.go
+++ b/core/failover/durability_test.go
@@ -117,3 +117,26 @@
 		t.Errorf("refused probes vouch for %v", silent)
 	}
 }
+
+// TestFirstRecord guards a starting VM against claiming a term before the primary's first status has come in.
+func TestFirstRecord(t *testing.T) {
+	group := config.GroupRecord{Group: "g", Servers: []config.ServerRecord{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	began := time.Hour
+	plan, err := NewPlan("vm1", group, began)
+	if err != nil {
+		t.Fatal(err)
+	}
+	own := []Evidence{
+		{Server: "a"},
+		{Server: "b", Status: *replica("b", 1, 1, 1, 9)},
+		{Server: "c", Status: *replica("c", 1, 1, 1, 9)},
+	}
+	if commands := plan.Tick(began+time.Second, Situation{Own: own, Watchers: 3}); len(commands) != 0 {
+		t.Errorf("commands before the primary answered: %+v", commands)
+	}
+	own[0].Status = *primary("a", 1, 1, 9)
+	commands := plan.Tick(began+time.Second, Situation{Own: own, Watchers: 3})
+	if len(commands) != 1 || commands[0].Record.Step != Steady || commands[0].Record.Primary != "a" || commands[0].Record.Term != 1 {
+		t.Errorf("commands %+v", commands)
+	}
+}
--- a/core/failover/plan.go
+++ b/core/failover/plan.go
@@ -77,8 +77,8 @@
 	"repair":     (*Plan).repair,
 }
 
-// NewPlan returns the plan of the VM for the group.
-func NewPlan(self ids.VMID, group config.GroupRecord) (*Plan, error) {
+// NewPlan returns the plan of the VM for the group, begun at the time now.
+func NewPlan(self ids.VMID, group config.GroupRecord, now time.Duration) (*Plan, error) {
 	known := make([]chart.Action, 0, len(actions))
 	for action := range actions {
 		known = append(known, action)
@@ -89,7 +89,7 @@
 	}
 	return &Plan{
 		self: self, group: group, machine: chart.NewMachine(loaded), quorum: FenceCount(len(group.Servers)),
-		choose: furthest, repaired: map[ids.BackendServerID]time.Duration{},
+		choose: furthest, repaired: map[ids.BackendServerID]time.Duration{}, sinceStep: now,
 	}, nil
 }
 
--- a/core/failover/simulation_test.go
+++ b/core/failover/simulation_test.go
@@ -117,7 +117,7 @@
 		})
 	}
 	for index := range vmCount {
-		plan, err := NewPlan(ids.VMID(fmt.Sprint("vm", index)), group)
+		plan, err := NewPlan(ids.VMID(fmt.Sprint("vm", index)), group, 0)
 		if err != nil {
 			panic(err)
 		}
--- a/io/orderer/orderer.go
+++ b/io/orderer/orderer.go
@@ -195,7 +195,7 @@
 }
 
 func (orderer *Orderer) begin(record config.GroupRecord, watchers []member.Member, rank int) error {
-	plan, err := failover.NewPlan(orderer.self, record)
+	plan, err := failover.NewPlan(orderer.self, record, orderer.now())
 	if err != nil {
 		return fmt.Errorf("plan of %s: %w", record.Group, err)
 	}
