--- a/io/load/history/check_test.go
+++ b/io/load/history/check_test.go
@@ -59,15 +59,20 @@
 	}
 }
 
-// Guards against counting refusals beyond the rate as wrongful, or within it as justified.
+// Guards against counting refusals beyond the rate as wrongful, or more of them than the rate had room for.
 func TestWithinRate(t *testing.T) {
-	var requests []*Request
-	for _, at := range []time.Duration{0, 0, 0, 500 * time.Millisecond, 10 * time.Second, 10 * time.Second} {
-		requests = append(requests, &Request{Started: at, Statements: 1})
+	requests := []*Request{
+		{Started: 0, Statements: 2},
+		{Started: 0, Statements: 1, Reason: rateReason},                  // the burst of 2 is used up
+		{Started: time.Second, Statements: 1, Reason: rateReason},        // 2 tokens came back
+		{Started: time.Second, Statements: 2, Reason: rateReason},        // the other goes to the admitted statement
+		{Started: 10 * time.Second, Statements: 5},                       // admitted although the burst is 2
+		{Started: 11 * time.Second, Statements: 1, Reason: rateReason},   // still in debt
+		{Started: 20 * time.Second, Statements: 3, Reason: "no_primary"}, // admitted
+		{Started: 10 * time.Minute, Statements: 1, Reason: rateReason},   // full again
 	}
-	requests[4].Statements = 2
 	got := WithinRate(requests, 2, 2)
-	if want := []bool{true, true, false, true, true, false}; !slices.Equal(got, want) {
+	if want := []bool{true, false, true, false, true, false, true, true}; !slices.Equal(got, want) {
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
