--- a/io/backend/login.go
+++ b/io/backend/login.go
@@ -67,7 +67,7 @@
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
 			"user": login.User, "database": string(conn.database),
-			"application_name": "dotterelgw " + string(login.VM), "client_encoding": "UTF8",
+			"application_name": string(login.VM), "client_encoding": "UTF8",
 		},
 	}
 	conn.due = 1
--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -88,7 +88,8 @@
 // lost gives up the connection. A connection that ends while it owes an answer is never used again.
 func (session *Session) lost(attempt *retry.Attempt, err error) ending {
 	attempt.Forwarded = session.forwarded
-	attempt.ReadOnly = attempt.ReadOnly || session.request.class.begins
+	// A transaction that was begun, and a statement that was only prepared, vanish with the connection.
+	attempt.ReadOnly = attempt.ReadOnly || session.request.class.begins || session.request.statements == 0 && !session.partial
 	if server := session.backend.Server(); !errors.Is(err, errCopy) {
 		session.server.Groups.Observe(session.route.Group, server, err)
 	}
