--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -14,7 +14,6 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
-	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/member"
 	"dotterelgw/core/position"
@@ -66,16 +65,13 @@
 	draining  atomic.Bool
 	drainOnce sync.Once
 	drain     chan struct{}
-
-	mutex   sync.Mutex
-	records map[ids.GroupID]config.GroupRecord
+	servers   *servers
 }
 
 // New opens the listeners and connects the parts; Run starts them.
 func New(settings settings.Settings, logger log.Logger) (*Gateway, error) {
 	gateway := &Gateway{
 		settings: settings, logger: observe.Part(logger, "gateway"), metrics: metrics.NewRegistry(), drain: make(chan struct{}),
-		records: make(map[ids.GroupID]config.GroupRecord),
 	}
 	var err error
 	if gateway.listeners, err = openListeners(settings.Listen); err != nil {
@@ -114,6 +110,7 @@
 	gateway.pools = backend.New(backend.Login{User: gateway.settings.Backend.User, Password: gateway.settings.Backend.Password, VM: vm})
 	login := group.Login{User: gateway.settings.Backend.ControlUser, Password: gateway.settings.Backend.Password, VM: vm}
 	gateway.groups = group.New(group.WithLogin(login), group.WithBusy(gateway.pools.Busy), group.WithLogger(observe.Part(logger, "group")))
+	gateway.servers = newServers(vm, gateway.controller, gateway.groups, gateway.pools)
 	gateway.limiter = limiter.New(vm, gateway.controller, fleet{gateway.controller, gateway.dialer}, rank, logger)
 	if err := gateway.assembleCallerSide(logger); err != nil {
 		return err
--- a/io/gateway/run.go
+++ b/io/gateway/run.go
@@ -4,22 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
-	"dotterelgw/core/allot"
 	"dotterelgw/core/config"
-	"dotterelgw/core/member"
 )
 
 const (
-	// followInterval is the time between two looks at the members and at the leaving backend servers.
-	followInterval = 500 * time.Millisecond
 	// shutdownTimeout bounds the end of the administration API.
 	shutdownTimeout = 2 * time.Second
 )
@@ -44,7 +38,7 @@
 	start("control", func() error { return gateway.controller.Run(parts) })
 	start("limiter", func() error { return gateway.limiter.Run(parts) })
 	start("orderer", func() error { return gateway.orderer.Run(parts) })
-	start("follow", func() error { return gateway.follow(parts) })
+	start("servers", func() error { return gateway.servers.run(parts) })
 	start("peers", func() error { return gateway.peers.Serve(gateway.listeners.peer) })
 	start("admin", func() error { return gateway.admin.Serve(gateway.listeners.admin) })
 	start("frontend", func() error { return gateway.frontend.Serve(gateway.listeners.caller) })
@@ -100,7 +94,7 @@
 		}
 		gateway.groups.Apply(record)
 		gateway.orderer.Apply(record)
-		gateway.keep(record)
+		gateway.servers.keep(record)
 		return
 	}
 	if group, ok := config.TermOf(entry.Key); ok {
@@ -113,52 +107,3 @@
 		gateway.orderer.ApplyTerm(group, record, entry.Revision)
 	}
 }
-
-// follow keeps the allotments of connections and the leaving backend servers in step with the membership.
-func (gateway *Gateway) follow(ctx context.Context) error {
-	ticker := time.NewTicker(followInterval)
-	defer ticker.Stop()
-	allotments := allot.New()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			gateway.followServers(allotments)
-		}
-	}
-}
-
-func (gateway *Gateway) followServers(allotments *allot.Allotments) {
-	members := gateway.controller.Members()
-	for _, record := range gateway.groupRecords() {
-		for _, server := range record.Servers {
-			gateway.groups.SetLeaving(server.ID, gateway.controller.Leaving(server.ID))
-			rank := gateway.rankFor(string(server.ID), members)
-			connections := allot.Divide(record.Connections, len(members), rank)
-			gateway.pools.SetAllotment(server.ID, allotments.Set(gateway.groups.Now(), server.ID, connections))
-		}
-	}
-}
-
-func (gateway *Gateway) keep(record config.GroupRecord) {
-	gateway.mutex.Lock()
-	defer gateway.mutex.Unlock()
-	gateway.records[record.Group] = record
-}
-
-func (gateway *Gateway) groupRecords() []config.GroupRecord {
-	gateway.mutex.Lock()
-	defer gateway.mutex.Unlock()
-	return slices.Collect(maps.Values(gateway.records))
-}
-
-// rankFor returns this VM's place in the rendezvous order of the key; a VM that is not listed yet comes last.
-func (gateway *Gateway) rankFor(key string, members []member.Member) int {
-	for rank, member := range member.Top("connections/"+key, len(members), members) {
-		if member.ID == gateway.settings.VM {
-			return rank
-		}
-	}
-	return len(members)
-}
