--- a/cmd/dotterel-standin/database.go
+++ b/cmd/dotterel-standin/database.go
@@ -47,6 +47,7 @@
 	flags.StringVar(&settings.Directory, "directory", "", "directory of the SQLite files; empty uses a temporary one")
 	lag := flags.Duration("lag", 0, "time between receiving and replaying a record at first, as the switch lag_ms")
 	memory := flags.Bool("memory-answers", false, "answer SELECT 1 from memory, for benchmarks")
+	capture := flags.String("capture", "", "file that receives every byte that clients send")
 	return &ffcli.Command{
 		Name:       "database",
 		ShortUsage: "dotterel-standin database [-id ID] [-listen ADDRESS] [-switches ADDRESS] [-servers ID=ADDRESS,...] [flags]",
@@ -68,6 +69,14 @@
 			if *memory {
 				options = append(options, database.WithMemoryAnswers())
 			}
+			if *capture != "" {
+				file, err := os.OpenFile(*capture, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+				if err != nil {
+					return fmt.Errorf("database: capture: %w", err)
+				}
+				defer func() { _ = file.Close() }()
+				options = append(options, database.WithCapture(file))
+			}
 			server, err := database.New(settings, options...)
 			if err != nil {
 				return fmt.Errorf("database: %w", err)
--- a/standin/fleet/access.go
+++ b/standin/fleet/access.go
@@ -130,24 +130,42 @@
 
 // Switch sets fault switches of a stand-in process.
 func (fleet *Fleet) Switch(ctx context.Context, process *Process, switches map[string]any) error {
-	body, err := json.Marshal(switches)
-	if err != nil {
-		return fmt.Errorf("encoding switches: %w", err)
+	if err := call(ctx, http.MethodPost, "http://"+process.Addresses["switches"]+"/switches", switches, nil); err != nil {
+		return fmt.Errorf("setting switches of %s: %w", process.Name, err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+process.Addresses["switches"]+"/switches", bytes.NewReader(body))
+	return nil
+}
+
+// call sends a request with a JSON body, unless it is nil, and decodes the JSON response into the answer, unless that is nil.
+func call(ctx context.Context, method, url string, body, answer any) error {
+	var content io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return fmt.Errorf("encoding the request: %w", err)
+		}
+		content = bytes.NewReader(text)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, url, content)
 	if err != nil {
-		return fmt.Errorf("preparing switches of %s: %w", process.Name, err)
+		return fmt.Errorf("preparing the request: %w", err)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return fmt.Errorf("setting switches of %s: %w", process.Name, err)
+		return fmt.Errorf("sending the request: %w", err)
 	}
 	text, err := io.ReadAll(response.Body)
 	if err = errors.Join(err, response.Body.Close()); err != nil {
-		return fmt.Errorf("reading the answer of %s: %w", process.Name, err)
+		return fmt.Errorf("reading the answer: %w", err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return fmt.Errorf("setting switches of %s: %s: %s", process.Name, response.Status, text)
+		return fmt.Errorf("%s: %s", response.Status, text)
+	}
+	if answer == nil {
+		return nil
+	}
+	if err := json.Unmarshal(text, answer); err != nil {
+		return fmt.Errorf("decoding the answer: %w", err)
 	}
 	return nil
 }
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -34,6 +34,7 @@
 	address netip.Addr
 	used    int
 	ports   map[ids.VMID]string
+	links   *links     // nil without Options.Links
 	mutex   sync.Mutex // guards vms
 	vms     map[ids.VMID]*Process
 }
@@ -64,6 +65,11 @@
 	if err := fleet.startPlatform(ctx); err != nil {
 		return fmt.Errorf("starting the platform: %w", err)
 	}
+	if fleet.options.Links {
+		if err := fleet.startLinks(); err != nil {
+			return fmt.Errorf("starting links: %w", err)
+		}
+	}
 	if err := fleet.startAllVMs(ctx); err != nil {
 		return fmt.Errorf("starting proxies: %w", err)
 	}
@@ -127,6 +133,9 @@
 		"-connection-limit", fmt.Sprint(record.Connections), "-slots", fmt.Sprint(record.Slots),
 		"-lag", fleet.options.Lag.String(),
 	}
+	if fleet.options.Capture {
+		arguments = append(arguments, "-capture", fleet.file(string(server.ID)+".capture"))
+	}
 	if index > 0 {
 		arguments = append(arguments, "-role", "replica", "-primary", string(record.Servers[0].ID))
 	}
@@ -206,6 +215,9 @@
 // Size returns the number of proxies.
 func (fleet *Fleet) Size() int { return fleet.options.VMs }
 
+// Directory returns the directory with settings, certificates and logs.
+func (fleet *Fleet) Directory() string { return fleet.options.Directory }
+
 // Close stops all processes, proxies first.
 func (fleet *Fleet) Close() {
 	fleet.mutex.Lock()
@@ -215,6 +227,9 @@
 	if fleet.Platform != nil {
 		fleet.Platform.Stop()
 	}
+	if fleet.links != nil {
+		fleet.links.close()
+	}
 }
 
 func stopAll[K comparable](processes map[K]*Process) {
--- a/standin/fleet/options.go
+++ b/standin/fleet/options.go
@@ -28,6 +28,10 @@
 	Plaintext bool
 	// DrainDelay is the time between not being ready and closing the listener in a planned stop.
 	DrainDelay time.Duration
+	// Links lets the proxies reach each other and the platform's services through relays that can be cut.
+	Links bool
+	// Capture makes each database write what it receives to the file NAME.capture in Directory.
+	Capture bool
 }
 
 const serversPerGroup = 3
--- a/standin/fleet/settings.go
+++ b/standin/fleet/settings.go
@@ -18,7 +18,7 @@
 
 [platform]
 key_value = "{{.KeyValue}}"
-vm_list = "http://{{.VMList}}/vms"
+vm_list = "http://{{.VMList}}"
 
 [tls]
 certificate = "{{.Directory}}/{{.VM}}.pem"
@@ -46,8 +46,8 @@
 	defer func() { _ = file.Close() }()
 	return settingsTemplate.Execute(file, map[string]any{
 		"VM": vm, "Zone": fleet.options.zone(number - 1), "Secret": fleet.secret, "Peer": fleet.ports[vm],
-		"Plaintext": fleet.options.Plaintext, "KeyValue": fleet.Platform.Addresses["key_value"],
-		"VMList": fleet.Platform.Addresses["vms"], "Directory": fleet.options.Directory,
+		"Plaintext": fleet.options.Plaintext, "KeyValue": fleet.keyValueAddress(vm),
+		"VMList": fleet.vmListAddress(vm), "Directory": fleet.options.Directory,
 		"CredentialSHA256": sha256Hex(fleet.Credential), "DrainDelayMS": fleet.options.DrainDelay.Milliseconds(),
 	})
 }
