--- a/io/control/controller.go
+++ b/io/control/controller.go
@@ -7,11 +7,13 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/freshness"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/member"
+	"dotterelgw/io/observe"
 	"dotterelgw/io/peer"
 )
 
@@ -35,15 +37,16 @@
 
 // Controller implements Control. Run must be running for it to do anything.
 type Controller struct {
-	self    member.Member
-	store   Store
-	list    VMList
-	dialer  peer.Dialer
-	logger  log.Logger
-	reach   func(ids.VMID) bool
-	clock   clock
-	kick    chan ids.VMID
-	stopped sync.WaitGroup
+	self     member.Member
+	store    Store
+	list     VMList
+	dialer   peer.Dialer
+	logger   log.Logger
+	reach    func(ids.VMID) bool
+	clock    clock
+	measures *measures
+	kick     chan ids.VMID
+	stopped  sync.WaitGroup
 
 	// Published for the data path.
 	admitUntil atomic.Int64
@@ -61,6 +64,8 @@
 	draining  bool
 	listed    bool // the VM list says that this VM is leaving
 	relay     context.CancelFunc
+	// admitted is what the last tick saw, for the log.
+	admitted bool
 	// triedMajority is when answers were last counted during an outage.
 	triedMajority time.Duration
 
@@ -81,17 +86,18 @@
 func New(self member.Member, store Store, list VMList, dialer peer.Dialer, options ...Option) *Controller {
 	controller := &Controller{
 		self: self, store: store, list: list, dialer: dialer,
-		logger:  log.NewNopLogger(),
-		reach:   func(ids.VMID) bool { return true },
-		clock:   clock{origin: time.Now(), speed: 1},
-		kick:    make(chan ids.VMID, 64),
-		entries: config.NewStore(),
-		peers:   map[ids.VMID]*peerState{},
+		logger:   log.NewNopLogger(),
+		reach:    func(ids.VMID) bool { return true },
+		clock:    clock{origin: time.Now(), speed: 1},
+		kick:     make(chan ids.VMID, 64),
+		entries:  config.NewStore(),
+		measures: newMeasures(metrics.NewRegistry()),
+		peers:    map[ids.VMID]*peerState{},
 	}
 	for _, option := range options {
 		option(controller)
 	}
-	controller.logger = log.With(controller.logger, "component", "control")
+	controller.logger = observe.Part(controller.logger, "control")
 	now := controller.clock.now()
 	controller.view = member.NewView(self, now)
 	controller.freshness = freshness.New(self.ID, now)
@@ -195,6 +201,7 @@
 	}
 	controller.publish(nil)
 	controller.publishMembers(now)
+	controller.observe(now)
 	relay := controller.view.IsRelay()
 	controller.mutex.Unlock()
 	controller.watch(ctx, relay)
--- a/io/control/exchange.go
+++ b/io/control/exchange.go
@@ -75,11 +75,13 @@
 	}
 	controller.mutex.Unlock()
 
+	controller.measures.asked.Inc(1)
 	answer, err := controller.call(ctx, partner.Address, question)
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
 	state.pending = false
 	if err != nil || !controller.reach(partner.ID) || ids.VMID(answer.GetVm()) != partner.ID {
+		controller.measures.failed.Inc(1)
 		return
 	}
 	controller.apply(partner.ID, state, sent, question.GetWantAll(), answer)
@@ -107,6 +109,7 @@
 	changed := controller.entries.ApplyComplete(fromWire(answer.GetEntries()), revision)
 	differs := controller.entries.Revision() == revision && controller.entries.Digest() != answer.GetDigest()
 	if differs {
+		controller.measures.differed.Inc(1)
 		_ = controller.logger.Log("msg", "entries differ at equal revision", "peer", peer, "revision", revision, "full", all)
 	}
 	state.wantAll = differs
--- a/io/control/publish.go
+++ b/io/control/publish.go
@@ -59,6 +59,7 @@
 func (controller *Controller) publish(changed []config.Entry) {
 	controller.publishContracts(changed)
 	controller.changes.add(changed)
+	controller.measures.applied.Inc(int64(len(changed)))
 	now := controller.clock.now()
 	revision := controller.entries.Revision()
 	controller.revision.Store(int64(revision))
