--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -11,25 +11,11 @@
 
 	"github.com/juju/errors"
 
+	"dotterelgw/core/chart"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/backend/wire"
 )
 
-// State is the state of a connection.
-type State int32
-
-// The states of a connection. A connection reaches Busy from Idle only, and never leaves Closing.
-const (
-	// Unused is a connection whose login is not complete.
-	Unused State = iota
-	// Idle is a connection whose every answer was read and that is outside of a transaction.
-	Idle
-	// Busy is a connection in use by one session.
-	Busy
-	// Closing is a connection that is not used again.
-	Closing
-)
-
 const (
 	// maxPrepared bounds the prepared statements per connection; reaching it costs one DISCARD ALL.
 	maxPrepared = 500
@@ -53,7 +39,7 @@
 	conn     net.Conn
 	raw      syscall.RawConn
 	reader   *wire.Reader
-	state    atomic.Int32
+	life     *chart.Machine
 	request  Request
 	database ids.DatabaseName
 
@@ -64,7 +50,6 @@
 	due    int
 	status byte
 	broken bool
-	dirty  bool
 	// canceled is set before a cancel request is sent: it may arrive late, so the connection must not serve others.
 	canceled atomic.Bool
 	prepared map[string]struct{}
@@ -72,9 +57,6 @@
 	peek [1]byte
 }
 
-// State returns the connection's state.
-func (conn *Conn) State() State { return State(conn.state.Load()) }
-
 // Server returns the backend server that the connection leads to.
 func (conn *Conn) Server() ids.BackendServerID { return conn.request.Server }
 
@@ -95,7 +77,7 @@
 	}
 	conn.prepared[name] = struct{}{}
 	if len(conn.prepared) >= maxPrepared {
-		conn.dirty = true
+		conn.SetDirty()
 	}
 }
 
@@ -103,11 +85,12 @@
 func (conn *Conn) ForgetPrepared() { clear(conn.prepared) }
 
 // SetDirty states that the session changed settings, so that the connection needs DISCARD ALL before others use it.
-func (conn *Conn) SetDirty() { conn.dirty = true }
+func (conn *Conn) SetDirty() { conn.fire(settingsChanged) }
 
 // SetClean states that the caller itself cleared the settings and prepared statements with DISCARD ALL.
 func (conn *Conn) SetClean() {
-	conn.dirty = false
+	conn.fire(cleared)
+	conn.fire(acquired)
 	conn.ForgetPrepared()
 }
 
@@ -192,11 +175,6 @@
 // SetCanceled states that a cancel request is about to be sent; the owner calls it under the lock that guards its use.
 func (conn *Conn) SetCanceled() { conn.canceled.Store(true) }
 
-// reusable states whether every answer was read and the connection is outside of a transaction.
-func (conn *Conn) reusable() bool {
-	return !conn.broken && !conn.canceled.Load() && conn.due == 0 && conn.status == wire.Idle && conn.reader.Buffered() == 0
-}
-
 // quiet checks without waiting that the server has neither closed the connection nor sent something unasked.
 func (conn *Conn) quiet() bool {
 	if conn.raw == nil {
@@ -226,10 +204,9 @@
 		}
 		switch frame.Type() {
 		case wire.ReadyForQuery:
-			if !conn.reusable() {
+			if conn.due != 0 || conn.status != wire.Idle || conn.reader.Buffered() > 0 {
 				return fmt.Errorf("after reset: %w", ErrUnexpected)
 			}
-			conn.dirty = false
 			conn.ForgetPrepared()
 			return nil
 		case wire.CommandComplete, wire.NoticeResponse, wire.ParameterStatus:
@@ -238,8 +215,3 @@
 		}
 	}
 }
-
-func (conn *Conn) close() {
-	conn.state.Store(int32(Closing))
-	_ = conn.conn.Close()
-}
--- a/io/backend/login.go
+++ b/io/backend/login.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
+	"dotterelgw/core/chart"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/backend/wire"
 )
@@ -46,6 +47,7 @@
 	conn := &Conn{
 		conn: raw, request: request, database: request.Database,
 		reader: wire.NewReader(raw, maxAnswerBytes), prepared: make(map[string]struct{}),
+		life: chart.NewMachine(lifeChart),
 	}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		conn.raw, _ = tcp.SyscallConn()
@@ -54,11 +56,11 @@
 		_ = raw.SetDeadline(deadline)
 	}
 	if err := login.authenticate(conn); err != nil {
-		conn.close()
+		conn.fire(broken)
 		return nil, fmt.Errorf("log in at %s: %w", request.Server, err)
 	}
 	_ = raw.SetDeadline(time.Time{})
-	conn.state.Store(int32(Idle))
+	conn.fire(loggedIn)
 	return conn, nil
 }
 
--- a/io/backend/pools_test.go
+++ b/io/backend/pools_test.go
@@ -159,7 +159,7 @@
 			if fake.started["user"] != "dotterel" || fake.started["application_name"] != "vm1" || fake.started["database"] != "app" {
 				t.Errorf("start-up parameters %v", fake.started)
 			}
-			if conn.State() != backend.Busy {
+			if conn.State() != "busy" {
 				t.Errorf("state %v", conn.State())
 			}
 			pools.Release(conn)
@@ -264,7 +264,7 @@
 	pools.SetAllotment("s1", 1)
 	pools.Release(first)
 	pools.Release(second)
-	if fake.opened.Load() != 3 || first.State() != backend.Closing || second.State() != backend.Closing {
+	if fake.opened.Load() != 3 || first.State() != "closed" || second.State() != "closed" {
 		t.Error("connections over the allotment were kept")
 	}
 }
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -132,21 +132,27 @@
 		conn := conns[len(conns)-1]
 		conns[len(conns)-1] = nil
 		server.idle[request.Database] = conns[:len(conns)-1]
-		if conn.request.Address != request.Address || !conn.quiet() {
+		if conn.request.Address != request.Address {
 			server.discard(conn)
 			continue
 		}
+		if !conn.quiet() {
+			server.open--
+			conn.fire(answered)
+			continue
+		}
 		conn.request = request
-		conn.state.Store(int32(Busy))
+		conn.fire(acquired)
 		server.used[request.Organisation]++
 		server.busy.Add(1)
 		return conn
 	}
 }
 
+// discard closes an idle connection that is not needed.
 func (server *server) discard(conn *Conn) {
 	server.open--
-	conn.close()
+	conn.fire(expired)
 }
 
 // dispatch hands idle connections to waiters in fair order and opens connections for the rest. The mutex is held.
@@ -273,10 +279,7 @@
 
 func (server *server) release(conn *Conn) {
 	server.busy.Add(-1)
-	reusable := conn.reusable()
-	if reusable && conn.dirty {
-		reusable = conn.reset() == nil
-	}
+	reusable := conn.giveBack()
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	organisation := conn.request.Organisation
@@ -284,7 +287,6 @@
 		delete(server.used, organisation)
 	}
 	if reusable && !server.closed && server.open <= server.allotment {
-		conn.state.Store(int32(Idle))
 		server.idle[conn.database] = append(server.idle[conn.database], conn)
 	} else {
 		server.discard(conn)
--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -36,6 +36,8 @@
 	failed bool
 	// redirected states that the server refused to run the request as it takes no writes.
 	redirected bool
+	// silent states that the server did not answer, so that the pool cancels what it runs.
+	silent bool
 	// unpin states that the caller cleared the session's settings.
 	unpin bool
 	// preamble states that a statement of the session's own precedes the request.
@@ -93,7 +95,9 @@
 	if server := session.backend.Server(); !errors.Is(err, errCopy) {
 		session.server.Groups.Observe(session.route.Group, server, err)
 	}
-	session.backend.Break()
+	if !session.answer.silent {
+		session.backend.Break()
+	}
 	session.release()
 	session.request.primaryOnly = true
 	return ending{failed: attempt, err: err}
--- a/io/session/golden_test.go
+++ b/io/session/golden_test.go
@@ -169,6 +169,31 @@
 		time.AfterFunc(20*time.Millisecond, func() { proxy.setView(2, 1) })
 		caller.query("INSERT a")
 	}},
+	"primary_unreachable": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		_ = proxy.primary.listener.Close()
+		proxy.replica.lock(func() { proxy.replica.replica, proxy.replica.term = false, 2 })
+		time.AfterFunc(50*time.Millisecond, func() { proxy.setView(2, 1) })
+		caller.query("INSERT a")
+	}},
+	"primary_silent": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.primary.lock(func() { proxy.primary.fault["INSERT a"] = "late" })
+		caller.put(&pgproto3.Query{String: "INSERT a"})
+		proxy.primary.awaitLine(proxy.t, "INSERT a")
+		proxy.replica.lock(func() { proxy.replica.replica, proxy.replica.term = false, 2 })
+		proxy.setView(2, 1)
+		caller.until(1)
+		caller.query("INSERT b")
+	}},
+	"replica_silent": {"read", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.replica.lock(func() { proxy.replica.fault["SELECT 'x'"] = "late" })
+		caller.put(&pgproto3.Query{String: "SELECT 'x'"})
+		proxy.replica.awaitLine(proxy.t, "SELECT 'x'")
+		view := *proxy.view.Load()
+		view.Servers = append(view.Servers[:0:0], view.Servers...)
+		view.Servers[1].Reachable = false
+		proxy.view.Store(&view)
+		caller.until(1)
+	}},
 	"drain": {"app", "", func(t *testing.T, proxy *proxy, caller *caller) {
 		caller.query("BEGIN")
 		drained := make(chan error, 1)
--- a/io/session/receive.go
+++ b/io/session/receive.go
@@ -61,6 +61,7 @@
 			if err == nil {
 				continue
 			}
+			session.answer.silent = true
 		}
 		if err != nil {
 			return nil, err
