--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench holds the benchmarks whose slopes docs/CAPACITY.md multiplies with the planned size.
+package bench
