--- a/core/failover/durability.go
+++ b/core/failover/durability.go
@@ -25,47 +25,54 @@
 	Lost
 )
 
-// Durability decides whether a write at the position want, answered by a primary of want.Term, may be acknowledged.
-// The statuses are those of the other servers of a group of n, in any order, of any age, with nil for none; the
-// server that ran the write is included if it was asked again. The starts are the group's term history.
+// Durability decides whether an answer of the server ran, which acted in want.Term with its log at want, may be passed
+// on. The statuses are those of a group of n servers, in any order, of any age, with nil for none. The starts are the
+// group's term history.
 //
-// Servers that still act in the write's term count together with the primary that answered. A server that acts in a
-// later term proves less: a record of an older term may be on a majority and still be dropped by a later primary whose
-// log ends in a term in between (the Raft paper's figure 8). There the write is durable only if a majority of
-// servers in that term hold a record of that term itself, or if no term can lie in between.
+// Servers that act in one term and hold the position count together: those in the write's own term with the primary
+// that answered, or those in a later term. They must hold a record of that term itself, because a record of an older
+// term may be on a majority and still be dropped by a later primary whose log ends in a term in between (the Raft
+// paper's figure 8). If the history has every term in between, no log can end in another, and this is not needed.
 func Durability(want position.Position, ran ids.BackendServerID, n int, statuses []*Status, starts []position.Position) Knowledge {
-	same := 1
-	var later ids.Term
+	if want.Log == 0 {
+		return Durable
+	}
+	later := want.Term
 	for _, status := range statuses {
-		if status == nil {
-			continue
-		}
-		if status.Term == want.Term && status.Server != ran && status.LogTerm == want.Term && status.End().Log >= want.Log {
-			same++
+		if status != nil {
+			later = max(later, status.Term)
 		}
-		later = max(later, status.Term)
 	}
-	if same >= KeepCount(n) {
+	if kept(want, ran, want.Term, statuses, starts) >= KeepCount(n) ||
+		later > want.Term && kept(want, ran, later, statuses, starts) >= KeepCount(n) {
 		return Durable
 	}
-	if later > want.Term {
-		kept := 0
-		for _, status := range statuses {
-			if status != nil && status.Term == later && position.Reached(status.End(), want, starts) &&
-				(status.LogTerm == later || later == want.Term+1) {
-				kept++
-			}
-		}
-		if kept >= KeepCount(n) {
-			return Durable
-		}
-	}
-	if index := position.Index(starts, want.Term); index >= 0 && index+1 < len(starts) && starts[index+1].Log < want.Log {
+	index := position.Index(starts, want.Term)
+	if index >= 0 && index+1 < len(starts) && starts[index+1].Log < want.Log {
 		return Lost
 	}
 	return Pending
 }
 
+// kept counts the servers that act in the term and hold the position for good.
+func kept(want position.Position, ran ids.BackendServerID, term ids.Term, statuses []*Status, starts []position.Position) int {
+	count := 0
+	if term == want.Term {
+		count = 1
+	}
+	written := position.Normal(want, starts).Term
+	unbroken := written < term && position.Unbroken(starts, written, term)
+	for _, status := range statuses {
+		if status == nil || status.Term != term || term == want.Term && status.Server == ran {
+			continue
+		}
+		if (status.LogTerm == term || unbroken) && position.Reached(status.End(), want, starts) {
+			count++
+		}
+	}
+	return count
+}
+
 // Leader returns the index of the status of the confirmed leader among samples that were all asked for after one
 // moment: a primary of a term T, if a majority of a group of n answered with a promise of at most T. All writes
 // acknowledged before that moment are at or before its position.
--- a/core/failover/durability_test.go
+++ b/core/failover/durability_test.go
@@ -52,6 +52,18 @@
 			}
 		})
 	}
+	idle := position.Position{Term: 2, Log: 40}
+	if Durability(idle, "a", 3, []*Status{nil, replica("b", 2, 2, 1, 40)}, starts()) != Durable {
+		t.Error("the position of a new primary that has written nothing yet")
+	}
+	if Durability(idle, "a", 3, []*Status{nil, replica("b", 2, 2, 1, 39)}, starts()) != Pending {
+		t.Error("the same with a replica that is behind")
+	}
+	gap := []position.Position{{Term: 1}, {Term: 3, Log: 40}}
+	idle.Term = 3
+	if Durability(idle, "a", 3, []*Status{nil, replica("b", 3, 3, 1, 40)}, gap) != Pending {
+		t.Error("the same after a term that may have had a primary of its own")
+	}
 	if Durability(want, "a", 1, []*Status{nil}, nil) != Durable || Durability(want, "a", 5, []*Status{replica("b", 2, 2, 2, 50)}, nil) != Pending {
 		t.Error("groups of one and of five servers")
 	}
--- a/core/failover/execute.go
+++ b/core/failover/execute.go
@@ -161,10 +161,20 @@
 	record := plan.record
 	record.Term, record.Step, record.Orderer, record.Candidate = plan.term, Promoting, plan.self, chosen.Server
 	record.Start = end.Log
-	record.Starts = position.Extend(plan.record.Starts, end.Term, position.Position{Term: plan.term, Log: end.Log})
+	record.Starts = position.Extend(plan.record.Starts, end.Term, plan.firstUnused(), position.Position{Term: plan.term, Log: end.Log})
 	return plan.swap(now, record)
 }
 
+// firstUnused returns the first term of those before the claimed one that surely had no primary, or 0 for none. A claim
+// keeps the start of every promotion that was recorded before it, so the terms after the last start were only claimed.
+func (plan *Plan) firstUnused() ids.Term {
+	starts := plan.record.Starts
+	if len(starts) == 0 || plan.term-starts[len(starts)-1].Term > maxUnused {
+		return 0
+	}
+	return starts[len(starts)-1].Term + 1
+}
+
 // promote orders the promotion that the record states.
 func (plan *Plan) promote(now time.Duration) []Command {
 	if !plan.paced(now, retryEvery) {
--- a/core/failover/plan.go
+++ b/core/failover/plan.go
@@ -25,6 +25,8 @@
 	plannedEvery = 5 * time.Second
 	// examineEvery is the pause between status requests while a planned change waits for a replica.
 	examineEvery = 10 * time.Millisecond
+	// maxUnused bounds the claimed but unused terms that a history lists, so that they do not displace real ones.
+	maxUnused = 16
 	// repairEvery is the pause between two orders to follow.
 	repairEvery = 500 * time.Millisecond
 )
--- a/core/position/history.go
+++ b/core/position/history.go
@@ -1,6 +1,10 @@
 package position
 
-import "dotterelgw/core/ids"
+import (
+	"slices"
+
+	"dotterelgw/core/ids"
+)
 
 // MaxStarts bounds the length of a term history. At 51 promotions a day over 7,000 groups, 64 entries last a group
 // for decades; positions of forgotten terms are treated as not reached and lead to the primary.
@@ -45,15 +49,36 @@
 	return -1
 }
 
+// Normal returns the position under the term whose log it lies in: up to its start, a term's log is that of the term
+// before it.
+func Normal(want Position, starts []Position) Position {
+	index := Index(starts, want.Term)
+	for index > 0 && want.Log <= starts[index].Log {
+		index--
+		want.Term = starts[index].Term
+	}
+	return want
+}
+
+// Unbroken states whether the history has every number from the first to the last term.
+func Unbroken(starts []Position, first, last ids.Term) bool {
+	from, to := Index(starts, first), Index(starts, last)
+	return from >= 0 && to >= from && ids.Term(to-from) == last-first
+}
+
 // Extend returns the history of a primary that begins its term at the position next, after a log that ended in the
 // term logTerm. Terms that are not part of that log are left out. If the history does not have logTerm, the result
-// has only the new term, since nothing certain is known of the positions before it.
-func Extend(starts []Position, logTerm ids.Term, next Position) []Position {
-	kept := starts[:Index(starts, logTerm)+1]
-	if len(kept) >= MaxStarts {
-		kept = kept[len(kept)-MaxStarts+1:]
+// has only the new term, since nothing certain is known of the positions before it. The terms from unused up to the
+// new one, if unused is not 0, are known to have had no primary; they are included with no records.
+func Extend(starts []Position, logTerm, unused ids.Term, next Position) []Position {
+	kept := slices.Clone(starts[:Index(starts, logTerm)+1])
+	if unused > 0 && len(kept) > 0 {
+		for term := unused; term < next.Term; term++ {
+			kept = append(kept, Position{Term: term, Log: next.Log})
+		}
 	}
-	return append(append(make([]Position, 0, len(kept)+1), kept...), next)
+	kept = append(kept, next)
+	return kept[max(0, len(kept)-MaxStarts):]
 }
 
 // Divergence returns the log position up to which a log that ends in logTerm agrees with the history's last term;
--- a/core/position/position_test.go
+++ b/core/position/position_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// TestNormal guards the term under which the position of an idle new primary is looked up.
+func TestNormal(t *testing.T) {
+	starts := position.Extend([]position.Position{at(1, 0), at(2, 100)}, 2, 3, at(5, 150))
+	for want, normal := range map[position.Position]position.Position{
+		at(5, 151): at(5, 151), at(5, 150): at(2, 150), at(5, 100): at(1, 100), at(7, 9): at(7, 9),
+	} {
+		if got := position.Normal(want, starts); got != normal {
+			t.Errorf("Normal(%v) = %v, want %v", want, got, normal)
+		}
+	}
+	if !position.Unbroken(starts, 2, 5) || position.Unbroken([]position.Position{at(2, 1), at(4, 1)}, 2, 4) || position.Unbroken(starts, 5, 6) {
+		t.Error("Unbroken")
+	}
+}
+
 // history builds a branching log: each step forks from an earlier server's log, as promotions do.
 func history(choices []uint8) (logs [][]ids.Term, starts [][]position.Position) {
 	logs = [][]ids.Term{{1, 1, 1}}
@@ -58,7 +73,7 @@
 		if keep > 0 {
 			last = from[keep-1]
 		}
-		chain := position.Extend(starts[parent], last, at(term, ids.LogPosition(keep)))
+		chain := position.Extend(starts[parent], last, 0, at(term, ids.LogPosition(keep)))
 		for range int(choices[index+2])%4 + 1 {
 			log = append(log, term)
 		}
