--- a/cmd/dotterel-load/fleet.go
+++ b/cmd/dotterel-load/fleet.go
@@ -86,10 +86,7 @@
 		return nil, err
 	}
 	target := &engine.Target{Process: processControl(running)}
-	for number := 1; number <= len(running.VMs); number++ {
-		vm := fleet.VMID(number)
-		target.Proxies = append(target.Proxies, engine.Proxy{Name: string(vm), Admin: running.Admin(vm), DSN: map[string]string{}})
-	}
+	keys := map[string]fleet.Key{}
 	for _, organisation := range described.Organisations {
 		id := ids.OrganisationID(organisation.Name)
 		var text strings.Builder
@@ -103,10 +100,10 @@
 		if err != nil {
 			return nil, fmt.Errorf("key of %s: %w", id, err)
 		}
-		for index := range target.Proxies {
-			target.Proxies[index].DSN[organisation.Name] = running.DSN(fleet.VMID(index+1), id, key, organisation.Route)
-		}
+		keys[organisation.Name] = key
 	}
+	target.Refresh = func() []engine.Proxy { return proxies(described, running, keys) }
+	target.Proxies = target.Refresh()
 	target.Servers = append(target.Servers, experiment.Server{ID: "platform", Switches: "http://" + running.Platform.Addresses["switches"]})
 	for _, group := range running.Groups {
 		for _, server := range group.Servers {
@@ -121,6 +118,20 @@
 	return target, err
 }
 
+// proxies returns the proxies with their present addresses.
+func proxies(described *experiment.Experiment, running *fleet.Fleet, keys map[string]fleet.Key) []engine.Proxy {
+	var list []engine.Proxy
+	for number := 1; number <= running.Size(); number++ {
+		vm := fleet.VMID(number)
+		proxy := engine.Proxy{Name: string(vm), Admin: running.Admin(vm), DSN: map[string]string{}}
+		for _, organisation := range described.Organisations {
+			proxy.DSN[organisation.Name] = running.DSN(vm, ids.OrganisationID(organisation.Name), keys[organisation.Name], organisation.Route)
+		}
+		list = append(list, proxy)
+	}
+	return list
+}
+
 // httpClient returns a client that trusts the fleet's authority.
 func httpClient(authority string) (*http.Client, error) {
 	text, err := os.ReadFile(authority)
@@ -137,7 +148,7 @@
 // processControl acts on the fleet's processes by name, such as vm2 or g1-a.
 func processControl(running *fleet.Fleet) func(context.Context, string, string) error {
 	return func(ctx context.Context, name, action string) error {
-		process := running.VMs[ids.VMID(name)]
+		process := running.VM(ids.VMID(name))
 		if process == nil {
 			process = running.Databases[ids.BackendServerID(name)]
 		}
--- a/cmd/dotterel-load/main.go
+++ b/cmd/dotterel-load/main.go
@@ -66,5 +66,5 @@
 	if err != nil {
 		return err
 	}
-	return result.Compare(os.Stdout, left, right)
+	return result.Compare(os.Stdout, files[0], left, files[1], right)
 }
--- a/io/load/engine/failures.go
+++ b/io/load/engine/failures.go
@@ -107,7 +107,21 @@
 	if run.target.Process == nil {
 		return errors.New("processes can only be acted on in a fleet")
 	}
-	return run.target.Process(ctx, name, action)
+	if err := run.target.Process(ctx, name, action); err != nil {
+		return err
+	}
+	if action == "start" && run.target.Refresh != nil {
+		return run.refresh()
+	}
+	return nil
+}
+
+// refresh takes the addresses of the proxies anew.
+func (run *run) refresh() error {
+	run.refreshing.Lock()
+	defer run.refreshing.Unlock()
+	run.target.Proxies = run.target.Refresh()
+	return run.configure()
 }
 
 // post sets switches at the URL of a stand-in's switches.
--- a/io/load/engine/rows.go
+++ b/io/load/engine/rows.go
@@ -42,7 +42,7 @@
 	ctx, cancel := context.WithTimeout(ctx, persistence)
 	defer cancel()
 	for attempt := 0; ; attempt++ {
-		err := run.once(ctx, attempt%len(run.configs), organisation, task)
+		err := run.once(ctx, attempt%len(run.names), organisation, task)
 		if err == nil {
 			return nil
 		}
@@ -57,7 +57,7 @@
 func (run *run) once(ctx context.Context, proxy int, organisation *experiment.Organisation, task func(context.Context, *pgx.Conn) error) error {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(run.experiment.Timeout))
 	defer cancel()
-	connection, err := pgx.ConnectConfig(ctx, run.configs[proxy][organisation.Name].Copy())
+	connection, err := pgx.ConnectConfig(ctx, run.config(proxy, organisation.Name))
 	if err != nil {
 		return err
 	}
--- a/io/load/engine/run.go
+++ b/io/load/engine/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -25,17 +26,23 @@
 type run struct {
 	experiment *experiment.Experiment
 	target     *Target
-	configs    []map[string]*pgx.ConnConfig
+	configs    atomic.Pointer[[]map[string]*pgx.ConnConfig]
+	names      []string
 	began      time.Time
 	base       int64
 	sessions   []*session
 	progress   *progress
+	// refreshing guards the target's proxies while failures are carried out.
+	refreshing sync.Mutex
 }
 
 // Run carries the experiment out and returns its result and its history. A run that the context ends early has a
 // result that is not complete.
 func Run(ctx context.Context, described *experiment.Experiment, target *Target, log io.Writer) (*result.Result, *history.History, error) {
 	run := &run{experiment: described, target: target, base: time.Now().Unix() * sessionsPerSecond}
+	for _, proxy := range target.Proxies {
+		run.names = append(run.names, proxy.Name)
+	}
 	if err := run.configure(); err != nil {
 		return nil, nil, err
 	}
@@ -80,6 +87,7 @@
 	if len(run.target.Proxies) == 0 {
 		return errors.New("the target has no proxies")
 	}
+	var all []map[string]*pgx.ConnConfig
 	for _, proxy := range run.target.Proxies {
 		configs := map[string]*pgx.ConnConfig{}
 		for name, dsn := range proxy.DSN {
@@ -90,11 +98,17 @@
 			config.DefaultQueryExecMode = modes[run.experiment.Protocol]
 			configs[name] = config
 		}
-		run.configs = append(run.configs, configs)
+		all = append(all, configs)
 	}
+	run.configs.Store(&all)
 	return nil
 }
 
+// config returns a copy of the connection settings of an organisation at a proxy.
+func (run *run) config(proxy int, organisation string) *pgx.ConnConfig {
+	return (*run.configs.Load())[proxy][organisation].Copy()
+}
+
 // play sends all requests and returns the failures as they were carried out.
 func (run *run) play(ctx context.Context) []result.Failure {
 	duration := time.Duration(run.experiment.Duration)
--- a/io/load/engine/session.go
+++ b/io/load/engine/session.go
@@ -44,7 +44,7 @@
 
 // serve handles the session's arrivals until the queue is closed.
 func (session *session) serve(ctx context.Context) {
-	session.proxy = session.random.IntN(len(session.run.target.Proxies))
+	session.proxy = session.random.IntN(len(session.run.names))
 	session.planMove(0)
 	for arrival := range session.queue {
 		request := history.Request{
@@ -68,7 +68,7 @@
 	request.Started = session.run.now()
 	request.Moved = session.move(request.Started)
 	err := session.connect(ctx)
-	request.Proxy = session.run.target.Proxies[session.proxy].Name
+	request.Proxy = session.run.names[session.proxy]
 	if err != nil {
 		classify(request, err, true)
 	} else {
@@ -98,7 +98,7 @@
 		session.moveAt = 1<<63 - 1
 	case session.organisation.Move == "together":
 		session.moveAt = now/every*every + every
-		session.proxy = int(now/every) % len(session.run.target.Proxies)
+		session.proxy = int(now/every) % len(session.run.names)
 	default:
 		session.moveAt = now + time.Duration((0.5+session.random.Float64())*float64(every))
 	}
@@ -116,7 +116,7 @@
 }
 
 func (session *session) nextProxy() {
-	if count := len(session.run.target.Proxies); count > 1 {
+	if count := len(session.run.names); count > 1 {
 		session.proxy = (session.proxy + 1 + session.random.IntN(count-1)) % count
 	}
 }
@@ -159,7 +159,7 @@
 			return err
 		}
 		session.nextProxy()
-		if attempt%len(session.run.target.Proxies) == 0 {
+		if attempt%len(session.run.names) == 0 {
 			select {
 			case <-ctx.Done():
 				return err
@@ -176,7 +176,7 @@
 func (session *session) dial(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	config := session.run.configs[session.proxy][session.organisation.Name].Copy()
+	config := session.run.config(session.proxy, session.organisation.Name)
 	if session.organisation.Token {
 		config.RuntimeParams["options"] = "-c " + tokenParameter + "=" + session.token
 	}
--- a/io/load/engine/target.go
+++ b/io/load/engine/target.go
@@ -20,6 +20,8 @@
 	// Process carries out "kill", "pause", "terminate", "resume" or "start" on the process of a proxy or stand-in; nil
 	// if the processes are not under control.
 	Process func(ctx context.Context, name, action string) error
+	// Refresh returns the proxies after one was started again, since its addresses may be new; nil if they never change.
+	Refresh func() []Proxy
 	// HTTP reads the proxies' metrics; http.DefaultClient by default.
 	HTTP *http.Client
 }
--- a/io/load/result/compare.go
+++ b/io/load/result/compare.go
@@ -1,6 +1,8 @@
 package result
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math"
@@ -53,10 +55,10 @@
 
 func percent(share float64) float64 { return 100 * share }
 
-// Compare writes the measures of two results side by side.
-func Compare(writer io.Writer, left, right *Result) error {
+// Compare writes the measures of two results with these names side by side.
+func Compare(writer io.Writer, leftName string, left *Result, rightName string, right *Result) error {
 	table := tabwriter.NewWriter(writer, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintf(table, "measure\t%s\t%s\tchange\t\t\n", left.Experiment.Name, right.Experiment.Name)
+	fmt.Fprintf(table, "measure\t%s\t%s\tchange\t\t\n", leftName, rightName)
 	others := right.Measures()
 	for index, measure := range left.Measures() {
 		other := others[index]
@@ -66,6 +68,11 @@
 	if err := table.Flush(); err != nil {
 		return fmt.Errorf("writing the comparison: %w", err)
 	}
+	one, errOne := json.Marshal(left.Experiment)
+	other, errOther := json.Marshal(right.Experiment)
+	if errOne != nil || errOther != nil || !bytes.Equal(one, other) {
+		fmt.Fprintln(writer, "The experiments differ.")
+	}
 	return nil
 }
 
--- a/io/load/result/result_test.go
+++ b/io/load/result/result_test.go
@@ -89,7 +89,7 @@
 	}
 	right.Replica.Share, right.Total.Writes.P99 = 0.9, 9999
 	var text strings.Builder
-	if err := Compare(&text, left, right); err != nil {
+	if err := Compare(&text, "a.json", left, "b.json", right); err != nil {
 		t.Fatal(err)
 	}
 	for name, want := range map[string]string{"served by replicas": "better", "write p99 ": "worse", "read p50": "equal"} {
