--- /dev/null
+++ b/cmd/dotterel-standin/doc.go
@@ -0,0 +1,2 @@
+// Command dotterel-standin runs the stand-ins for the platform and for the databases.
+package main
--- a/cmd/dotterel-standin/main.go
+++ b/cmd/dotterel-standin/main.go
@@ -1,4 +1,3 @@
-// Command dotterel-standin runs the stand-ins for the platform and for the databases.
 package main
 
 import (
--- /dev/null
+++ b/cmd/dotterelgw/doc.go
@@ -0,0 +1,2 @@
+// Command dotterelgw is the database proxy.
+package main
--- a/cmd/dotterelgw/main.go
+++ b/cmd/dotterelgw/main.go
@@ -1,4 +1,3 @@
-// Command dotterelgw is the database proxy.
 package main
 
 import (
--- a/io/platform/etcdpb/doc.go
+++ b/io/platform/etcdpb/doc.go
@@ -1,7 +1,8 @@
 // Package etcdpb holds generated messages and services: the subset of the etcd v3 API that the project uses.
 //
-// Package names, service names, message names and field numbers are those that etcd publishes, so the client also works
-// against an etcd server.
+// Package names, service names, message names and field numbers are those that etcd publishes. The client was run only
+// against the project's stand-in.
 package etcdpb
 
 //go:generate protoc --go_out=../../.. --go_opt=module=dotterelgw --go-grpc_out=../../.. --go-grpc_opt=module=dotterelgw --proto_path=../../.. io/platform/etcdpb/kv.proto io/platform/etcdpb/rpc.proto
+//go:generate sed -i "s/ not implemented\"/ is unimplemented\"/" rpc_grpc.pb.go
