--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -46,6 +46,8 @@
 	processID uint32
 	secretKey []byte
 
+	// deadline is the read deadline that is set.
+	deadline time.Time
 	// due is the number of ReadyForQuery messages that the server owes.
 	due    int
 	status byte
@@ -115,12 +117,16 @@
 }
 
 // Next returns the next message of the server, valid until the following call. An error that is a timeout leaves the
-// connection usable; wait is ignored when a message is buffered.
+// connection usable; it comes after half of wait to all of it, or never if wait is 0.
 func (conn *Conn) Next(wait time.Duration) (wire.Frame, error) {
 	if conn.reader.Buffered() == 0 && wait > 0 {
-		if err := conn.conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
-			conn.broken = true
-			return nil, fmt.Errorf("read deadline: %w", err)
+		// A deadline that lies far enough ahead is kept: setting it for every answer would cost more than the read.
+		if now := time.Now(); conn.deadline.Before(now.Add(wait/2)) || conn.deadline.After(now.Add(wait)) {
+			conn.deadline = now.Add(wait)
+			if err := conn.conn.SetReadDeadline(conn.deadline); err != nil {
+				conn.broken = true
+				return nil, fmt.Errorf("read deadline: %w", err)
+			}
 		}
 	}
 	frame, err := conn.reader.Next()
@@ -194,11 +200,8 @@
 	if _, err := conn.Send(wire.AppendQuery(nil, "DISCARD ALL"), 1); err != nil {
 		return err
 	}
-	if err := conn.conn.SetReadDeadline(time.Now().Add(resetTimeout)); err != nil {
-		return fmt.Errorf("read deadline: %w", err)
-	}
 	for {
-		frame, err := conn.Next(0)
+		frame, err := conn.Next(resetTimeout)
 		if err != nil {
 			return err
 		}
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -28,7 +28,7 @@
 const (
 	// flushBytes is the size of the pending answer at which it is written to the caller.
 	flushBytes = 16 << 10
-	// writeTimeout bounds a write to a caller that does not read; it holds a backend connection meanwhile.
+	// writeTimeout bounds a write to a caller that does not read, to within a half: it holds a backend connection meanwhile.
 	writeTimeout = 30 * time.Second
 	// secretBytes is the length of the secret in BackendKeyData of protocol version 3.0.
 	secretBytes = 4
@@ -48,6 +48,8 @@
 	processID uint32
 	secret    [secretBytes]byte
 	stop      atomic.Uint32
+	// writeBy is the write deadline that is set.
+	writeBy time.Time
 
 	contract *contract.Contract
 	revision ids.Revision
@@ -276,7 +278,11 @@
 	if session.scratch == nil || len(session.scratch.out) == 0 {
 		return nil
 	}
-	_ = session.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	// A deadline that lies far enough ahead is kept: setting it for every answer would cost more than it gains.
+	if now := time.Now(); session.writeBy.Before(now.Add(writeTimeout / 2)) {
+		session.writeBy = now.Add(writeTimeout)
+		_ = session.conn.SetWriteDeadline(session.writeBy)
+	}
 	_, err := session.conn.Write(session.scratch.out)
 	session.scratch.out = session.scratch.out[:0]
 	session.forwarded = true
