--- /dev/null
+++ b/cmd/dotterel-load/doc.go
@@ -0,0 +1,3 @@
+// Command dotterel-load runs load experiments against proxies, checks what sessions saw and what was stored, and
+// compares results.
+package main
