--- a/io/control/fleet_test.go
+++ b/io/control/fleet_test.go
@@ -31,6 +31,7 @@
 
 	bytes atomic.Int64
 	sent  atomic.Int64
+	byVM  sync.Map // exchanges in which a VM took part, *atomic.Int64 by ids.VMID
 
 	lock  sync.Mutex
 	vms   []platform.VM
@@ -168,6 +169,10 @@
 
 // Exchange implements peerpb.PeerClient.Exchange.
 func (link *link) Exchange(ctx context.Context, said *peerpb.Heartbeat, _ ...grpc.CallOption) (*peerpb.Heartbeat, error) {
+	for _, end := range []ids.VMID{ids.VMID(said.GetVm()), link.node.self.ID} {
+		count, _ := link.fleet.byVM.LoadOrStore(end, &atomic.Int64{})
+		count.(*atomic.Int64).Add(1)
+	}
 	answer, err := link.node.Exchange(ctx, link.fleet.carry(said))
 	if err != nil {
 		return nil, err
--- a/io/control/scale_test.go
+++ b/io/control/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,7 @@
 var sizes = []int{8, 32, 96}
 
 // cost is what one VM's share of the control traffic was over a time on the controllers' clock.
-type cost struct{ calls, watches, messages, bytes float64 }
+type cost struct{ calls, watches, messages, bytes, busiest float64 }
 
 // calls returns the number of calls to the service so far, progress questions on watches included.
 func (fleet *fleet) calls() int64 {
@@ -40,11 +41,18 @@
 
 // measure lets the fleet run and returns the cost per second of the controllers' time.
 func (fleet *fleet) measure(duration time.Duration) cost {
+	fleet.byVM.Clear()
 	calls, messages, bytes, before := fleet.calls(), fleet.sent.Load(), fleet.bytes.Load(), time.Now()
 	time.Sleep(duration / time.Duration(fleet.speed))
 	seconds := time.Since(before).Seconds() * float64(fleet.speed)
+	busiest := int64(0)
+	fleet.byVM.Range(func(_, count any) bool {
+		busiest = max(busiest, count.(*atomic.Int64).Load())
+		return true
+	})
 	return cost{
-		calls: float64(fleet.calls()-calls) / seconds, watches: float64(fleet.watches()),
+		busiest: float64(busiest) / seconds,
+		calls:   float64(fleet.calls()-calls) / seconds, watches: float64(fleet.watches()),
 		messages: float64(fleet.sent.Load()-messages) / seconds, bytes: float64(fleet.bytes.Load()-bytes) / seconds,
 	}
 }
@@ -217,11 +225,35 @@
 			b.ReportMetric(spent.bytes/vms, "bytes/s/VM")
 			b.ReportMetric(spent.messages/vms, "messages/s/VM")
 			b.ReportMetric(spent.calls+spent.watches, "service-calls+watches")
+			b.ReportMetric(spent.busiest, "exchanges/s-busiest-VM")
 			b.ReportMetric(0, "ns/op")
 		})
 	}
 }
 
+// BenchmarkWithdrawal reports the time from the start of a proposal to its acceptance, and until every VM has it.
+func BenchmarkWithdrawal(b *testing.B) {
+	for _, size := range sizes {
+		b.Run(fmt.Sprint(size, "VMs"), func(b *testing.B) {
+			fleet := newFleet(b, size, 4, 1)
+			fleet.ready()
+			fleet.settle()
+			var accepted, everywhere time.Duration
+			rounds, revision := 0, ids.Revision(0)
+			for b.Loop() {
+				began := time.Now()
+				revision = fleet.propose(rounds%size, fmt.Sprint(rounds), revision, rounds%2 == 1)
+				accepted += time.Since(began)
+				fleet.until("everywhere", fleet.all(func(node *node) bool { return node.Revision() >= revision }))
+				everywhere += time.Since(began)
+				rounds++
+			}
+			b.ReportMetric(float64(accepted.Microseconds())/1000/float64(rounds), "ms-to-accept")
+			b.ReportMetric(float64(everywhere.Microseconds())/1000/float64(rounds), "ms-to-everywhere")
+		})
+	}
+}
+
 func BenchmarkExchange(b *testing.B) {
 	fleet := newFleet(b, 2, 1, 1)
 	fleet.ready()
