--- a/proof/environment_test.go
+++ b/proof/environment_test.go
@@ -77,14 +77,22 @@
 var ample = limits{rate: 50000, burst: 50000}
 
 func start(t *testing.T, vms int, lag time.Duration, limits limits) *environment {
+	t.Helper()
+	return startWith(t, limits, func(options *fleet.Options) { options.VMs, options.Lag = vms, lag })
+}
+
+// startWith starts a fleet of three proxies and one group unless the function changes the options.
+func startWith(t *testing.T, limits limits, change func(*fleet.Options)) *environment {
 	t.Helper()
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 	t.Cleanup(cancel)
-	running, err := fleet.Start(ctx, fleet.Options{
+	options := fleet.Options{
 		Programs: programs, Directory: t.TempDir(), Zones: []ids.AvailabilityZone{"a", "b", "c"},
-		VMs: vms, Groups: 1, Connections: 40, Slots: 8, Lag: lag, DrainDelay: 100 * time.Millisecond,
-	})
+		VMs: 3, Groups: 1, Connections: 40, Slots: 8, DrainDelay: 100 * time.Millisecond,
+	}
+	change(&options)
+	running, err := fleet.Start(ctx, options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -128,6 +136,25 @@
 	return count, err
 }
 
+// pollPause is the pause between two looks at a condition.
+const pollPause = 10 * time.Millisecond
+
+// within waits until the condition holds and ends the test when it does not hold in time.
+func (environment *environment) within(bound time.Duration, what string, holds func() bool) {
+	environment.t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(pollPause) {
+		if waited := time.Since(began); waited > bound {
+			environment.t.Fatalf("%s: not within %s", what, bound)
+		}
+	}
+}
+
+// switches sets fault switches of a database.
+func (environment *environment) switches(server ids.BackendServerID, switches map[string]any) {
+	environment.t.Helper()
+	environment.must(environment.Switch(environment.ctx, environment.Databases[server], switches))
+}
+
 // sqlState returns the SQLSTATE of the error, or an empty text.
 func sqlState(err error) string {
 	var refused *pgconn.PgError
