io/control: only confirmations make the service reachable

A service that answered writes but no watch kept a majority from standing in, so the fleet stopped admitting.

--- a/io/control/control_test.go
+++ b/io/control/control_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// TestSilentWatches guards against a service that answers writes but no watch: the writers must not keep the others from
+// confirming each other, since they cannot confirm anybody themselves.
+func TestSilentWatches(t *testing.T) {
+	t.Parallel()
+	fleet := newFleet(t, 4, 2, 2)
+	fleet.ready()
+	fleet.muted.Store(true)
+	revision := ids.Revision(0)
+	limit := fleet.node(0).clock.real(freshness.AdmissionLimit)
+	for began, round := time.Now(), 0; time.Since(began) < 2*limit; round++ {
+		revision = fleet.propose(round%2, fmt.Sprint(round), revision, round%2 == 1)
+		if !fleet.all((*node).Admitting)() {
+			t.Fatalf("a VM stopped admitting %s after the watches fell silent", time.Since(began))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // TestPause guards against a VM that admits on resume with a confirmation from before the pause.
 func TestPause(t *testing.T) {
 	t.Parallel()
--- a/io/control/controller.go
+++ b/io/control/controller.go
@@ -31,7 +31,8 @@
 	// substituteAfter is the age of the confirmation above which a VM of a large fleet also asks relays of other zones;
 	// it is above the 1 s that a confirmation takes through a relay.
 	substituteAfter = 1200 * time.Millisecond
-	// reachableWindow is the age of the service's last answer up to which the service counts as reachable.
+	// reachableWindow is the age of the service's last confirmation up to which the service counts as reachable. Other
+	// answers do not count: a VM that only writes confirms nobody, and must not keep a majority from standing in.
 	reachableWindow = time.Second
 )
 
@@ -60,7 +61,7 @@
 	view      *member.View
 	freshness *freshness.Freshness
 	peers     map[ids.VMID]*peerState
-	answered  time.Duration // when the service last answered
+	answered  time.Duration // when the service last confirmed
 	draining  bool
 	listed    bool // the VM list says that this VM is leaving
 	relay     context.CancelFunc
@@ -246,7 +247,7 @@
 	}
 }
 
-// reachable states whether the service answered recently. The caller holds the mutex.
+// reachable states whether the service confirmed recently. The caller holds the mutex.
 func (controller *Controller) reachable(now time.Duration) bool {
 	return now-controller.answered <= reachableWindow
 }
--- a/io/control/fleet_test.go
+++ b/io/control/fleet_test.go
@@ -28,6 +28,7 @@
 	t      testing.TB
 	speed  int
 	dialer peer.Dialer
+	muted  atomic.Bool // watches deliver nothing
 
 	bytes atomic.Int64
 	sent  atomic.Int64
@@ -87,6 +88,34 @@
 	return client
 }
 
+// muting is a store whose watches may fall silent while calls are answered.
+type muting struct {
+	Store
+	muted *atomic.Bool
+}
+
+// Watch implements Store.Watch.
+func (store *muting) Watch(ctx context.Context, prefix string, from ids.Revision) (<-chan platform.WatchEvent, error) {
+	events, err := store.Store.Watch(ctx, prefix, from)
+	if err != nil {
+		return nil, err
+	}
+	heard := make(chan platform.WatchEvent)
+	go func() {
+		defer close(heard)
+		for event := range events {
+			if store.muted.Load() {
+				continue
+			}
+			select {
+			case heard <- event:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return heard, nil
+}
+
 // List implements VMList.List.
 func (fleet *fleet) List(context.Context) ([]platform.VM, error) {
 	fleet.lock.Lock()
@@ -105,7 +134,7 @@
 	self := member.Member{ID: id, Address: vm.Address, Zone: vm.AvailabilityZone}
 	ctx, cancel := context.WithCancel(context.Background())
 	started := &node{
-		Controller: New(self, fleet.client(id), fleet, fleet.dialer, WithReach(reach), withSpeed(fleet.speed)),
+		Controller: New(self, &muting{Store: fleet.client(id), muted: &fleet.muted}, fleet, fleet.dialer, WithReach(reach), withSpeed(fleet.speed)),
 		stop:       cancel, done: make(chan struct{}),
 	}
 	fleet.lock.Lock()
--- a/io/control/propose.go
+++ b/io/control/propose.go
@@ -78,12 +78,10 @@
 		call, cancel := context.WithTimeout(ctx, controller.clock.real(callTimeout))
 		revision, swapped, err := controller.store.CompareAndSwap(call, key, expected, value)
 		cancel()
-		if err == nil {
-			controller.heardService()
-			if swapped {
-				return revision, nil
-			}
-		} else if !errors.Is(err, platform.ErrOutcomeUnknown) && !lost {
+		if err == nil && swapped {
+			return revision, nil
+		}
+		if err != nil && !errors.Is(err, platform.ErrOutcomeUnknown) && !lost {
 			return 0, fmt.Errorf("not stored: %w", err)
 		}
 		lost = lost || err != nil
@@ -106,12 +104,6 @@
 	}
 }
 
-func (controller *Controller) heardService() {
-	controller.mutex.Lock()
-	defer controller.mutex.Unlock()
-	controller.answered = controller.clock.now()
-}
-
 // acknowledged waits until more than half of the VMs have shown that they hold the revision.
 func (controller *Controller) acknowledged(ctx context.Context, revision ids.Revision) bool {
 	accepted := func() bool {
--- a/io/control/relay.go
+++ b/io/control/relay.go
@@ -51,8 +51,8 @@
 		return
 	}
 	changed := controller.entries.ApplyComplete(event.Entries, event.Revision)
-	controller.answered = controller.clock.now()
 	if !event.Asked.IsZero() {
+		controller.answered = controller.clock.now()
 		controller.freshness.ConfirmService(controller.clock.at(event.Asked))
 	}
 	controller.publish(changed)
