--- a/io/session/golden_test.go
+++ b/io/session/golden_test.go
@@ -74,6 +74,9 @@
 		caller.put(append(extended("s1", "INSERT a"), &pgproto3.Sync{})...)
 		caller.until(1)
 		proxy.limited.Store(false)
+		// The refused Parse had no effect, so its name is free.
+		caller.put(append(extended("s1", "INSERT a"), &pgproto3.Sync{})...)
+		caller.until(1)
 		proxy.unsure.Store(true)
 		caller.query("INSERT a")
 	}},
