--- a/core/member/duty.go
+++ b/core/member/duty.go
@@ -21,7 +21,8 @@
 func (view *View) Assign(now time.Duration) {
 	view.gather(now)
 	relays := view.relays(view.self.Zone, now)
-	relay := slices.ContainsFunc(relays, func(member Member) bool { return member.ID == view.self.ID })
+	rank := slices.IndexFunc(relays, func(member Member) bool { return member.ID == view.self.ID })
+	relay := rank >= 0
 	if relay && !view.relay {
 		view.relaySince = now
 	}
@@ -30,9 +31,11 @@
 	case view.Mesh():
 		relays = view.listed
 	case relay:
+		// Relays pair up by rank: each watches the service itself, and needs the others for their zones' silent VMs and
+		// while the service does not answer its own zone.
 		for zone := range view.zones {
-			if zone != view.self.Zone {
-				relays = append(relays, view.relays(zone, now)...)
+			if others := view.relays(zone, now); zone != view.self.Zone && len(others) > 0 {
+				relays = append(relays, others[min(rank, len(others)-1)])
 			}
 		}
 	}
