--- a/io/group/control.go
+++ b/io/group/control.go
@@ -18,6 +18,7 @@
 
 const (
 	statusQuery   = "SELECT * FROM group_status()"
+	statusName    = "s"
 	controlUser   = "dotterel_control"
 	controlTarget = "postgres"
 )
@@ -49,6 +50,8 @@
 type connection struct {
 	conn     net.Conn
 	frontend *pgproto3.Frontend
+	// names holds the columns of the last row description.
+	names []string
 }
 
 // connect opens a control connection; the context's deadline bounds it.
@@ -134,15 +137,32 @@
 	}
 }
 
+// status asks for the status row. The statement is prepared once per connection: repeating the query text and the row
+// description would more than double the bytes, most of a watcher's traffic.
+func (connection *connection) status(ctx context.Context) (failover.Status, error) {
+	if connection.names == nil {
+		connection.frontend.Send(&pgproto3.Parse{Name: statusName, Query: statusQuery})
+		connection.frontend.Send(&pgproto3.Describe{ObjectType: 'S', Name: statusName})
+	}
+	connection.frontend.Send(&pgproto3.Bind{PreparedStatement: statusName})
+	connection.frontend.Send(&pgproto3.Execute{})
+	connection.frontend.Send(&pgproto3.Sync{})
+	return connection.answer(ctx, statusQuery)
+}
+
 // ask runs one group function and returns the status row.
 func (connection *connection) ask(ctx context.Context, query string) (failover.Status, error) {
+	connection.frontend.Send(&pgproto3.Query{String: query})
+	return connection.answer(ctx, query)
+}
+
+// answer sends the messages and reads the row that they are answered with.
+func (connection *connection) answer(ctx context.Context, query string) (failover.Status, error) {
 	stop := connection.bound(ctx)
 	defer stop()
-	connection.frontend.Send(&pgproto3.Query{String: query})
 	if err := connection.frontend.Flush(); err != nil {
 		return failover.Status{}, fmt.Errorf("send %s: %w", query, err)
 	}
-	var names []string
 	var status *failover.Status
 	var failure error
 	for {
@@ -152,12 +172,12 @@
 		}
 		switch message := message.(type) {
 		case *pgproto3.RowDescription:
-			names = names[:0]
+			connection.names = connection.names[:0]
 			for _, field := range message.Fields {
-				names = append(names, string(field.Name))
+				connection.names = append(connection.names, string(field.Name))
 			}
 		case *pgproto3.DataRow:
-			parsed, err := parseStatus(names, message.Values)
+			parsed, err := parseStatus(connection.names, message.Values)
 			status, failure = &parsed, err
 		case *pgproto3.ErrorResponse:
 			failure = serverError(message)
--- a/io/group/poll.go
+++ b/io/group/poll.go
@@ -72,7 +72,7 @@
 			return nil, err
 		}
 	}
-	if sample.status, err = open.ask(ctx, statusQuery); err != nil {
+	if sample.status, err = open.status(ctx); err != nil {
 		open.close()
 		return nil, err
 	}
