--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -17,6 +17,8 @@
 	positionQuery = "SELECT * FROM group_position()"
 	// readOnlySetting keeps a read-only session from writing when the primary serves it.
 	readOnlySetting = "SET default_transaction_read_only = on"
+	// maxHeldBytes is the size of the held part of an answer from which on earlier completions are let go.
+	maxHeldBytes = 1 << 20
 	// sqlStateReadOnly is read_only_sql_transaction.
 	sqlStateReadOnly = "25006"
 )
@@ -358,6 +360,12 @@
 	if tag != "ROLLBACK" {
 		session.answer.completed = true
 	}
+	if len(session.scratch.held) > maxHeldBytes && !session.request.class.commits {
+		// What the statements before did is committed with the last one, so only the last completion acknowledges it.
+		session.scratch.out = append(session.scratch.out, session.scratch.held...)
+		session.scratch.held = session.scratch.held[:0]
+		_ = session.flush()
+	}
 	session.answer.holding = session.answer.holding || session.answer.hold
 	session.emit(frame)
 	switch tag {
@@ -369,18 +377,14 @@
 		session.answer.unpin = tag == "DISCARD ALL" || session.request.class.statements == 1
 		if tag == "DISCARD ALL" {
 			session.backend.SetClean()
-			clear(session.statements)
+			session.forgetStatements()
 		}
 	case "DEALLOCATE ALL":
 		session.forgetStatements()
+		session.backend.ForgetPrepared()
 	}
 }
 
-func (session *Session) forgetStatements() {
-	clear(session.statements)
-	session.backend.ForgetPrepared()
-}
-
 // pin keeps the connection for this session, whose settings it holds.
 func (session *Session) pin() {
 	session.pinned = true
--- a/io/session/batch.go
+++ b/io/session/batch.go
@@ -84,9 +84,9 @@
 		op := &ops[index]
 		switch {
 		case op.kind == wire.Parse && !op.duplicate && session.statements[op.name] == op.statement:
-			delete(session.statements, op.name)
+			session.setStatement(op.name, nil)
 		case op.kind == wire.Close && op.object == 'S' && op.statement != nil:
-			session.statements[op.name] = op.statement
+			session.setStatement(op.name, op.statement)
 		}
 	}
 }
@@ -107,7 +107,7 @@
 			op.duplicate = true
 			op.statement = session.statements[op.name]
 		} else {
-			session.statements[op.name] = op.statement
+			session.setStatement(op.name, op.statement)
 		}
 		message = &op.statement.parse
 	case wire.Bind:
@@ -155,7 +155,7 @@
 		op.object, op.name = closing.ObjectType, closing.Name
 		if op.object == 'S' {
 			op.statement = session.statements[op.name]
-			delete(session.statements, op.name)
+			session.setStatement(op.name, nil)
 		} else {
 			delete(session.portals, op.name)
 		}
@@ -171,6 +171,28 @@
 	return nil
 }
 
+// statementBytes is the size counted for a prepared statement beyond its text.
+const statementBytes = 500
+
+// setStatement changes what the caller's name stands for; nil forgets it.
+func (session *Session) setStatement(name string, prepared *statement) {
+	if held := session.statements[name]; held != nil {
+		session.prepared -= statementBytes + len(held.parse.Query)
+	}
+	if prepared == nil {
+		delete(session.statements, name)
+		return
+	}
+	session.prepared += statementBytes + len(prepared.parse.Query)
+	session.statements[name] = prepared
+}
+
+// forgetStatements forgets every prepared statement of the session.
+func (session *Session) forgetStatements() {
+	clear(session.statements)
+	session.prepared = 0
+}
+
 // serverName returns the name of the statement at backend servers. A name that the session does not know is changed, so
 // that it cannot meet a statement of another session.
 func serverName(statement *statement, name string) string {
--- a/io/session/golden_test.go
+++ b/io/session/golden_test.go
@@ -137,6 +137,12 @@
 		caller.query("DISCARD ALL")
 		caller.query("SELECT 'x'")
 	}},
+	"settings_lost": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("SET search_path = a")
+		proxy.setView(2, 1)
+		caller.query("SELECT 'x'")
+		caller.until(1)
+	}},
 	"key_withdrawn_in_transaction": {"app", "", func(_ *testing.T, proxy *proxy, caller *caller) {
 		caller.query("BEGIN")
 		caller.query("INSERT a")
--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -45,7 +45,10 @@
 	refused  []*refusal.Refusal
 }
 
-const key = "correct horse"
+const (
+	key             = "correct horse"
+	maxMessageBytes = 1 << 20
+)
 
 func verifier(key string) string {
 	client, _ := scram.SHA256.NewClient("", key, "")
@@ -69,13 +72,13 @@
 	proxy.setView(1, 0)
 	proxy.pools = backend.New(backend.Login{User: "dotterel", Password: "own", VM: "vm1"}, backend.WithAllotment(connections))
 	dependencies := session.Dependencies{
-		Control: proxy, Groups: proxy, Pools: proxy.pools, Limiter: proxy, Recorder: proxy, VM: "vm1", Zone: "a", Metrics: proxy.metrics,
+		Control: proxy, Groups: proxy, Pools: proxy.pools, Limiter: proxy, Recorder: proxy, VM: "vm1", Zone: "a", Metrics: proxy.metrics, MaxMessageBytes: maxMessageBytes,
 	}
 	for _, change := range changes {
 		change(&dependencies)
 	}
 	proxy.sessions = session.New(dependencies)
-	front, err := frontend.New(frontend.Dependencies{Control: proxy, Sessions: proxy.sessions, Recorder: proxy, Plaintext: true, MaxMessageBytes: 1 << 20})
+	front, err := frontend.New(frontend.Dependencies{Control: proxy, Sessions: proxy.sessions, Recorder: proxy, Plaintext: true, MaxMessageBytes: maxMessageBytes})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/session/refuse.go
+++ b/io/session/refuse.go
@@ -66,7 +66,7 @@
 	if session.scratch != nil {
 		session.undo(0)
 	}
-	lostSettings := session.pinned && session.backend == nil
+	pinned := session.pinned
 	if session.tx != wire.Idle || session.partial {
 		if refused.Outcome == refusal.NotRun {
 			refused = refused.WithOutcome(refusal.RolledBack)
@@ -80,7 +80,7 @@
 			session.aborted, session.tx = true, wire.Failed
 		}
 	}
-	if lostSettings {
+	if pinned && session.backend == nil {
 		// The settings of the session were lost with its connection and cannot be re-created.
 		return session.refuseFatal(refused)
 	}
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -181,6 +181,13 @@
 // attempt runs the request once.
 func (session *Session) attempt(deadline time.Duration) ending {
 	attempt := &retry.Attempt{InTransaction: session.tx != wire.Idle || session.partial, Idempotent: session.caller.Idempotent}
+	if session.backend != nil && !attempt.InTransaction {
+		// The session is pinned; its settings cannot follow it to another server.
+		if err := session.tick(); err != nil {
+			session.release()
+			return ending{refused: refusal.New(refusal.BackendLost, err.Error())}
+		}
+	}
 	if session.backend == nil {
 		if refused := session.connect(attempt, deadline); refused != nil {
 			if refused.Reason == refusal.BackendLost {
--- a/io/session/safety_test.go
+++ b/io/session/safety_test.go
@@ -210,17 +210,27 @@
 	}
 }
 
+// parses returns Parse messages of 30 kB for statements of different names; 140 of them exceed the limit of 4 MiB.
+func parses(count int) string {
+	var messages []byte
+	for index := range count {
+		messages, _ = (&pgproto3.Parse{Name: fmt.Sprint(index), Query: strings.Repeat("x", 30_000)}).Encode(messages)
+	}
+	return string(messages)
+}
+
 // TestViolations guards against messages that end more than their own connection, or that are not answered.
 func TestViolations(t *testing.T) {
 	proxy := newProxy(t, 4)
 	other := proxy.dial("app", "")
 	cases := map[string]struct{ data, want string }{
-		"too large":         {"Q\x00\xff\xff\xff", "54000"},
-		"negative length":   {"Q\xff\xff\xff\xff", "08P01"},
-		"unknown type":      {"!\x00\x00\x00\x04", "08P01"},
-		"damaged bind":      {"B\x00\x00\x00\x06\x00x", "08P01"},
-		"query without end": {"Q\x00\x00\x00\x05x", "08P01"},
-		"second start-up":   {"p\x00\x00\x00\x05\x00", "08P01"},
+		"too large":           {"Q\x00\xff\xff\xff", "54000"},
+		"negative length":     {"Q\xff\xff\xff\xff", "08P01"},
+		"unknown type":        {"!\x00\x00\x00\x04", "08P01"},
+		"damaged bind":        {"B\x00\x00\x00\x06\x00x", "08P01"},
+		"too many statements": {parses(140), "54000"},
+		"query without end":   {"Q\x00\x00\x00\x05x", "08P01"},
+		"second start-up":     {"p\x00\x00\x00\x05\x00", "08P01"},
 	}
 	for name, tested := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -30,6 +30,8 @@
 	flushBytes = 16 << 10
 	// writeTimeout bounds a write to a caller that does not read, to within a half: it holds a backend connection meanwhile.
 	writeTimeout = 30 * time.Second
+	// maxBatches bounds a batch, and the session's prepared statements, in messages of the greatest length.
+	maxBatches = 4
 	// secretBytes is the length of the secret in BackendKeyData of protocol version 3.0.
 	secretBytes = 4
 )
@@ -81,9 +83,11 @@
 
 	statements map[string]*statement
 	portals    map[string]*statement
-	request    request
-	answer     answer
-	scratch    *scratch
+	// prepared is the size in bytes of all statements that the session prepared and did not close.
+	prepared int
+	request  request
+	answer   answer
+	scratch  *scratch
 }
 
 // KeyData returns the process id and the secret for the caller's BackendKeyData.
@@ -207,6 +211,9 @@
 		if err := session.extend(frame); err != nil {
 			return session.refuseFatal(refusal.New(refusal.ProtocolError, err.Error()))
 		}
+		if limit := maxBatches * session.server.MaxMessageBytes; len(session.scratch.arena) > limit || session.prepared > limit {
+			return session.refuseFatal(refusal.New(refusal.MessageTooLarge, fmt.Sprintf("more than %d bytes in a batch or in prepared statements", limit)))
+		}
 		return nil
 	case wire.Flush:
 		if session.skipping || len(session.scratch.ops) == 0 {
