--- a/io/backend/pools.go
+++ b/io/backend/pools.go
@@ -22,6 +22,14 @@
 	Address string
 	// Database is the database within the server.
 	Database ids.DatabaseName
+	// Watcher states whether waiting still makes sense; nil means that it does.
+	Watcher Watcher
+}
+
+// Watcher is asked while a request waits for a connection.
+type Watcher interface {
+	// Stale states that the request is not to wait for this server any longer; another goroutine does not call it.
+	Stale(server ids.BackendServerID) bool
 }
 
 // Pools holds the connections to all backend servers.
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -17,6 +17,8 @@
 	// openTimeout bounds connecting and logging in; a healthy server takes about 12 ms. Requests that wait for a server
 	// that is gone turn to its successor after this time.
 	openTimeout = time.Second
+	// watchInterval is the interval at which a waiting request is asked whether it still waits for this server.
+	watchInterval = 50 * time.Millisecond
 	// reopenDelay is the pause after the server reported too many connections, which other VMs may hold.
 	reopenDelay = 50 * time.Millisecond
 	// sqlStateTooMany is too_many_connections.
@@ -88,32 +90,41 @@
 	return server.await(ctx, waiting)
 }
 
-// await waits for a grant until the deadline of the organisation's queue.
+// await waits for a grant until the deadline of the organisation's queue, or until the request turns elsewhere.
 func (server *server) await(ctx context.Context, waiting *waiter) (*Conn, *refusal.Refusal) {
-	limit := time.Duration(waiting.request.Limits.QueueTimeoutMS) * time.Millisecond
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
-	select {
-	case granted := <-waiting.result:
-		return granted.conn, granted.refused
-	case <-timer.C:
-	case <-ctx.Done():
+	request := &waiting.request
+	limit := time.Duration(request.Limits.QueueTimeoutMS) * time.Millisecond
+	deadline := time.Now().Add(limit)
+	stale := false
+	for remaining := limit; remaining > 0 && !stale && ctx.Err() == nil; remaining = time.Until(deadline) {
+		timer := time.NewTimer(min(remaining, watchInterval))
+		select {
+		case granted := <-waiting.result:
+			timer.Stop()
+			return granted.conn, granted.refused
+		case <-timer.C:
+			stale = request.Watcher != nil && request.Watcher.Stale(request.Server)
+		case <-ctx.Done():
+			timer.Stop()
+		}
 	}
 	server.mutex.Lock()
 	removed := server.queue.Remove(waiting.ticket)
 	if removed {
-		server.demand[waiting.request.Database]--
+		server.demand[request.Database]--
 	}
-	limited := !server.underLimit(waiting.request)
+	limited := !server.underLimit(*request)
 	server.mutex.Unlock()
-	if !removed {
+	switch {
+	case !removed:
 		granted := <-waiting.result
 		return granted.conn, granted.refused
+	case stale:
+		return nil, refusal.New(refusal.BackendLost, fmt.Sprintf("%s was given up while the request waited", request.Server))
+	case limited:
+		return nil, refusal.New(refusal.TransactionLimit, fmt.Sprintf("%d connections to %s in use", request.Limits.Transactions, request.Server))
 	}
-	if limited {
-		return nil, refusal.New(refusal.TransactionLimit, fmt.Sprintf("%d connections to %s in use", waiting.request.Limits.Transactions, waiting.request.Server))
-	}
-	return nil, refusal.New(refusal.QueueTimeout, fmt.Sprintf("waited %v for %s", limit, waiting.request.Server))
+	return nil, refusal.New(refusal.QueueTimeout, fmt.Sprintf("waited %v for %s", limit, request.Server))
 }
 
 // underLimit states whether the organisation may hold one more connection. A limit of 0 does not bound.
--- a/io/session/refuse.go
+++ b/io/session/refuse.go
@@ -57,6 +57,23 @@
 	return errClosed
 }
 
+// sqlStateCanceled is query_canceled.
+const sqlStateCanceled = "57014"
+
+// answerCanceled answers a request that its caller canceled before it was sent. It opened no transaction.
+func (session *Session) answerCanceled() {
+	session.undo(0)
+	session.scratch.out, _ = (&pgproto3.ErrorResponse{
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: sqlStateCanceled,
+		Message: "canceling statement due to user request",
+	}).Encode(session.scratch.out)
+	if session.request.sync {
+		session.scratch.out = wire.AppendReady(session.scratch.out, session.tx)
+	} else {
+		session.skipping = true
+	}
+}
+
 // refuse answers the request with the refusal. An open transaction is rolled back: callers that pipeline take an
 // error to end it, so a later COMMIT must not keep a part of it.
 func (session *Session) refuse(refused *refusal.Refusal) error {
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelgw/core/contract"
+	"dotterelgw/core/ids"
 	"dotterelgw/core/refusal"
 	"dotterelgw/core/retry"
 	"dotterelgw/core/route"
@@ -26,6 +27,8 @@
 type ending struct {
 	// closed is not nil when the session ends.
 	closed error
+	// canceled states that the caller canceled the request before it was sent.
+	canceled bool
 	// refused is not nil when the request was not run.
 	refused *refusal.Refusal
 	// failed is not nil when the server gave no answer that the caller may have.
@@ -51,6 +54,9 @@
 		switch {
 		case ended.closed != nil:
 			return ended.closed
+		case ended.canceled:
+			session.answerCanceled()
+			return nil
 		case ended.refused != nil:
 			return session.refuse(ended.refused)
 		case ended.failed == nil:
@@ -110,7 +116,7 @@
 
 // sleep waits for one poll interval; it returns false at the deadline or when the session is to end.
 func (session *Session) sleep(deadline time.Duration) bool {
-	if session.server.Now() >= deadline || session.stop.Load()&stopNow != 0 {
+	if session.server.Now() >= deadline || session.stop.Load()&stopNow != 0 || session.canceled.Load() {
 		return false
 	}
 	timer := time.NewTimer(viewPoll)
@@ -189,7 +195,13 @@
 		}
 	}
 	if session.backend == nil {
-		if refused := session.connect(attempt, deadline); refused != nil {
+		session.setWaiting(true)
+		refused := session.connect(attempt, deadline)
+		canceled := session.setWaiting(false)
+		if refused != nil {
+			if canceled {
+				return ending{canceled: true}
+			}
 			if refused.Reason == refusal.BackendLost {
 				return ending{failed: attempt, err: errors.New(refused.Note)}
 			}
@@ -254,13 +266,17 @@
 			return refusal.New(refusal.NoPrimary, string(group))
 		}
 		attempt.Primary = index == view.Primary
+		session.wantsPrimary = attempt.Primary
 		chosen := &view.Servers[index]
 		conn, err := server.Pools.Acquire(session.ctx, backend.Request{
 			Organisation: session.caller.Organisation, Weight: session.contract.Weight, Limits: session.contract.Limits,
-			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database,
+			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database, Watcher: session,
 		})
 		if err != nil {
 			refused := session.acquireRefused(err, chosen)
+			if session.canceled.Load() {
+				return refused
+			}
 			if refused.Reason != refusal.BackendLost || attempt.InTransaction || session.stop.Load()&stopNow != 0 || server.Now() >= deadline {
 				return refused
 			}
@@ -286,13 +302,31 @@
 	}
 }
 
+// Stale implements backend.Watcher.Stale.
+func (session *Session) Stale(server ids.BackendServerID) bool {
+	if session.stop.Load()&stopNow != 0 || session.canceled.Load() {
+		return true
+	}
+	view := session.server.Groups.View(session.route.Group)
+	if view == nil {
+		return false
+	}
+	for index := range view.Servers {
+		if candidate := &view.Servers[index]; candidate.ID == server {
+			replaced := session.wantsPrimary && view.Primary >= 0 && view.Primary != index
+			return replaced || candidate.Leaving || !session.wantsPrimary && !candidate.Reachable
+		}
+	}
+	return true
+}
+
 // acquireRefused returns the refusal and reports a server that cannot be reached.
 func (session *Session) acquireRefused(err error, chosen *route.Server) *refusal.Refusal {
 	var refused *refusal.Refusal
 	if !errors.As(err, &refused) {
 		refused = refusal.New(refusal.BackendLost, err.Error())
 	}
-	if refused.Reason == refusal.BackendLost {
+	if refused.Reason == refusal.BackendLost && !session.Stale(chosen.ID) {
 		session.server.Groups.Observe(session.route.Group, chosen.ID, err)
 	}
 	return refused
--- a/io/session/safety_test.go
+++ b/io/session/safety_test.go
@@ -178,6 +178,41 @@
 	waiting(1)
 	proxy.sessions.Cancel(two.pid, two.secret)
 	two.until(1)
+
+	// A request that still waits for a connection is canceled as well, and only it.
+	waiting(0)
+	proxy.pools.SetAllotment("primary", 1)
+	one.put(&pgproto3.Query{String: "SELECT wait()"})
+	waiting(1)
+	two.put(&pgproto3.Query{String: "INSERT a"})
+	await(t, func() bool { return proxy.pools.Waiting("primary") == 1 })
+	proxy.sessions.Cancel(two.pid, two.secret)
+	two.until(1)
+	proxy.sessions.Cancel(one.pid, one.secret)
+	one.until(1)
+	if count := strings.Count(string(two.transcript()), "57014"); count != 2 || acknowledged(two) {
+		t.Errorf("the waiting request was not canceled:\n%s", two.transcript())
+	}
+	two.query("INSERT a")
+	if !acknowledged(two) {
+		t.Errorf("the cancel request had an effect on a later statement:\n%s", two.transcript())
+	}
+}
+
+// TestWaitingTurnsToSuccessor guards against requests that wait for a connection to a primary that was replaced.
+func TestWaitingTurnsToSuccessor(t *testing.T) {
+	proxy := newProxy(t, 1)
+	one, two := proxy.dial("app", ""), proxy.dial("app", "")
+	one.query("BEGIN")
+	two.put(&pgproto3.Query{String: "INSERT a"})
+	await(t, func() bool { return proxy.pools.Waiting("primary") == 1 })
+	proxy.replica.lock(func() { proxy.replica.replica, proxy.replica.term = false, 2 })
+	proxy.setView(2, 1)
+	start := time.Now()
+	two.until(1)
+	if passed := time.Since(start); !acknowledged(two) || passed > time.Second {
+		t.Errorf("after %v:\n%s", passed, two.transcript())
+	}
 }
 
 // TestWithdrawal guards against sessions that go on after their key was withdrawn: idle ones, ones whose statement runs,
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -61,6 +61,11 @@
 	// mutex guards backend against cancel requests, which come from other goroutines.
 	mutex   sync.Mutex
 	backend *backend.Conn
+	// waiting states that the request waits for a server; canceled that the caller canceled it meanwhile.
+	waiting  bool
+	canceled atomic.Bool
+	// wantsPrimary states that the request waits for the primary.
+	wantsPrimary bool
 	// primary states that the backend connection leads to the server that was the primary when it was acquired.
 	primary bool
 	// pinned states that the server's session holds settings of this one.
@@ -299,16 +304,25 @@
 	return nil
 }
 
-// cancelStatement asks the backend server to cancel what it runs for this session.
+// cancelStatement asks the backend server to cancel what it runs for this session, or ends the wait for a server.
 func (session *Session) cancelStatement() {
 	session.mutex.Lock()
 	conn := session.backend
 	if conn != nil {
 		conn.SetCanceled()
 	}
+	session.canceled.Store(conn == nil && session.waiting)
 	session.mutex.Unlock()
 	if conn != nil {
 		// After release the connection is closed rather than reused, so a late cancel meets nobody else's statement.
 		_ = conn.Cancel(context.Background())
 	}
 }
+
+// setWaiting notes whether the request waits for a server, and returns whether it was canceled meanwhile.
+func (session *Session) setWaiting(waiting bool) (canceled bool) {
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	session.waiting = waiting
+	return session.canceled.Swap(false)
+}
