--- a/proof/failover_test.go
+++ b/proof/failover_test.go
@@ -23,6 +23,8 @@
 	gapBound = 3 * time.Second
 	// promotionBound is the longest failover gap at the planned size, which also bounds a repeated promotion.
 	promotionBound = 13 * time.Second
+	// behind is the time for which a primary writes without its replicas before it is killed.
+	behind = 300 * time.Millisecond
 	// stallBound is the length below which a stall must cause no promotion.
 	stallBound = time.Second
 )
@@ -32,8 +34,13 @@
 func TestPrimaryFailures(t *testing.T) {
 	t.Parallel()
 	for name, fail := range map[string]func(*environment){
-		"frozen":          func(environment *environment) { environment.switches("g1-a", map[string]any{"frozen": true}) },
-		"killed":          func(environment *environment) { environment.Databases["g1-a"].Kill() },
+		"frozen": func(environment *environment) { environment.switches("g1-a", map[string]any{"frozen": true}) },
+		"killed": func(environment *environment) { environment.Databases["g1-a"].Kill() },
+		"killed while replicas are behind": func(environment *environment) {
+			environment.switches("g1-a", partitioned("replication"))
+			time.Sleep(behind) // writes that no replica receives
+			environment.Databases["g1-a"].Kill()
+		},
 		"replication cut": func(environment *environment) { environment.switches("g1-a", partitioned("replication")) },
 		"proxies cut":     func(environment *environment) { environment.switches("g1-a", partitioned("vm1", "vm2", "vm3")) },
 	} {
