--- a/io/group/group.go
+++ b/io/group/group.go
@@ -29,12 +29,18 @@
 	sample    *sample
 	watch     failover.Watch
 	reachable bool
-	leaving   bool
+	// listed states that the VM list has the server as leaving; the server may also say so itself.
+	listed bool
+	// leftAt is the time since which either is the case.
 	leftAt    time.Duration
 	currentAt time.Duration
 	pause     time.Duration
 }
 
+func (server *server) leaving() bool {
+	return server.listed || server.sample != nil && server.sample.status.Leaving
+}
+
 // group is the state of one database group.
 type group struct {
 	groups *Groups
@@ -62,7 +68,7 @@
 		leftAt, left := leaving[one.ID]
 		group.servers = append(group.servers, &server{
 			record: one, index: index, wake: make(chan struct{}, 1), watch: failover.NewWatch(groups.now()),
-			leaving: left, leftAt: leftAt,
+			listed: left, leftAt: leftAt,
 		})
 	}
 	group.publishLocked()
@@ -148,7 +154,10 @@
 	defer group.mutex.Unlock()
 	for _, server := range group.servers {
 		if server.record.ID == id {
-			server.leaving, server.leftAt = leaving, at
+			if leaving && !server.leaving() {
+				server.leftAt = at
+			}
+			server.listed = leaving
 			group.publishLocked()
 		}
 	}
@@ -174,7 +183,7 @@
 	for _, server := range group.servers {
 		evidence := server.watch.Evidence(now)
 		evidence.Server = server.record.ID
-		evidence.Status.Leaving = evidence.Status.Leaving || server.leaving
+		evidence.Status.Leaving = server.leaving()
 		all = append(all, evidence)
 	}
 	return all
@@ -227,7 +236,7 @@
 	}
 	now := group.groups.now()
 	for index, server := range group.servers {
-		leaving := server.leaving
+		leaving := server.leaving()
 		if leaving && index == primary {
 			leaving = now-server.leftAt >= leavingPrimaryGrace
 		}
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -226,6 +226,13 @@
 	within(t, time.Second, "an observed server is asked again at once", func() bool {
 		return fixture.groups.View(groupID).Servers[1].Reachable
 	})
+	leaving := func(state *database.State) { state.Leaving = !state.Leaving }
+	for _, want := range []bool{true, false} {
+		fixture.servers[1].Set(leaving)
+		within(t, time.Second, "a server's own word that it is leaving, and that it stays", func() bool {
+			return fixture.groups.View(groupID).Servers[1].Leaving == want
+		})
+	}
 	if server, ok := route.Choose(fixture.groups.View(groupID), route.Request{}); server != 0 || !ok {
 		t.Errorf("primary %d, %v", server, ok)
 	}
--- a/io/group/poll.go
+++ b/io/group/poll.go
@@ -94,11 +94,11 @@
 	} else {
 		sample.status.Server = server.record.ID
 		server.reachable = true
+		if sample.status.Leaving && !server.leaving() {
+			server.leftAt = now
+		}
 		server.sample = sample
 		server.watch.Answered(now, sample.status)
-		if sample.status.Leaving && !server.leaving {
-			server.leaving, server.leftAt = true, now
-		}
 		if sample.status.Accepts() {
 			group.ages.sampled(sample)
 		}
