--- a/proof/answers_test.go
+++ b/proof/answers_test.go
@@ -86,56 +86,84 @@
 const (
 	// echoCallers exceeds the number of slots of all databases, so that connections pass from one caller to another.
 	echoCallers = 30
-	echoRounds  = 40
+	// echoFor is the time for which the callers ask; each asks some 30 times while answers are late.
+	echoFor = 2 * time.Second
 	// lateAnswer exceeds the patience of the callers that give up.
 	lateAnswer = 60 * time.Millisecond
 	impatience = 30 * time.Millisecond
-	// crossedAnswers is the number of answers that each database delivers twice.
-	crossedAnswers = 20
+	// crossEvery is the time between two answers that each database delivers twice.
+	crossEvery = 20 * time.Millisecond
 )
 
 // Guards against an answer that reaches another caller than the one who asked, because the server sent it late, after the
 // caller gave up, or sent it twice.
 func TestAnswersReachOnlyTheirCallers(t *testing.T) {
 	t.Parallel()
-	for name, switches := range map[string]map[string]any{
-		"late":    {"late_answer_ms": lateAnswer.Milliseconds()},
-		"crossed": {"crossed_answer": crossedAnswers},
-		"both":    {"late_answer_ms": lateAnswer.Milliseconds(), "crossed_answer": crossedAnswers},
+	for name, test := range map[string]struct {
+		late    time.Duration
+		crossed bool
+	}{
+		"late":    {late: lateAnswer},
+		"crossed": {crossed: true},
+		"both":    {late: lateAnswer, crossed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			environment := start(t, 3, 0, ample)
 			for server := range environment.Databases {
-				environment.switches(server, switches)
+				environment.switches(server, map[string]any{"late_answer_ms": test.late.Milliseconds()})
 			}
 			var answered atomic.Int64
 			var callers sync.WaitGroup
+			stop, cancel := context.WithTimeout(environment.ctx, echoFor)
+			defer cancel()
 			for caller := range echoCallers {
-				callers.Go(func() { environment.echo(caller, &answered) })
+				callers.Go(func() { environment.echo(stop, caller, &answered) })
 			}
-			callers.Wait()
-			left := 0
-			for server := range environment.Databases {
-				left = max(left, environment.state(server).CrossedAnswer)
+			crossed := 0
+			if test.crossed {
+				crossed = environment.crossUntil(stop.Done())
 			}
-			t.Logf("%d answers", answered.Load())
-			if left > 0 || answered.Load() < echoCallers {
-				t.Errorf("the test saw too little: %d answers, %d crossed answers left", answered.Load(), left)
+			callers.Wait()
+			t.Logf("%d answers, %d crossed", answered.Load(), crossed)
+			if answered.Load() < echoCallers || test.crossed && crossed < echoCallers {
+				t.Errorf("the test saw too little: %d answers, %d crossed", answered.Load(), crossed)
 			}
 		})
 	}
 }
 
-// echo asks for values that no other caller asks for. Every second question is given up early.
-func (environment *environment) echo(caller int, answered *atomic.Int64) {
-	vm := fleet.VMID(1 + caller%3)
+// crossUntil makes each database deliver an answer twice again and again, and returns how many were.
+func (environment *environment) crossUntil(done <-chan struct{}) int {
+	crossed := 0
+	for {
+		for server := range environment.Databases {
+			if environment.state(server).CrossedAnswer == 0 {
+				crossed++
+				environment.switches(server, map[string]any{"crossed_answer": 1})
+			}
+		}
+		select {
+		case <-done:
+			return crossed - len(environment.Databases) // the last ones may not have happened
+		case <-time.After(crossEvery):
+		}
+	}
+}
+
+// echo asks for values that no other caller asks for. Every second question is given up early. Half of the callers use
+// the simple query protocol, in which all answers have the same shape.
+func (environment *environment) echo(stop context.Context, caller int, answered *atomic.Int64) {
+	vm, mode := fleet.VMID(1+caller%3), pgx.QueryExecModeCacheStatement
+	if caller%2 == 1 {
+		mode = pgx.QueryExecModeSimpleProtocol
+	}
 	var conn *pgx.Conn
 	defer func() {
 		if conn != nil {
 			_ = conn.Close(context.Background())
 		}
 	}()
-	for round := range echoRounds {
+	for round := 0; stop.Err() == nil; round++ {
 		if conn == nil || conn.IsClosed() {
 			var err error
 			if conn, err = environment.connect(vm); err != nil {
@@ -148,7 +176,7 @@
 			ctx, cancel = context.WithTimeout(ctx, impatience)
 		}
 		want, got := fmt.Sprintf("caller %d, round %d", caller, round), ""
-		err := conn.QueryRow(ctx, "SELECT $1::text", want).Scan(&got)
+		err := conn.QueryRow(ctx, "SELECT $1::text", mode, want).Scan(&got)
 		cancel()
 		if err == nil {
 			answered.Add(1)
