--- a/io/group/barrier.go
+++ b/io/group/barrier.go
@@ -48,6 +48,7 @@
 				return barrier.position, nil
 			}
 		case <-limited.Done():
+			groups.counters.refused.Inc(1)
 			return position.Position{}, group.leaveBarrier(barrier)
 		}
 	}
--- a/io/group/confirm.go
+++ b/io/group/confirm.go
@@ -26,6 +26,16 @@
 // Confirm returns nil once every later primary is certain to have the write that the server ran at the position. It
 // waits up to 5 s; the error is a *refusal.Refusal with reason outcome_unknown.
 func (groups *Groups) Confirm(ctx context.Context, id ids.GroupID, server ids.BackendServerID, want position.Position) error {
+	err := groups.confirm(ctx, id, server, want)
+	if err != nil {
+		groups.counters.unknown.Inc(1)
+		return err
+	}
+	groups.counters.confirmed.Inc(1)
+	return nil
+}
+
+func (groups *Groups) confirm(ctx context.Context, id ids.GroupID, server ids.BackendServerID, want position.Position) error {
 	var limited context.Context
 	for {
 		group := groups.find(id)
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -201,7 +201,9 @@
 	}
 	group.ages.confirm(n, samples)
 	group.writes = finishWrites(group.writes, n, statuses, group.term.Starts)
+	before := len(group.barriers)
 	group.barriers = finishBarriers(group.barriers, samples)
+	group.groups.counters.barriers.Inc(int64(before - len(group.barriers)))
 	group.publishLocked()
 }
 
--- a/io/group/group_test.go
+++ b/io/group/group_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
@@ -253,6 +254,26 @@
 	}
 }
 
+// TestIdlePollingSlows guards the control overhead of groups that a VM uses now and then: status requests grow rarer with
+// the time since the last use, and a use hastens them.
+func TestIdlePollingSlows(t *testing.T) {
+	registry := metrics.NewRegistry()
+	fixture := start(t, group.WithMetrics(registry))
+	requests := registry.Get("group.status_requests").(metrics.Counter)
+	if _, err := fixture.groups.Barrier(context.Background(), groupID); err != nil {
+		t.Fatal(err)
+	}
+	used, before := time.Now(), requests.Count()
+	within(t, 3*time.Second, "1.5 s pass", func() bool { return time.Since(used) > 1500*time.Millisecond })
+	// At intervals of 0.1, 0.1, 0.2, 0.4 and 0.8 s, with one more for the request under way, against 15 at full rate.
+	if count := requests.Count() - before; count > 3*7 {
+		t.Errorf("%d status requests to three servers in 1.5 s without use", count)
+	}
+	before = requests.Count()
+	fixture.groups.View(groupID)
+	within(t, 500*time.Millisecond, "a use asks all servers again", func() bool { return requests.Count() >= before+3 })
+}
+
 // BenchmarkAcknowledge measures what the confirmation adds to a write, as mean, median and 99th percentile.
 func BenchmarkAcknowledge(b *testing.B) {
 	for _, callers := range []int{1, 64} {
--- a/io/group/groups.go
+++ b/io/group/groups.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/juju/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/failover"
@@ -39,6 +40,7 @@
 	busy            func(ids.BackendServerID) int
 	now             func() time.Duration
 	logger          log.Logger
+	counters        counters
 	barrierDeadline time.Duration
 	confirmDeadline time.Duration
 	unusedAfter     time.Duration
@@ -60,6 +62,7 @@
 		busy:            func(ids.BackendServerID) int { return 0 },
 		now:             func() time.Duration { return time.Since(processStart) },
 		logger:          log.NewNopLogger(),
+		counters:        newCounters(metrics.NewRegistry()),
 		barrierDeadline: barrierDeadline,
 		confirmDeadline: confirmDeadline,
 		unusedAfter:     unusedAfter,
--- a/io/group/poll.go
+++ b/io/group/poll.go
@@ -59,6 +59,7 @@
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.asked++
+	group.groups.counters.requests.Inc(1)
 	return &sample{asked: group.asked, sent: group.groups.now()}
 }
 
@@ -91,6 +92,7 @@
 		}
 		server.reachable = false
 		server.watch.Failed()
+		group.groups.counters.failures.Inc(1)
 	} else {
 		sample.status.Server = server.record.ID
 		server.reachable = true
--- a/io/orderer/duty.go
+++ b/io/orderer/duty.go
@@ -180,6 +180,14 @@
 		revision, stored, err = duty.orderer.store.CompareAndSwap(ctx, config.TermKey(duty.group.Group), command.Expected, value)
 		if err == nil && stored {
 			result = failover.SwapStored
+			switch command.Record.Step {
+			case failover.Fencing:
+				duty.orderer.counters.claims.Inc(1)
+			case failover.Steady:
+				if command.Record.Candidate != "" {
+					duty.orderer.counters.completed.Inc(1)
+				}
+			}
 		} else if err == nil {
 			result = failover.SwapConflict
 		}
@@ -232,9 +240,11 @@
 	defer cancel()
 	status, err := duty.orderer.groups.Order(ctx, command.Server.Address, query)
 	status.Server = command.Server.ID
+	duty.orderer.counters.orders.Inc(1)
 	var failure *group.ServerError
 	refused := errors.As(err, &failure) && failure.SQLState == refusedState
 	if err != nil {
+		duty.orderer.counters.failed.Inc(1)
 		_ = duty.orderer.logger.Log("msg", "order failed", "group", duty.group.Group, "server", command.Server.ID, "query", query, "err", err)
 	}
 	duty.post(func() {
--- a/io/orderer/orderer.go
+++ b/io/orderer/orderer.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/failover"
@@ -67,14 +69,15 @@
 
 // Orderer watches groups and promotes replicas of lost primaries.
 type Orderer struct {
-	self    ids.VMID
-	store   Store
-	groups  Groups
-	peers   Peers
-	top     Top
-	members func() []member.Member
-	now     func() time.Duration
-	logger  log.Logger
+	self     ids.VMID
+	store    Store
+	groups   Groups
+	peers    Peers
+	top      Top
+	members  func() []member.Member
+	now      func() time.Duration
+	logger   log.Logger
+	counters counters
 
 	mutex   sync.Mutex
 	ctx     context.Context
@@ -101,11 +104,12 @@
 func New(self ids.VMID, store Store, groups Groups, peers Peers, top Top, members func() []member.Member, options ...Option) *Orderer {
 	orderer := &Orderer{
 		self: self, store: store, groups: groups, peers: peers, top: top, members: members,
-		now:     func() time.Duration { return time.Since(processStart) },
-		logger:  log.NewNopLogger(),
-		records: map[ids.GroupID]config.GroupRecord{},
-		terms:   map[ids.GroupID]stored{},
-		duties:  map[ids.GroupID]*duty{},
+		now:      func() time.Duration { return time.Since(processStart) },
+		logger:   log.NewNopLogger(),
+		counters: newCounters(metrics.NewRegistry()),
+		records:  map[ids.GroupID]config.GroupRecord{},
+		terms:    map[ids.GroupID]stored{},
+		duties:   map[ids.GroupID]*duty{},
 	}
 	for _, option := range options {
 		option(orderer)
@@ -117,7 +121,11 @@
 func (orderer *Orderer) Apply(record config.GroupRecord) {
 	orderer.mutex.Lock()
 	defer orderer.mutex.Unlock()
+	known, ok := orderer.records[record.Group]
 	orderer.records[record.Group] = record
+	if ok && slices.Equal(known.Servers, record.Servers) {
+		return
+	}
 	if duty := orderer.duties[record.Group]; duty != nil {
 		// The plan is made for the old servers; the next assignment starts a new one.
 		duty.stop()
@@ -170,6 +178,7 @@
 	}
 	orderer.mutex.Lock()
 	defer orderer.mutex.Unlock()
+	defer func() { orderer.counters.watched.Update(int64(len(orderer.duties))) }()
 	for id, record := range orderer.records {
 		watchers := orderer.top("orderer/"+string(id), failover.WatcherCount, staying)
 		rank := -1
