--- a/proof/failover_test.go
+++ b/proof/failover_test.go
@@ -46,6 +46,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			environment := start(t, 3, 0, ample)
+			environment.terms().await("g1", failover.Steady, 0) // until then the group is not watched
 			ledger := environment.writeThrough("vm1", "vm2", "vm3")
 			fail(environment)
 			failed := ledger.expectGap(time.Now(), gapBound)
