--- a/io/load/engine/engine_test.go
+++ b/io/load/engine/engine_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -104,6 +105,43 @@
 	}
 }
 
+// Guards against a run whose checker sees nothing of the sessions' reads: a replica without replay takes the place of the
+// second proxy, so sessions that move to it miss their own writes.
+func TestRunFindsStaleReads(t *testing.T) {
+	servers, closeAll, err := database.StartGroup(context.Background(), database.Settings{ConnectTime: -1}, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := closeAll(); err != nil {
+			t.Error(err)
+		}
+	}()
+	switches := httptest.NewServer(servers[1].Switches())
+	defer switches.Close()
+	described := &experiment.Experiment{
+		Duration: experiment.Duration(400 * time.Millisecond), Timeout: experiment.Duration(time.Second), Seed: 1, Protocol: "exec",
+		Organisations: []experiment.Organisation{{
+			Name: "org", User: "tester", Route: "main", Rate: 300, Arrivals: "even", ReadShare: 0.5, Sessions: 4,
+			Move: "spread", MoveEvery: experiment.Duration(50 * time.Millisecond),
+		}},
+		Servers: []experiment.Server{{ID: "replica", Switches: switches.URL}},
+		Failures: []experiment.Failure{{
+			At: experiment.Duration(100 * time.Millisecond), Target: "replica", Switches: map[string]any{"frozen_replay": true},
+		}},
+	}
+	for _, server := range servers {
+		described.Proxies = append(described.Proxies, experiment.Proxy{Address: server.Address(), Parameters: "sslmode=disable"})
+	}
+	measured, _, err := Run(context.Background(), described, Running(described), io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if measured.ViolationCount[history.StaleRead] == 0 || len(measured.ViolationCount) != 1 || measured.Replica.Measured {
+		t.Errorf("violations %v, replica share %+v, reasons %v, notes %v", measured.ViolationCount, measured.Replica, measured.Reasons, measured.Notes)
+	}
+}
+
 // Guards against taking an unknown outcome as "not run", which would hide repeated or lost writes.
 func TestClassify(t *testing.T) {
 	refusal := func(outcome string) error {
--- a/io/load/engine/run.go
+++ b/io/load/engine/run.go
@@ -84,6 +84,10 @@
 	modes := map[string]pgx.QueryExecMode{
 		"exec": pgx.QueryExecModeExec, "cache": pgx.QueryExecModeCacheStatement, "simple": pgx.QueryExecModeSimpleProtocol,
 	}
+	mode, ok := modes[run.experiment.Protocol]
+	if !ok {
+		return fmt.Errorf("unknown protocol %q", run.experiment.Protocol)
+	}
 	if len(run.target.Proxies) == 0 {
 		return errors.New("the target has no proxies")
 	}
@@ -95,7 +99,7 @@
 			if err != nil {
 				return fmt.Errorf("proxy %s, organisation %s: %w", proxy.Name, name, err)
 			}
-			config.DefaultQueryExecMode = modes[run.experiment.Protocol]
+			config.DefaultQueryExecMode = mode
 			configs[name] = config
 		}
 		all = append(all, configs)
