--- a/core/share/queue.go
+++ b/core/share/queue.go
@@ -73,10 +73,8 @@
 	return true
 }
 
-// Pop serves the first item of the eligible flow with the smallest virtual finish time; ties go to the flow that came first.
-func (queue *Queue[K, T]) Pop(eligible func(key K, item T) bool) (item T, ok bool) {
-	var chosen *flow[K, T]
-	next := 0.0
+// next returns the eligible flow with the smallest virtual finish time, and that time; ties go to the flow that came first.
+func (queue *Queue[K, T]) next(eligible func(key K, item T) bool) (chosen *flow[K, T], next float64) {
 	for _, candidate := range queue.order {
 		front := candidate.items.Front()
 		if front == nil {
@@ -90,6 +88,18 @@
 			chosen, next = candidate, finish
 		}
 	}
+	return chosen, next
+}
+
+// Finish returns the virtual finish time that Pop would serve next, in services at weight 1; false when it finds nothing.
+func (queue *Queue[K, T]) Finish(eligible func(key K, item T) bool) (float64, bool) {
+	chosen, next := queue.next(eligible)
+	return next, chosen != nil
+}
+
+// Pop serves the first item of the eligible flow with the smallest virtual finish time.
+func (queue *Queue[K, T]) Pop(eligible func(key K, item T) bool) (item T, ok bool) {
+	chosen, next := queue.next(eligible)
 	if chosen == nil {
 		return item, false
 	}
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -36,12 +36,14 @@
 
 // Conn is a connection to a backend server. It is used by one session at a time.
 type Conn struct {
-	conn     net.Conn
-	raw      syscall.RawConn
-	reader   *wire.Reader
-	life     *chart.Machine
-	request  Request
-	database ids.DatabaseName
+	conn    net.Conn
+	raw     syscall.RawConn
+	reader  *wire.Reader
+	life    *chart.Machine
+	request Request
+	slot    slot
+	// idleSince is the time of the last release.
+	idleSince time.Time
 
 	processID uint32
 	secretKey []byte
--- a/io/backend/login.go
+++ b/io/backend/login.go
@@ -45,7 +45,7 @@
 		return nil, fmt.Errorf("connect to %s: %w", request.Server, err)
 	}
 	conn := &Conn{
-		conn: raw, request: request, database: request.Database,
+		conn: raw, request: request, slot: request.slot(),
 		reader: wire.NewReader(raw, maxAnswerBytes), prepared: make(map[string]struct{}),
 		life: chart.NewMachine(lifeChart),
 	}
@@ -68,10 +68,13 @@
 	start := &pgproto3.StartupMessage{
 		ProtocolVersion: pgproto3.ProtocolVersion30,
 		Parameters: map[string]string{
-			"user": login.User, "database": string(conn.database),
+			"user": login.User, "database": string(conn.slot.database),
 			"application_name": string(login.VM), "client_encoding": "UTF8",
 		},
 	}
+	if conn.request.ReadOnly {
+		start.Parameters["default_transaction_read_only"] = "on"
+	}
 	conn.due = 1
 	if err := conn.put(start); err != nil {
 		return err
--- a/io/backend/pools.go
+++ b/io/backend/pools.go
@@ -22,6 +22,8 @@
 	Address string
 	// Database is the database within the server.
 	Database ids.DatabaseName
+	// ReadOnly asks for a connection whose transactions are read-only by default, also after a promotion of the server.
+	ReadOnly bool
 	// Watcher states whether waiting still makes sense; nil means that it does.
 	Watcher Watcher
 }
--- a/io/backend/pools_test.go
+++ b/io/backend/pools_test.go
@@ -320,9 +320,46 @@
 	}
 }
 
+// TestDatabasesShare guards against a database whose connections never become idle keeping all of them, and against
+// connections that are replaced again and again.
+func TestDatabasesShare(t *testing.T) {
+	for name, allotment := range map[string]int{"several": 4, "one": 1} {
+		t.Run(name, func(t *testing.T) {
+			fake := newFake(t, "")
+			pools := backend.New(backend.Login{User: "dotterel"}, backend.WithAllotment(allotment))
+			defer pools.Close()
+			var stop atomic.Bool
+			var running sync.WaitGroup
+			for range 2*allotment + 2 {
+				running.Add(1)
+				go func() {
+					defer running.Done()
+					for !stop.Load() {
+						conn := acquire(t, pools, fake.request("busy", "a"))
+						exchange(conn, "INSERT")
+						pools.Release(conn)
+					}
+				}()
+			}
+			waitFor(t, pools, allotment+2)
+			const requests = 20
+			for range requests {
+				conn := acquire(t, pools, fake.request("quiet", "b"))
+				exchange(conn, "INSERT")
+				pools.Release(conn)
+			}
+			stop.Store(true)
+			running.Wait()
+			if opened := int(fake.opened.Load()); allotment > 1 && opened > allotment+2 || opened > 3*requests {
+				t.Errorf("%d connections were opened", opened)
+			}
+		})
+	}
+}
+
 func waitFor(t *testing.T, pools *backend.Pools, waiting int) {
 	t.Helper()
-	for deadline := time.Now().Add(5 * time.Second); pools.Waiting("s1") != waiting; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); pools.Waiting("s1") < waiting; time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatalf("%d requests wait, want %d", pools.Waiting("s1"), waiting)
 		}
--- a/io/backend/server.go
+++ b/io/backend/server.go
@@ -34,13 +34,15 @@
 	allotment int
 	// open counts the connections that exist or are being opened.
 	open    int
-	opening map[ids.DatabaseName]int
-	idle    map[ids.DatabaseName][]*Conn
-	used    map[ids.OrganisationID]int
-	queue   *share.Queue[ids.OrganisationID, *waiter]
-	demand  map[ids.DatabaseName]int
-	paused  bool
-	closed  bool
+	opening map[slot]int
+	idle    map[slot][]*Conn
+	// held counts the connections of each slot, those being opened included.
+	held   map[slot]int
+	used   map[ids.OrganisationID]int
+	queue  *share.Queue[ids.OrganisationID, *waiter]
+	demand map[slot]int
+	paused bool
+	closed bool
 }
 
 type waiter struct {
@@ -57,10 +59,11 @@
 func newServer(login Login, allotment int) *server {
 	return &server{
 		login: login, allotment: allotment,
-		opening: make(map[ids.DatabaseName]int),
-		idle:    make(map[ids.DatabaseName][]*Conn),
+		opening: make(map[slot]int),
+		idle:    make(map[slot][]*Conn),
+		held:    make(map[slot]int),
 		used:    make(map[ids.OrganisationID]int),
-		demand:  make(map[ids.DatabaseName]int),
+		demand:  make(map[slot]int),
 		queue:   share.New[ids.OrganisationID, *waiter](),
 	}
 }
@@ -84,7 +87,7 @@
 	}
 	waiting := &waiter{request: request, result: make(chan grant, 1)}
 	waiting.ticket = server.queue.Push(request.Organisation, request.Weight, waiting)
-	server.demand[request.Database]++
+	server.demand[request.slot()]++
 	server.dispatch()
 	server.mutex.Unlock()
 	return server.await(ctx, waiting)
@@ -111,7 +114,7 @@
 	server.mutex.Lock()
 	removed := server.queue.Remove(waiting.ticket)
 	if removed {
-		server.demand[request.Database]--
+		server.demand[request.slot()]--
 	}
 	limited := !server.underLimit(*request)
 	server.mutex.Unlock()
@@ -136,19 +139,19 @@
 // takeIdle hands an idle connection of the database over, most recently used first, so that it is likely to be alive.
 func (server *server) takeIdle(request Request) *Conn {
 	for {
-		conns := server.idle[request.Database]
+		conns := server.idle[request.slot()]
 		if len(conns) == 0 {
 			return nil
 		}
 		conn := conns[len(conns)-1]
 		conns[len(conns)-1] = nil
-		server.idle[request.Database] = conns[:len(conns)-1]
+		server.idle[request.slot()] = conns[:len(conns)-1]
 		if conn.request.Address != request.Address {
 			server.discard(conn)
 			continue
 		}
 		if !conn.quiet() {
-			server.open--
+			server.drop(conn.slot)
 			conn.fire(answered)
 			continue
 		}
@@ -162,15 +165,16 @@
 
 // discard closes an idle connection that is not needed.
 func (server *server) discard(conn *Conn) {
-	server.open--
+	server.drop(conn.slot)
 	conn.fire(expired)
 }
 
 // dispatch hands idle connections to waiters in fair order and opens connections for the rest. The mutex is held.
 func (server *server) dispatch() {
+	server.reclaim()
 	for {
 		waiting, ok := server.queue.Pop(func(_ ids.OrganisationID, candidate *waiter) bool {
-			return server.underLimit(candidate.request) && len(server.idle[candidate.request.Database]) > 0
+			return server.underLimit(candidate.request) && len(server.idle[candidate.request.slot()]) > 0
 		})
 		if !ok {
 			break
@@ -181,45 +185,16 @@
 			waiting.ticket = server.queue.Push(waiting.request.Organisation, waiting.request.Weight, waiting)
 			break
 		}
-		server.demand[waiting.request.Database]--
+		server.demand[waiting.request.slot()]--
 		waiting.result <- grant{conn: conn}
 	}
-	if server.paused || server.closed {
-		return
-	}
-	for database, demand := range server.demand {
-		if demand == 0 {
-			delete(server.demand, database)
-			continue
-		}
-		for server.opening[database] < demand && (server.open < server.allotment || server.evict(database)) {
-			server.open++
-			server.opening[database]++
-			go server.openOne(database)
-		}
-	}
-}
-
-// evict closes an idle connection of another database, to make room for one of the given database.
-func (server *server) evict(database ids.DatabaseName) bool {
-	if server.open > server.allotment {
-		return false
-	}
-	for other, conns := range server.idle {
-		if other == database || len(conns) == 0 {
-			continue
-		}
-		server.idle[other] = conns[1:]
-		server.discard(conns[0])
-		return true
-	}
-	return false
+	server.openMore()
 }
 
-// openOne opens a connection to the database for whichever waiter is first when it is ready.
-func (server *server) openOne(database ids.DatabaseName) {
+// openOne opens a connection of the slot for whichever waiter is first when it is ready.
+func (server *server) openOne(slot slot) {
 	server.mutex.Lock()
-	request, ok := server.example(database)
+	request, ok := server.example(slot)
 	server.mutex.Unlock()
 	var conn *Conn
 	var err error
@@ -230,30 +205,31 @@
 	}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.opening[database]--
+	server.opening[slot]--
 	switch {
 	case conn != nil && !server.closed:
-		server.idle[database] = append(server.idle[database], conn)
+		conn.idleSince = time.Now()
+		server.idle[slot] = append(server.idle[slot], conn)
 	case conn != nil:
 		server.discard(conn)
 	default:
-		server.open--
+		server.drop(slot)
 	}
 	var login *LoginError
 	if errors.As(err, &login) && login.SQLState == sqlStateTooMany {
 		// Nothing was run, so waiters stay in the queue until a connection is free or their deadline passes.
 		server.pause()
 	} else if err != nil {
-		server.fail(database, err)
+		server.fail(slot, err)
 	}
 	server.dispatch()
 	server.trim()
 }
 
-// example returns a waiting request for the database, which supplies the address.
-func (server *server) example(database ids.DatabaseName) (request Request, ok bool) {
+// example returns a waiting request of the slot, which supplies the address.
+func (server *server) example(slot slot) (request Request, ok bool) {
 	server.queue.Each(func(candidate *waiter) bool {
-		if candidate.request.Database == database {
+		if candidate.request.slot() == slot {
 			request, ok = candidate.request, true
 		}
 		return !ok
@@ -274,16 +250,16 @@
 	})
 }
 
-// fail refuses the waiters of the database: the server cannot be reached, so waiting on gains nothing.
-func (server *server) fail(database ids.DatabaseName, err error) {
+// fail refuses the waiters of the slot: the server cannot be reached, so waiting on gains nothing.
+func (server *server) fail(slot slot, err error) {
 	for {
 		waiting, ok := server.queue.Pop(func(_ ids.OrganisationID, candidate *waiter) bool {
-			return candidate.request.Database == database
+			return candidate.request.slot() == slot
 		})
 		if !ok {
 			return
 		}
-		server.demand[database]--
+		server.demand[slot]--
 		waiting.result <- grant{refused: refusal.New(refusal.BackendLost, err.Error())}
 	}
 }
@@ -298,7 +274,8 @@
 		delete(server.used, organisation)
 	}
 	if reusable && !server.closed && server.open <= server.allotment {
-		server.idle[conn.database] = append(server.idle[conn.database], conn)
+		conn.idleSince = time.Now()
+		server.idle[conn.slot] = append(server.idle[conn.slot], conn)
 	} else {
 		server.discard(conn)
 	}
@@ -317,12 +294,12 @@
 
 // trim closes idle connections over the allotment.
 func (server *server) trim() {
-	for database, conns := range server.idle {
+	for slot, conns := range server.idle {
 		for len(conns) > 0 && server.open > server.allotment {
 			server.discard(conns[0])
 			conns = conns[1:]
 		}
-		server.idle[database] = conns
+		server.idle[slot] = conns
 	}
 }
 
@@ -330,10 +307,10 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.closed = true
-	for database, conns := range server.idle {
+	for slot, conns := range server.idle {
 		for _, conn := range conns {
 			server.discard(conn)
 		}
-		delete(server.idle, database)
+		delete(server.idle, slot)
 	}
 }
--- a/io/session/batch.go
+++ b/io/session/batch.go
@@ -74,6 +74,7 @@
 	request.class.commits = request.class.commits || class.commits
 	request.class.unsupported = request.class.unsupported || class.unsupported
 	request.class.pins = request.class.pins || class.pins
+	request.class.readWrite = request.class.readWrite || class.readWrite
 	request.class.statements += class.statements
 }
 
--- a/io/session/bench_test.go
+++ b/io/session/bench_test.go
@@ -17,8 +17,8 @@
 // benchCallers is the number of callers for which the targets are stated.
 const benchCallers = 64
 
-// pacedRate is the number of statements a second at which added latency is measured, below saturation.
-const pacedRate = 10_000
+// pacedRates are the numbers of statements a second at which added latency is measured, the target's rate among them.
+var pacedRates = map[string]time.Duration{"10k": 10_000, "25k": 25_000}
 
 // load runs count queries in total over the callers, at most one per caller and interval, and reports the latencies.
 func load(b *testing.B, conns []net.Conn, count int, interval time.Duration) {
@@ -65,7 +65,9 @@
 		b.ReportAllocs()
 		load(b, conns, b.N, 0)
 	})
-	b.Run("paced", func(b *testing.B) { load(b, conns, b.N, time.Second*benchCallers/pacedRate) })
+	for name, rate := range pacedRates {
+		b.Run(name, func(b *testing.B) { load(b, conns, b.N, time.Second*benchCallers/rate) })
+	}
 }
 
 // BenchmarkThroughput measures statements through one proxy with 64 callers; callers, proxy and server share the process.
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -102,6 +102,9 @@
 		})
 		return
 	}
+	if start, ok := message.(*pgproto3.StartupMessage); ok {
+		link.readOnly = start.Parameters["default_transaction_read_only"] == "on"
+	}
 	database.lock(func() {
 		database.nextID++
 		link.id = database.nextID
--- a/io/session/golden_test.go
+++ b/io/session/golden_test.go
@@ -130,6 +130,11 @@
 		proxy.view.Store(&view)
 		caller.query("SELECT 'x'")
 		caller.query("INSERT a")
+		caller.query("BEGIN READ WRITE")
+	}},
+	"replica_promoted_unnoticed": {"read", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		proxy.replica.lock(func() { proxy.replica.replica = false })
+		caller.query("INSERT a")
 	}},
 	"settings_pin": {"app", "", func(_ *testing.T, _ *proxy, caller *caller) {
 		caller.query("SET search_path = a")
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -164,6 +164,11 @@
 	if session.request.class.unsupported {
 		return refusal.New(refusal.Unsupported, "COPY, LISTEN, UNLISTEN and NOTIFY")
 	}
+	if session.request.class.readWrite && session.route.Access == contract.Read {
+		// The primary may serve the route's reads, so a caller must not lift the setting that keeps it from writing there.
+		return refusal.New(refusal.Unsupported, "the route takes reads only")
+	}
+	session.lifted = session.lifted || session.request.class.readWrite
 	organisation := session.caller.Organisation
 	for range session.request.statements {
 		if !session.server.Limiter.Admit(organisation) && !session.server.Limiter.Wait(session.ctx, organisation) {
@@ -213,7 +218,8 @@
 	if refused := session.entitled(); refused != nil {
 		return ending{refused: refused}
 	}
-	attempt.ReadOnly = session.readOnly || !session.primary
+	// Connections to replicas are opened read-only, so this holds even if the replica was promoted meanwhile.
+	attempt.ReadOnly = !session.primary || session.readOnly && !session.lifted && !session.request.class.commits
 	return session.exchange(attempt)
 }
 
@@ -221,7 +227,7 @@
 func (session *Session) wantsReplica() (replica, tentative bool) {
 	request := &session.request
 	switch {
-	case request.primaryOnly:
+	case request.primaryOnly, request.class.readWrite:
 		return false, false
 	case session.readOnly, request.class.beginsReadOnly:
 		return true, false
@@ -270,7 +276,7 @@
 		chosen := &view.Servers[index]
 		conn, err := server.Pools.Acquire(session.ctx, backend.Request{
 			Organisation: session.caller.Organisation, Weight: session.contract.Weight, Limits: session.contract.Limits,
-			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database, Watcher: session,
+			Server: chosen.ID, Address: chosen.Address, Database: session.route.Database, ReadOnly: !attempt.Primary, Watcher: session,
 		})
 		if err != nil {
 			refused := session.acquireRefused(err, chosen)
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -57,6 +57,8 @@
 	revision ids.Revision
 	route    contract.Route
 	readOnly bool
+	// lifted states that the caller may have lifted its own read-only default.
+	lifted bool
 
 	// mutex guards backend against cancel requests, which come from other goroutines.
 	mutex   sync.Mutex
--- a/io/session/text.go
+++ b/io/session/text.go
@@ -10,6 +10,8 @@
 	begins bool
 	// beginsReadOnly states that the text begins a transaction declared READ ONLY.
 	beginsReadOnly bool
+	// readWrite states that a statement asks for a transaction that may write.
+	readWrite bool
 	// mayEnd states that a statement ends a transaction.
 	mayEnd bool
 	// commits states that a statement may commit a transaction.
@@ -53,6 +55,7 @@
 	case is(first, "BEGIN"), is(first, "START"):
 		class.begins = true
 		class.beginsReadOnly = declaresReadOnly(second, rest)
+		class.readWrite = class.readWrite || asksForWrites(statement)
 	case is(first, "COMMIT"), is(first, "END"):
 		class.mayEnd, class.commits = true, true
 	case is(first, "PREPARE"):
@@ -65,7 +68,10 @@
 		// ROLLBACK AND CHAIN and ROLLBACK PREPARED leave other states behind, which the server reports.
 	case is(first, "COPY"), is(first, "LISTEN"), is(first, "UNLISTEN"), is(first, "NOTIFY"):
 		class.unsupported = true
+	case is(first, "RESET"):
+		class.readWrite = class.readWrite || asksForWrites(statement)
 	case is(first, "SET"):
+		class.readWrite = class.readWrite || asksForWrites(statement)
 		if !is(second, "LOCAL") && !is(second, "TRANSACTION") && !is(second, "CONSTRAINTS") {
 			class.pins = true
 		}
@@ -98,6 +104,25 @@
 	return readOnly
 }
 
+// asksForWrites looks for READ WRITE and for the settings that make transactions read-only, whatever their new value.
+func asksForWrites(statement string) bool {
+	statement = statement[:len(statement)-len(skipStatement(statement))]
+	if strings.Contains(strings.ToLower(statement), "transaction_read_only") {
+		return true
+	}
+	for next, rest := word(statement); rest != ""; {
+		following, remainder := word(rest)
+		if is(next, "READ") && is(following, "WRITE") {
+			return true
+		}
+		if following == "" {
+			return false
+		}
+		next, rest = following, remainder
+	}
+	return false
+}
+
 func is(word, keyword string) bool {
 	return len(word) == len(keyword) && strings.EqualFold(word, keyword)
 }
