io/orderer: choose watchers only when the membership changes; io/limiter: follow lost VMs 1 s sooner

Cause: every 500 ms the watchers of all groups were chosen again, 29 us each among 2,400 VMs: 0.2 s of processor time for 7,000 groups. The share record waited 2 s after a VM counted as lost, during which its parts were unused. After: the choice is kept until the membership changes, and the record waits 1 s. The wait was not measured on its own.

--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -105,18 +105,19 @@
 	self := member.Member{ID: vm, Address: gateway.Addresses().Peer, Zone: gateway.settings.AvailabilityZone}
 	gateway.dialer = peer.NewDialer(transport)
 	gateway.controller = control.New(self, gateway.store, platform.NewVMList(gateway.settings.Platform.VMList, vm),
-		gateway.dialer, control.WithLogger(logger))
+		gateway.dialer, control.WithLogger(logger), control.WithMetrics(gateway.metrics))
 	gateway.recorder = admin.NewRecorder(vm, gateway.metrics, time.Now)
 	gateway.pools = backend.New(backend.Login{User: gateway.settings.Backend.User, Password: gateway.settings.Backend.Password, VM: vm})
 	login := group.Login{User: gateway.settings.Backend.ControlUser, Password: gateway.settings.Backend.Password, VM: vm}
-	gateway.groups = group.New(group.WithLogin(login), group.WithBusy(gateway.pools.Busy), group.WithLogger(observe.Part(logger, "group")))
+	gateway.groups = group.New(group.WithLogin(login), group.WithBusy(gateway.pools.Busy),
+		group.WithMetrics(gateway.metrics), group.WithLogger(observe.Part(logger, "group")))
 	gateway.servers = newServers(vm, gateway.controller, gateway.groups, gateway.pools)
 	gateway.limiter = limiter.New(vm, gateway.controller, fleet{gateway.controller, gateway.dialer}, rank, logger)
 	if err := gateway.assembleCallerSide(logger); err != nil {
 		return err
 	}
 	gateway.orderer = orderer.New(vm, gateway.store, gateway.groups, gateway.dialer, member.Top, gateway.controller.Members,
-		orderer.WithLogger(observe.Part(logger, "orderer")))
+		orderer.WithMetrics(gateway.metrics), orderer.WithLogger(observe.Part(logger, "orderer")))
 	gateway.peers = peer.NewServer(peer.Handlers{
 		Exchange: gateway.controller.Exchange, Borrow: gateway.limiter.Borrow, Evidence: gateway.orderer.Evidence,
 		Refusals: gateway.recorder.Refusals, Cancel: gateway.cancel,
--- a/io/limiter/record.go
+++ b/io/limiter/record.go
@@ -17,11 +17,9 @@
 const (
 	// recordInterval is the time between two comparisons of the share record with the live VMs.
 	recordInterval = 500 * time.Millisecond
-	// settleTime is how long the set of live VMs must stay the same before the record follows it, so that a VM that
-	// is away for a moment does not move shares.
-	settleTime = 2 * time.Second
-	// firstSettleTime is the same for the first record, before which nothing is admitted.
-	firstSettleTime = time.Second
+	// settleTime is how long the set of live VMs must stay the same before the record follows it, so that VMs that
+	// start together move shares once. A VM counts as lost only after 2 s without a heartbeat.
+	settleTime = time.Second
 	// proposeTimeout bounds the write of a record.
 	proposeTimeout = 2 * time.Second
 )
@@ -50,11 +48,7 @@
 			level.Error(limiter.logger).Log("msg", "share record is malformed", "err", err)
 		}
 	}
-	wait := settleTime
-	if !found {
-		wait = firstSettleTime
-	}
-	if slices.Equal(record.VMs, live) || now-limiter.records.since < wait {
+	if slices.Equal(record.VMs, live) || now-limiter.records.since < settleTime {
 		return
 	}
 	if err := limiter.writeRecord(ctx, entry.Revision, limit.Record{Epoch: record.Epoch + 1, VMs: live}); err != nil {
--- a/io/orderer/orderer.go
+++ b/io/orderer/orderer.go
@@ -84,7 +84,11 @@
 	records map[ids.GroupID]config.GroupRecord
 	terms   map[ids.GroupID]stored
 	duties  map[ids.GroupID]*duty
-	running sync.WaitGroup
+	// watchers holds each group's watchers among ranked. Choosing them takes 29 us among 2,400 VMs, which is too much to
+	// repeat for 7,000 groups while the membership stays the same.
+	watchers map[ids.GroupID][]member.Member
+	ranked   []member.Member
+	running  sync.WaitGroup
 }
 
 // Option changes the defaults of New.
@@ -110,6 +114,7 @@
 		records:  map[ids.GroupID]config.GroupRecord{},
 		terms:    map[ids.GroupID]stored{},
 		duties:   map[ids.GroupID]*duty{},
+		watchers: map[ids.GroupID][]member.Member{},
 	}
 	for _, option := range options {
 		option(orderer)
@@ -179,8 +184,16 @@
 	orderer.mutex.Lock()
 	defer orderer.mutex.Unlock()
 	defer func() { orderer.counters.watched.Update(int64(len(orderer.duties))) }()
+	if !slices.Equal(staying, orderer.ranked) {
+		orderer.ranked = staying
+		clear(orderer.watchers)
+	}
 	for id, record := range orderer.records {
-		watchers := orderer.top("orderer/"+string(id), failover.WatcherCount, staying)
+		watchers, known := orderer.watchers[id]
+		if !known {
+			watchers = orderer.top("orderer/"+string(id), failover.WatcherCount, staying)
+			orderer.watchers[id] = watchers
+		}
 		rank := -1
 		for index, watcher := range watchers {
 			if watcher.ID == orderer.self {
