--- a/io/platform/etcdpb/doc.go
+++ b/io/platform/etcdpb/doc.go
@@ -5,4 +5,4 @@
 package etcdpb
 
 //go:generate protoc --go_out=../../.. --go_opt=module=dotterelgw --go-grpc_out=../../.. --go-grpc_opt=module=dotterelgw --proto_path=../../.. io/platform/etcdpb/kv.proto io/platform/etcdpb/rpc.proto
-//go:generate sed -i "s/ not implemented\"/ is unimplemented\"/" rpc_grpc.pb.go
+//go:generate sed -i "s/ not \\(implemented\\)/ un\\1/" rpc_grpc.pb.go
