Load tool: measured comparison against the targets

The command bench runs the profiles, replica shares with the primary-only baseline, proxy overhead, a loud neighbour, moving load, cuts and stalls of primaries and key withdrawals on fleets of real processes and prints each figure with its target. Results name the commit and the load average.

--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,7 @@
 fleet: build
 	@exec $(BIN)/dotterel-demo fleet
 
-bench:
-	$(GO) test -run '^$$' -bench . -benchtime 200ms ./core/...
+bench: build
+	$(GO) test -run '^$$' -bench . -benchtime 200ms ./bench ./core/route ./core/limit ./core/member ./core/config \
+		./io/limiter ./io/control ./io/peer ./io/session ./io/group
+	$(BIN)/dotterel-load bench -out docs/reports/bench.md
--- a/cmd/dotterel-load/fleet.go
+++ b/cmd/dotterel-load/fleet.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"text/template"
 	"time"
 
@@ -34,73 +35,70 @@
 [[routes]]
 name = "{{.Route}}"
 group = "{{.Group}}"
-access = "auto"
+access = "{{.Contract.Access}}"
 max_age_ms = {{.Contract.MaxAgeMS}}
 `))
 
 // startFleet starts the processes that the experiment describes, with a contract and a key for each organisation.
-func startFleet(ctx context.Context, described *experiment.Experiment, options runOptions) (*engine.Target, func(), error) {
-	if options.programs == "" {
+func startFleet(ctx context.Context, described *experiment.Experiment, options runOptions) (*engine.Target, *fleet.Fleet, func(), error) {
+	running, closeFleet, err := startProcesses(ctx, fleet.Options{
+		Zones: described.Fleet.Zones, VMs: described.Fleet.VMs, Groups: described.Fleet.Groups,
+		Connections: described.Fleet.Connections, Slots: described.Fleet.Slots,
+		Lag: time.Duration(described.Fleet.LagMS) * time.Millisecond,
+	}, options)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	target, err := fleetTarget(ctx, described, running)
+	if err != nil {
+		running.Close() // the directory stays for its logs
+		return nil, nil, nil, fmt.Errorf("preparing the fleet, logs in %s: %w", running.Directory(), err)
+	}
+	return target, running, closeFleet, nil
+}
+
+// startProcesses starts a fleet of the built programs in a directory that is removed afterwards unless it was given.
+func startProcesses(ctx context.Context, settings fleet.Options, options runOptions) (*fleet.Fleet, func(), error) {
+	settings.Programs, settings.Directory = options.programs, options.directory
+	if settings.Programs == "" {
 		program, err := os.Executable()
 		if err != nil {
 			return nil, nil, fmt.Errorf("finding the programs: %w", err)
 		}
-		options.programs = filepath.Dir(program)
+		settings.Programs = filepath.Dir(program)
 	}
 	remove := func() {}
-	if options.directory == "" {
+	if settings.Directory == "" {
 		directory, err := os.MkdirTemp("", "dotterel-load-")
 		if err != nil {
 			return nil, nil, fmt.Errorf("creating a directory: %w", err)
 		}
-		options.directory = directory
+		settings.Directory = directory
 		remove = func() { _ = os.RemoveAll(directory) }
-	} else if err := os.MkdirAll(options.directory, 0o700); err != nil {
+	} else if err := os.MkdirAll(settings.Directory, 0o700); err != nil {
 		return nil, nil, fmt.Errorf("creating a directory: %w", err)
 	}
-	fmt.Fprintf(os.Stderr, "starting the fleet, logs in %s\n", options.directory)
-	running, err := fleet.Start(ctx, fleet.Options{
-		Programs: options.programs, Directory: options.directory, Zones: described.Fleet.Zones, VMs: described.Fleet.VMs,
-		Groups: described.Fleet.Groups, Connections: described.Fleet.Connections, Slots: described.Fleet.Slots,
-		Lag: time.Duration(described.Fleet.LagMS) * time.Millisecond,
-	})
+	fmt.Fprintf(os.Stderr, "starting the fleet, logs in %s\n", settings.Directory)
+	running, err := fleet.Start(ctx, settings)
 	if err != nil {
 		remove()
 		return nil, nil, err
 	}
-	closeFleet := func() {
+	return running, func() {
 		running.Close()
 		remove()
-	}
-	target, err := fleetTarget(ctx, described, running, options.directory)
-	if err != nil {
-		running.Close()
-		return nil, nil, fmt.Errorf("preparing the fleet, logs in %s: %w", options.directory, err)
-	}
-	return target, closeFleet, nil
+	}, nil
 }
 
 // fleetTarget stores groups, contracts and keys and returns the fleet as the target of a run.
-func fleetTarget(ctx context.Context, described *experiment.Experiment, running *fleet.Fleet, directory string) (*engine.Target, error) {
+func fleetTarget(ctx context.Context, described *experiment.Experiment, running *fleet.Fleet) (*engine.Target, error) {
 	if err := running.ApplyGroups(ctx); err != nil {
 		return nil, err
 	}
 	target := &engine.Target{Process: processControl(running)}
-	keys := map[string]fleet.Key{}
-	for _, organisation := range described.Organisations {
-		id := ids.OrganisationID(organisation.Name)
-		var text strings.Builder
-		if err := contractTemplate.Execute(&text, organisation); err != nil {
-			return nil, fmt.Errorf("contract of %s: %w", id, err)
-		}
-		if err := running.ApplyContract(ctx, id, text.String()); err != nil {
-			return nil, fmt.Errorf("contract of %s: %w", id, err)
-		}
-		key, err := running.GiveKey(ctx, id)
-		if err != nil {
-			return nil, fmt.Errorf("key of %s: %w", id, err)
-		}
-		keys[organisation.Name] = key
+	keys, err := giveKeys(ctx, described, running)
+	if err != nil {
+		return nil, err
 	}
 	target.Refresh = func() []engine.Proxy { return proxies(described, running, keys) }
 	target.Proxies = target.Refresh()
@@ -113,11 +111,43 @@
 			})
 		}
 	}
-	client, err := httpClient(filepath.Join(directory, "ca.pem"))
+	client, err := httpClient(filepath.Join(running.Directory(), "ca.pem"))
 	target.HTTP = client
 	return target, err
 }
 
+// giveKeys stores the contracts of all organisations and gives each a key.
+func giveKeys(ctx context.Context, described *experiment.Experiment, running *fleet.Fleet) (map[string]fleet.Key, error) {
+	keys := map[string]fleet.Key{}
+	failures := make([]error, len(described.Organisations))
+	var mutex sync.Mutex
+	var giving sync.WaitGroup
+	for index, organisation := range described.Organisations {
+		giving.Go(func() {
+			id := ids.OrganisationID(organisation.Name)
+			var text strings.Builder
+			if err := contractTemplate.Execute(&text, organisation); err != nil {
+				failures[index] = fmt.Errorf("contract of %s: %w", id, err)
+				return
+			}
+			if err := running.ApplyContract(ctx, id, text.String()); err != nil {
+				failures[index] = fmt.Errorf("contract of %s: %w", id, err)
+				return
+			}
+			key, err := running.GiveKey(ctx, id)
+			if err != nil {
+				failures[index] = fmt.Errorf("key of %s: %w", id, err)
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			keys[organisation.Name] = key
+		})
+	}
+	giving.Wait()
+	return keys, errors.Join(failures...)
+}
+
 // proxies returns the proxies with their present addresses.
 func proxies(described *experiment.Experiment, running *fleet.Fleet, keys map[string]fleet.Key) []engine.Proxy {
 	var list []engine.Proxy
--- a/cmd/dotterel-load/main.go
+++ b/cmd/dotterel-load/main.go
@@ -45,8 +45,8 @@
 		},
 	}
 	root := &ffcli.Command{
-		Name: "dotterel-load", ShortUsage: "dotterel-load run|compare|profile",
-		Subcommands: []*ffcli.Command{runCommand(), compare, profile},
+		Name: "dotterel-load", ShortUsage: "dotterel-load run|bench|compare|profile",
+		Subcommands: []*ffcli.Command{runCommand(), benchCommand(), compare, profile},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	return root.ParseAndRun(ctx, arguments)
--- a/cmd/dotterel-load/run.go
+++ b/cmd/dotterel-load/run.go
@@ -17,6 +17,7 @@
 	"dotterelgw/io/load/history"
 	"dotterelgw/io/load/report"
 	"dotterelgw/io/load/result"
+	"dotterelgw/io/load/suite"
 )
 
 // runOptions are the flags of the command run.
@@ -66,17 +67,19 @@
 	}
 	target := engine.Running(described)
 	if described.Fleet != nil {
-		running, closeFleet, err := startFleet(ctx, described, options)
+		running, _, closeFleet, err := startFleet(ctx, described, options)
 		if err != nil {
 			return err
 		}
 		defer closeFleet()
 		target = running
 	}
+	loadAverage := suite.LoadAverage()
 	measured, recorded, err := engine.Run(ctx, described, target, os.Stderr)
 	if err != nil {
 		return err
 	}
+	measured.Commit, measured.LoadAverage = suite.Commit(), loadAverage
 	if err := save(measured, recorded, options); err != nil {
 		return err
 	}
--- a/io/load/experiment/experiment.go
+++ b/io/load/experiment/experiment.go
@@ -140,6 +140,8 @@
 	Queue          int     `toml:"queue" json:"queue"`
 	QueueTimeoutMS int     `toml:"queue_timeout_ms" json:"queue_timeout_ms"`
 	MaxAgeMS       int     `toml:"max_age_ms" json:"max_age_ms"`
+	// Access is the access of the route, "auto" by default.
+	Access string `toml:"access" json:"access"`
 }
 
 // Failure is a fault at a stated time.
--- a/io/load/experiment/load.go
+++ b/io/load/experiment/load.go
@@ -107,6 +107,7 @@
 		orElse(&contract.Transactions, 8)
 		orElse(&contract.Queue, 200)
 		orElse(&contract.QueueTimeoutMS, 5000)
+		orElse(&contract.Access, "auto")
 		for copied := range max(1, organisation.Count) {
 			one := organisation
 			if organisation.Count > 1 {
--- a/io/load/report/markdown.go
+++ b/io/load/report/markdown.go
@@ -35,6 +35,9 @@
 	fmt.Fprintf(&text, "Began %s, seed %d, %s of load, the first %s not measured; objective %s, protocol %s.\n",
 		measured.Began, described.Seed, time.Duration(described.Duration), time.Duration(described.Warmup),
 		time.Duration(described.Objective), described.Protocol)
+	if measured.Commit != "" {
+		fmt.Fprintf(&text, "Commit %s, load average of the machine at the start: %s.\n", measured.Commit, measured.LoadAverage)
+	}
 	if fleet := described.Fleet; fleet != nil {
 		fmt.Fprintf(&text, "Fleet: %d proxies, %d groups of 3 servers with %d slots and %d connections each, %d zones, lag %d ms.\n",
 			fleet.VMs, fleet.Groups, fleet.Slots, fleet.Connections, len(fleet.Zones), fleet.LagMS)
--- a/io/load/result/result.go
+++ b/io/load/result/result.go
@@ -14,6 +14,9 @@
 	// Experiment is what was run; Began is the start in RFC 3339.
 	Experiment *experiment.Experiment `json:"experiment"`
 	Began      string                 `json:"began"`
+	// Commit is the commit of the programs, LoadAverage the machine's load average when the run began.
+	Commit      string `json:"commit,omitempty"`
+	LoadAverage string `json:"load_average,omitempty"`
 	// Complete is false if the run was interrupted.
 	Complete bool `json:"complete"`
 	// Total sums all organisations up, Organisations holds each one.
--- a/io/load/result/summary.go
+++ b/io/load/result/summary.go
@@ -9,10 +9,13 @@
 	"dotterelgw/io/load/history"
 )
 
+// startFormat is RFC 3339 in milliseconds, so that other observations can be matched with the run's times.
+const startFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // Summarise computes everything that follows from the history alone.
 func Summarise(described *experiment.Experiment, recorded *history.History, began time.Time) *Result {
 	result := &Result{
-		Experiment: described, Began: began.Format(time.RFC3339), Complete: true,
+		Experiment: described, Began: began.Format(startFormat), Complete: true,
 		Reasons: map[string]int{}, ViolationCount: map[history.Fault]int{},
 	}
 	warmup := time.Duration(described.Warmup)
--- /dev/null
+++ b/io/load/suite/terms.go
@@ -0,0 +1,73 @@
+package suite
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/io/platform"
+)
+
+// termsInterval is the time between two looks at the term records.
+const termsInterval = 100 * time.Millisecond
+
+// promotion is a new term of a group.
+type promotion struct {
+	group string
+	term  ids.Term
+	at    time.Time
+}
+
+// watchTerms notes every new term of a group until the function that it returns is called, which returns them.
+func watchTerms(ctx context.Context, keyValue string) (func() []promotion, error) {
+	store, err := platform.New([]string{keyValue}, "bench")
+	if err != nil {
+		return nil, fmt.Errorf("connecting to the key-value service: %w", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var promotions []promotion
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		terms := map[string]ids.Term{}
+		ticker := time.NewTicker(termsInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				promotions = append(promotions, newTerms(ctx, store, terms)...)
+			}
+		}
+	})
+	return func() []promotion {
+		cancel()
+		watching.Wait()
+		_ = store.Close()
+		return promotions
+	}, nil
+}
+
+// newTerms returns the groups whose term rose, and updates the terms. The first term of a group is no promotion.
+func newTerms(ctx context.Context, store platform.Client, terms map[string]ids.Term) []promotion {
+	entries, _, err := store.List(ctx, config.TermKey(""))
+	if err != nil {
+		return nil // the next look finds what changed
+	}
+	var found []promotion
+	for _, entry := range entries {
+		record, err := config.Decode[config.TermRecord](entry)
+		if err != nil {
+			continue
+		}
+		group := entry.Key[len(config.TermKey("")):]
+		if before, known := terms[group]; known && record.Term > before {
+			found = append(found, promotion{group, record.Term, time.Now()})
+		}
+		terms[group] = record.Term
+	}
+	return found
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -136,6 +136,9 @@
 	if fleet.options.Capture {
 		arguments = append(arguments, "-capture", fleet.file(string(server.ID)+".capture"))
 	}
+	if fleet.options.MemoryAnswers {
+		arguments = append(arguments, "-memory-answers")
+	}
 	if index > 0 {
 		arguments = append(arguments, "-role", "replica", "-primary", string(record.Servers[0].ID))
 	}
--- a/standin/fleet/options.go
+++ b/standin/fleet/options.go
@@ -32,6 +32,8 @@
 	Links bool
 	// Capture makes each database write what it receives to the file NAME.capture in Directory.
 	Capture bool
+	// MemoryAnswers makes each database answer SELECT 1 from memory, for measurements of what stands in front of it.
+	MemoryAnswers bool
 }
 
 const serversPerGroup = 3
