io/session: reads on the primary keep the session's position

Cause: each read that the primary served moved the session's position to the end of the log, other sessions' writes included, so replicas that lag did not serve the session for another lag after each such read. Ruled out: moving sessions alone (with a barrier every 5 s they account for a tenth of the reads). Change: the position is asked before and after a single SELECT; if it is the same, the SELECT wrote nothing and the session keeps its position. Also: routes with max_age need no barrier; the confirmation is looked at before the contract; the message of backend_lost no longer claims that nothing was sent; the secret of mock exchanges is derived.

--- a/core/refusal/reason.go
+++ b/core/refusal/reason.go
@@ -70,7 +70,7 @@
 	NoPrimary:            {NoPrimary, "57P03", "service", NotRun, "the database group has no primary at the moment", "retry within a few seconds"},
 	NotConfirmed:         {NotConfirmed, "57P03", "service", NotRun, "this VM cannot confirm that its configuration is current", "reconnect; the balancer chooses another VM"},
 	Stopping:             {Stopping, "57P01", "service", NotRun, "this VM is shutting down", "reconnect; the balancer chooses another VM"},
-	BackendLost:          {BackendLost, "08006", "service", NotRun, "the connection to the database was lost before the request was sent", "retry now"},
+	BackendLost:          {BackendLost, "08006", "service", NotRun, "the connection to the database was lost", "retry the request, or the whole transaction if it was rolled back"},
 	OutcomeUnknown:       {OutcomeUnknown, "08007", "service", Unknown, "it is not known whether the request took effect", "check whether it took effect before repeating it"},
 	Unsupported:          {Unsupported, "0A000", "service", NotRun, "the statement or message is not supported", "COPY, LISTEN and replication are not offered"},
 	ProtocolError:        {ProtocolError, "08P01", "service", NotRun, "the message violates the protocol", "check the client library"},
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/hmac"
+	"crypto/sha256"
 	"crypto/tls"
 	"encoding/hex"
 	"errors"
@@ -148,7 +150,7 @@
 	gateway.frontend, err = frontend.New(frontend.Dependencies{
 		Control: gateway.controller, Sessions: gateway.sessions, Recorder: recorder,
 		Forwarder: forwarder{gateway.controller, gateway.dialer}, TLS: callerTLS, Plaintext: gateway.settings.Listen.Plaintext,
-		MockSecret: secret, MaxMessageBytes: gateway.settings.Limits.MaxMessageBytes,
+		MockSecret: derive(secret, "mock exchange"), MaxMessageBytes: gateway.settings.Limits.MaxMessageBytes,
 		MaxConnections: gateway.settings.Limits.MaxConnections, Logger: observe.Part(logger, "frontend"),
 	})
 	if err != nil {
@@ -206,6 +208,13 @@
 	return &peerpb.CancelReply{Found: gateway.sessions.Cancel(request.ProcessId, request.SecretKey)}, nil
 }
 
+// derive returns a secret of its own for the purpose, so that what one use shows says nothing about another.
+func derive(secret []byte, purpose string) []byte {
+	mac := hmac.New(sha256.New, secret)
+	_, _ = mac.Write([]byte(purpose))
+	return mac.Sum(nil)
+}
+
 // rank orders VMs for an organisation by rendezvous hash.
 func rank(organisation ids.OrganisationID, n int, vms []ids.VMID) []ids.VMID {
 	members := make([]member.Member, len(vms))
--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -5,6 +5,7 @@
 
 	"github.com/juju/errors"
 
+	"dotterelgw/core/contract"
 	"dotterelgw/core/position"
 	"dotterelgw/core/refusal"
 	"dotterelgw/core/retry"
@@ -46,6 +47,10 @@
 	preamble bool
 	// settled is the number of steps that were answered.
 	settled int
+	// compares states that the log position is asked for before the request too.
+	compares bool
+	// before is the log position before the request.
+	before position.Position
 }
 
 // exchange sends the request to the acquired connection and forwards the answer.
@@ -54,6 +59,9 @@
 	mayCommit := request.sync && session.primary && (session.tx == wire.Idle && !(request.class.begins && !session.partial) || request.class.mayEnd)
 	asks := mayCommit && (request.statements > 0 || session.partial)
 	session.answer = answer{hold: mayCommit, completed: session.partial && session.answer.completed}
+	// A single SELECT may call a function that writes. It did not if nobody wrote meanwhile.
+	session.answer.compares = asks && request.class.selects && session.route.Access == contract.Auto && session.positionKnown &&
+		!session.readOnly && session.tx == wire.Idle && !session.partial
 	sent, err := session.send(asks)
 	attempt.Sent = sent
 	if err == nil {
@@ -142,7 +150,9 @@
 			scratch.out = wire.AppendReady(scratch.out, status)
 			return ending{}
 		}
-		session.position, session.positionKnown = at, true
+		if !session.keepsPosition(at) {
+			session.position, session.positionKnown = at, true
+		}
 	}
 	scratch.out = append(scratch.out, scratch.held...)
 	scratch.held = scratch.held[:0]
@@ -153,6 +163,13 @@
 	return ending{}
 }
 
+// keepsPosition states whether the request certainly wrote nothing. A session that only read on the primary keeps its
+// position: with the primary's newer one, replicas that lag would not serve it for as long as they lag, although they
+// hold all that the session wrote.
+func (session *Session) keepsPosition(at position.Position) bool {
+	return session.positionKnown && (session.readOnly || session.answer.compares && session.answer.before == at)
+}
+
 // undoFailed forgets the statements whose Parse was not carried out.
 func (session *Session) undoFailed() {
 	scratch := session.scratch
@@ -176,6 +193,10 @@
 		session.backend.SetDirty()
 	}
 	session.answer.preamble = due > 0
+	if session.answer.compares {
+		send = wire.AppendQuery(send, positionQuery)
+		due++
+	}
 	switch {
 	case session.request.simple:
 		send = append(send, scratch.arena...)
@@ -201,6 +222,12 @@
 			return err
 		}
 	}
+	if session.answer.compares {
+		var err error
+		if session.answer.before, err = session.readPosition(wire.Idle); err != nil {
+			return err
+		}
+	}
 	if session.request.simple {
 		return session.simpleAnswer()
 	}
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -9,6 +9,8 @@
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"dotterelgw/core/ids"
 )
 
 // database is an in-memory backend server: it answers a few statement texts and logs the messages that it gets.
@@ -250,6 +252,9 @@
 	case query == "SELECT wait()":
 		<-link.cancel
 		link.fail("57014", "canceling statement due to user request")
+	case query == "SELECT writes()":
+		link.lock(func() { link.log++ })
+		link.rows(query, simple, "done")
 	case verb == "SELECT":
 		link.rows(query, simple, strings.Trim(query[6:], " '"))
 	case verb == "INSERT" && (replica || link.readOnly):
@@ -304,3 +309,9 @@
 	}
 	return strconv.Quote(name)
 }
+
+// position returns the end of the server's log.
+func (database *database) position() (end ids.LogPosition) {
+	database.lock(func() { end = ids.LogPosition(database.log) })
+	return end
+}
--- a/io/session/golden_test.go
+++ b/io/session/golden_test.go
@@ -124,6 +124,30 @@
 		proxy.replica.lock(func() { proxy.replica.fault["SELECT 'x'"] = "write" })
 		caller.query("SELECT 'x'")
 	}},
+	"reading_keeps_position": {"auto", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("INSERT a")
+		written := proxy.primary.position()
+		proxy.primary.lock(func() { proxy.primary.log++ }) // another session writes
+		proxy.replayed(written - 1)
+		caller.query("SELECT 'x'") // the primary serves it, as the replica lags
+		proxy.replayed(written)
+		caller.query("SELECT 'y'") // the replica has the session's own write
+	}},
+	"writing_select_moves_position": {"auto", "", func(_ *testing.T, proxy *proxy, caller *caller) {
+		caller.query("INSERT a")
+		written := proxy.primary.position()
+		proxy.replayed(written - 1)
+		caller.query("SELECT writes()")
+		proxy.replayed(written)
+		caller.query("SELECT 'y'") // the replica lacks what the function wrote
+	}},
+	"aged_read_without_barrier": {"aged", "", func(t *testing.T, proxy *proxy, caller *caller) {
+		proxy.replayed(1)
+		caller.query("SELECT 'x'")
+		if count := proxy.barriers.Load(); count != 0 {
+			t.Errorf("%d barriers for a read that accepts old data", count)
+		}
+	}},
 	"read_only_on_primary": {"read", "", func(_ *testing.T, proxy *proxy, caller *caller) {
 		view := *proxy.view.Load()
 		view.Servers = view.Servers[:1]
--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	view     atomic.Pointer[route.View]
 	limited  atomic.Bool
 	unsure   atomic.Bool
+	barriers atomic.Int64
 	confirm  atomic.Pointer[func(position.Position) error]
 	mutex    sync.Mutex
 	refused  []*refusal.Refusal
@@ -65,6 +67,7 @@
 			{Name: "app", Group: "g1", Database: "app", Access: contract.ReadWrite},
 			{Name: "auto", Group: "g1", Database: "app", Access: contract.Auto},
 			{Name: "read", Group: "g1", Database: "app", Access: contract.Read},
+			{Name: "aged", Group: "g1", Database: "app", Access: contract.Auto, MaxAgeMS: 3600_000},
 		},
 		Keys: []contract.Key{{ID: "bot", Verifier: verifier(key)}},
 	})
@@ -112,6 +115,14 @@
 	})
 }
 
+// replayed publishes a view whose replica has replayed the log up to the position.
+func (proxy *proxy) replayed(log ids.LogPosition) {
+	view := *proxy.view.Load()
+	view.Servers = slices.Clone(view.Servers)
+	view.Servers[1].Replayed.Log, view.Servers[1].CurrentAt = log, time.Millisecond
+	proxy.view.Store(&view)
+}
+
 func (proxy *proxy) Contract(org ids.OrganisationID) (*contract.Contract, ids.Revision, bool) {
 	held := proxy.contract.Load()
 	return held, ids.Revision(proxy.revision.Load()), held.Organisation == org
@@ -122,6 +133,7 @@
 func (proxy *proxy) View(ids.GroupID) *route.View { return proxy.view.Load() }
 
 func (proxy *proxy) Barrier(context.Context, ids.GroupID) (position.Position, error) {
+	proxy.barriers.Add(1)
 	return position.Position{Term: proxy.view.Load().Term, Log: 100}, nil
 }
 
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -180,10 +180,12 @@
 
 // entitled checks the caller's key and route and that this VM is up to date.
 func (session *Session) entitled() *refusal.Refusal {
+	// The confirmation is looked at first: a contract that was read before it may be older than it.
+	admitting := session.server.Control.Admitting()
 	if refused := session.review(); refused != nil {
 		return refused
 	}
-	if !session.server.Control.Admitting() {
+	if !admitting {
 		return refusal.New(refusal.NotConfirmed, "")
 	}
 	return nil
@@ -243,18 +245,15 @@
 	group := session.route.Group
 	replica, tentative := session.wantsReplica()
 	session.request.tentative = tentative
+	// A route that accepts data of a stated age needs no position, so its reads go on while a group has no primary.
+	aged := replica && session.route.MaxAge() > 0
 	for {
-		if !session.positionKnown {
-			at, err := server.Groups.Barrier(session.ctx, group)
-			var refused *refusal.Refusal
-			switch {
-			case err == nil:
-				session.position, session.positionKnown = at, true
-			case !session.sleep(deadline) && errors.As(err, &refused):
+		if !session.positionKnown && !aged {
+			refused, retry := session.barrier(deadline)
+			if refused != nil {
 				return refused
-			case session.server.Now() >= deadline || session.ctx.Err() != nil:
-				return refusal.New(refusal.NoPrimary, err.Error())
-			default:
+			}
+			if retry {
 				continue
 			}
 		}
@@ -262,6 +261,10 @@
 		index, ok := route.Choose(view, route.Request{
 			ReadOnly: replica, Position: session.position, MaxAge: session.route.MaxAge(), Now: server.Now(), Zone: server.Zone,
 		})
+		if aged && !session.positionKnown && (!ok || index == view.Primary) {
+			aged = false // no replica is young enough, so the session's position matters
+			continue
+		}
 		if !ok {
 			if session.sleep(deadline) {
 				continue
@@ -326,6 +329,22 @@
 	return true
 }
 
+// barrier gets the session's position from a leadership barrier; retry states that it failed and may be tried again.
+func (session *Session) barrier(deadline time.Duration) (refused *refusal.Refusal, retry bool) {
+	at, err := session.server.Groups.Barrier(session.ctx, session.route.Group)
+	switch {
+	case err == nil:
+		session.position, session.positionKnown = at, true
+		return nil, false
+	case !session.sleep(deadline) && errors.As(err, &refused):
+		return refused, false
+	case session.server.Now() >= deadline || session.ctx.Err() != nil:
+		return refusal.New(refusal.NoPrimary, err.Error()), false
+	default:
+		return nil, true
+	}
+}
+
 // acquireRefused returns the refusal and reports a server that cannot be reached.
 func (session *Session) acquireRefused(err error, chosen *route.Server) *refusal.Refusal {
 	var refused *refusal.Refusal
