Replace a primary whose replicas receive nothing

A primary that answers probes but is cut from replication kept its role, and no write was acknowledged until replication healed: TestPrimaryFailures/replication_cut saw none for 13 s. Watchers now count such a primary as silent, from the statuses that they have anyway, and a promotion does not fence the lost primary at first, since it has the longest log and would be promoted again.

--- a/core/failover/evidence.go
+++ b/core/failover/evidence.go
@@ -13,6 +13,8 @@
 	ProbeTimeout = 400 * time.Millisecond
 	// LostAfter is the silence after which a watcher reports a primary as lost; a stall under 1 s must not promote.
 	LostAfter = 1200 * time.Millisecond
+	// SuspectAfter is the silence after which a watcher asks the others.
+	SuspectAfter = LostAfter * 2 / 3
 )
 
 // Evidence is what one watcher last saw of a server.
--- a/core/failover/execute.go
+++ b/core/failover/execute.go
@@ -97,13 +97,20 @@
 	}
 	var commands []Command
 	for _, server := range plan.group.Servers {
-		if _, ok := plan.candidates[server.ID]; !ok {
+		if _, ok := plan.candidates[server.ID]; !ok && !plan.spared(server.ID, now) {
 			commands = append(commands, Command{Kind: Fence, Server: server, Term: plan.term})
 		}
 	}
 	return commands
 }
 
+// spared states whether the server is the lost primary and need not be fenced yet: the claim was made because enough
+// others answer. A primary that answers but does not replicate has the longest log and would be promoted again.
+func (plan *Plan) spared(server ids.BackendServerID, now time.Duration) bool {
+	evidence, _ := find(plan.situation.Own, server)
+	return !plan.planned && server == plan.record.Primary && evidence.Silent >= LostAfter && now-plan.sinceStep < spareFor
+}
+
 func (plan *Plan) fencePrimary(now time.Duration) []Command {
 	_, fenced := plan.candidates[plan.record.Primary]
 	if !plan.paced(now, map[bool]time.Duration{false: retryEvery, true: examineEvery}[fenced]) {
--- a/core/failover/plan.go
+++ b/core/failover/plan.go
@@ -16,6 +16,8 @@
 	promoteFor = time.Second
 	// catchUpFor is the time that a planned change gives a replica to receive the rest of the fenced primary's log.
 	catchUpFor = time.Second
+	// spareFor is the time after which a promotion fences the lost primary too, for want of others.
+	spareFor = time.Second
 	// rankDelay keeps the second and third watcher from racing with the first.
 	rankDelay = 300 * time.Millisecond
 	// retryEvery and storeEvery are the pauses between repeated orders to servers and to the key-value service.
--- /dev/null
+++ b/core/failover/replication_test.go
@@ -0,0 +1,59 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"dotterelgw/core/ids"
+)
+
+// Guards against a primary that is kept although no replica receives its log, and against one that is replaced although
+// replicas catch up, do not answer, or have not reached a new primary yet.
+func TestReplicationStuck(t *testing.T) {
+	primary := func(written int) Status {
+		return Status{Server: "a", Primary: true, Term: 3, Promised: 3, LogTerm: 3, Written: ids.LogPosition(written)}
+	}
+	replica := func(received int) Status {
+		return Status{Server: "b", Term: 3, Promised: 3, LogTerm: 3, Received: ids.LogPosition(received)}
+	}
+	fenced := replica(5)
+	fenced.Promised = 4
+	repeated := func(statuses []Status, rounds int) [][]Status {
+		var all [][]Status
+		for range rounds {
+			all = append(all, statuses)
+		}
+		return all
+	}
+	followRounds := int(followFor / ProbeInterval)
+	for name, test := range map[string]struct {
+		fresh  bool       // the primary has not replicated in its term yet
+		rounds [][]Status // one per ProbeInterval
+		want   time.Duration
+	}{
+		"nothing missing":  {false, [][]Status{{primary(5), replica(5), replica(4)}, {primary(6), replica(6), replica(4)}}, 0},
+		"nothing received": {false, [][]Status{{primary(7), replica(5), replica(5)}, {primary(8), replica(5), replica(5)}, {primary(9), replica(5), replica(5)}}, 2 * ProbeInterval},
+		"catching up":      {false, [][]Status{{primary(7), replica(3), replica(3)}, {primary(7), replica(4), replica(3)}, {primary(7), replica(5), replica(3)}}, 0},
+		"caught up later":  {false, [][]Status{{primary(7), replica(5), replica(5)}, {primary(9), replica(7), replica(5)}, {primary(9), replica(7), replica(5)}, {primary(9), replica(7), replica(5)}}, ProbeInterval},
+		"one answers":      {false, repeated([]Status{primary(7), replica(5)}, 3), 0},
+		"fenced replicas":  {false, repeated([]Status{primary(7), fenced, fenced}, 3), 0},
+		"no primary":       {false, repeated([]Status{replica(5), replica(5)}, 3), 0},
+		"answers late":     {false, [][]Status{{primary(7), replica(5), replica(5)}, {replica(5), replica(5)}, {primary(7), replica(5), replica(5)}}, 0},
+		"new primary":      {true, repeated([]Status{primary(7), replica(5), replica(5)}, followRounds+1), 0},
+		"never followed":   {true, repeated([]Status{primary(7), replica(5), replica(5)}, followRounds+3), 2 * ProbeInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			replication, now := NewReplication(0), time.Duration(0)
+			if !test.fresh {
+				replication.Observe(now, 3, []Status{primary(3), replica(3), replica(3)})
+			}
+			for _, statuses := range test.rounds {
+				now += ProbeInterval
+				replication.Observe(now, 3, statuses)
+			}
+			if got := replication.Stuck(); got != test.want {
+				t.Errorf("stuck for %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/core/failover/situation.go
+++ b/core/failover/situation.go
@@ -42,7 +42,7 @@
 // suspected states whether this VM misses the primary, so that it is worth asking the other watchers.
 func (situation Situation) suspected(record config.TermRecord) bool {
 	primary, ok := find(situation.Own, record.Primary)
-	return ok && primary.Silent >= LostAfter*2/3 || lost(situation.Own, record)
+	return ok && primary.Silent >= SuspectAfter || lost(situation.Own, record)
 }
 
 // lost states whether this VM and, if there are others, another watcher have lost the record's primary.
--- a/io/group/group.go
+++ b/io/group/group.go
@@ -60,6 +60,8 @@
 	barriers []*barrier
 	writes   []*write
 	ages     ages
+	// replication shows whether the primary's log reaches its replicas.
+	replication failover.Replication
 }
 
 func newGroup(groups *Groups, record config.GroupRecord, term config.TermRecord, leaving map[ids.BackendServerID]time.Duration) *group {
@@ -111,6 +113,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	group.stop = stop
 	group.active.Store(true)
+	group.replication = failover.NewReplication(group.groups.now())
 	for _, server := range group.servers {
 		server.watch = failover.NewWatch(group.groups.now())
 		group.groups.running.Add(1)
@@ -184,6 +187,10 @@
 		evidence := server.watch.Evidence(now)
 		evidence.Server = server.record.ID
 		evidence.Status.Leaving = server.leaving()
+		if stuck := group.replication.Stuck(); evidence.Status.Accepts() && stuck >= failover.SuspectAfter {
+			// Without replicas it can acknowledge no write, so it counts as silent.
+			evidence.Silent = max(evidence.Silent, stuck)
+		}
 		all = append(all, evidence)
 	}
 	return all
--- a/io/group/poll.go
+++ b/io/group/poll.go
@@ -105,6 +105,13 @@
 			group.ages.sampled(sample)
 		}
 	}
+	var answering []failover.Status
+	for _, one := range group.servers {
+		if one.reachable && one.sample != nil {
+			answering = append(answering, one.sample.status)
+		}
+	}
+	group.replication.Observe(now, len(group.servers), answering)
 	group.evaluateLocked()
 	return group.pauseLocked(server, now-sample.sent, now, err)
 }
