--- a/io/load/suite/failover.go
+++ b/io/load/suite/failover.go
@@ -151,7 +151,7 @@
 	}
 	for _, kind := range []string{"frozen", "partitioned", "kill"} {
 		if list := gaps[kind]; len(list) > 0 {
-			table.note(fmt.Sprintf("failover gap, %s, %d cuts, median / maximum", kind, len(list)), median(list).String()+" / "+slices.Max(list).String())
+			table.note(fmt.Sprintf("failover gap, %s, %d cuts, median / maximum", kind, len(list)), median(list).Round(time.Millisecond).String()+" / "+slices.Max(list).Round(time.Millisecond).String())
 		}
 	}
 	table.note(fmt.Sprintf("failover gap over %d cuts, median", len(all)), median(all).Round(time.Millisecond).String())
@@ -161,7 +161,7 @@
 
 // sumStalls adds the rows on stalls. A stall that a busy machine stretched to 1 s or more does not count.
 func (suite *Suite) sumStalls(table table, failures []result.Failure, began time.Time, promotions []promotion) {
-	counted, caused := 0, 0
+	counted, caused, total := 0, 0, 0
 	for _, failure := range failures {
 		if failure.What != "pause" || !failure.Happened {
 			continue
@@ -180,6 +180,12 @@
 			}
 		}
 	}
+	for _, promotion := range promotions {
+		if promotion.at.After(began.Add(cutsFrom)) {
+			total++
+		}
+	}
+	table.note("terms recorded while primaries were cut", fmt.Sprint(total))
 	table.add(fmt.Sprintf("promotions caused by %d stalls of %s to %s", counted, stallLeast, stallMost), "0", fmt.Sprint(caused), judge(caused == 0))
 }
 
--- a/io/load/suite/keys.go
+++ b/io/load/suite/keys.go
@@ -64,6 +64,8 @@
 	// the change.
 	last, inForce time.Duration
 	statements    int
+	// otherwise counts the sessions that ended with another error than the refusal of a withdrawn key.
+	otherwise int
 }
 
 // withdrawals measures how long withdrawn keys work.
@@ -107,9 +109,14 @@
 
 func (suite *Suite) sumWithdrawals(table table, name string, done []withdrawal) {
 	table.experiment = fmt.Sprintf("key withdrawal, %s", name)
-	statements := 0
+	statements, otherwise := 0, 0
 	for _, one := range done {
 		statements += one.statements
+		otherwise += one.otherwise
+	}
+	if otherwise > 0 {
+		suite.report.Notes = append(suite.report.Notes, fmt.Sprintf("%s: %d of %d sessions ended with another error than %s",
+			table.experiment, otherwise, withdrawalVMs*len(done), withdrawnState))
 	}
 	last := longest(done, func(one withdrawal) time.Duration { return one.last })
 	table.within(fmt.Sprintf("acceptance to last accepted statement, maximum of %d (%d statements)", len(done), statements), withdrawalTarget, last)
@@ -181,7 +188,8 @@
 				return
 			}
 			done[number].inForce, failures[number] = untilInForce(ctx, running, revision, accepted)
-			done[number].last, done[number].statements = users[number].wait(accepted)
+			done[number].last = users[number].wait(accepted)
+			done[number].statements, done[number].otherwise = users[number].count, users[number].otherwise
 		})
 	}
 	accepting.Wait()
@@ -229,9 +237,10 @@
 // keyUsers are sessions that use one key, one on each VM.
 type keyUsers struct {
 	running sync.WaitGroup
-	mutex   sync.Mutex
-	last    time.Time
-	count   int
+
+	mutex            sync.Mutex
+	last             time.Time
+	count, otherwise int
 }
 
 // useKey connects a session on each VM, which sends statements until one is refused.
@@ -254,10 +263,12 @@
 func (users *keyUsers) use(ctx context.Context, conn *pgconn.PgConn, begin string) {
 	defer func() { _ = conn.Close(context.WithoutCancel(ctx)) }()
 	if _, err := conn.Exec(ctx, begin).ReadAll(); err != nil {
+		users.end(err)
 		return
 	}
 	for {
 		if _, err := conn.Exec(ctx, constant).ReadAll(); err != nil {
+			users.end(err)
 			return
 		}
 		answered := time.Now()
@@ -271,8 +282,22 @@
 	}
 }
 
+// withdrawnState is the SQLSTATE with which a withdrawn key ends a session.
+const withdrawnState = "28000"
+
+// end notes with which error a session ended.
+func (users *keyUsers) end(err error) {
+	var refused *pgconn.PgError
+	if errors.As(err, &refused) && refused.Code == withdrawnState {
+		return
+	}
+	users.mutex.Lock()
+	defer users.mutex.Unlock()
+	users.otherwise++
+}
+
 // wait waits until every session was refused, and returns the time from the acceptance to the last accepted statement.
-func (users *keyUsers) wait(accepted time.Time) (time.Duration, int) {
+func (users *keyUsers) wait(accepted time.Time) time.Duration {
 	users.running.Wait()
-	return max(0, users.last.Sub(accepted)), users.count
+	return max(0, users.last.Sub(accepted))
 }
--- a/io/load/suite/neighbour.go
+++ b/io/load/suite/neighbour.go
@@ -71,16 +71,35 @@
 		return result.Latency{}, 0, fmt.Errorf("no requests besides those of %s", greedy)
 	}
 	table.most("refused for the rate although within it (other seven)", wrongfulEven, float64(wrongful)/float64(total))
+	shares, others := map[string]bool{}, map[string]bool{}
+	for _, organisation := range described.Organisations {
+		if organisation.Name != greedy {
+			others[organisation.Name] = true
+			shares[organisation.Name] = organisation.Group == groupOf(described, greedy)
+		}
+	}
+	warmup := time.Duration(described.Warmup)
+	table.note("latency of those in the same group, p50 / p99", latency(latencyOf(recorded, shares, warmup)))
+	table.note("latency of the other seven, p50 / p99", latency(latencyOf(recorded, others, warmup)))
 	table.violate(broken(measured, recorded))
-	return latencyWithout(recorded, greedy, time.Duration(described.Warmup)), float64(served) / float64(total), nil
+	return latencyOf(recorded, others, warmup), float64(served) / float64(total), nil
+}
+
+func groupOf(described *experiment.Experiment, name string) string {
+	for _, organisation := range described.Organisations {
+		if organisation.Name == name {
+			return organisation.Group
+		}
+	}
+	return ""
 }
 
-// latencyWithout sums the latencies of acknowledged requests of all organisations but one up.
-func latencyWithout(recorded *history.History, organisation string, warmup time.Duration) result.Latency {
+// latencyOf sums the latencies of acknowledged requests of the organisations up.
+func latencyOf(recorded *history.History, organisations map[string]bool, warmup time.Duration) result.Latency {
 	recorder := result.NewRecorder()
 	for index := range recorded.Requests {
 		request := &recorded.Requests[index]
-		if request.Organisation != organisation && request.Outcome == history.OK && request.Intended >= warmup {
+		if organisations[request.Organisation] && request.Outcome == history.OK && request.Intended >= warmup {
 			recorder.Record(request.Latency())
 		}
 	}
--- a/io/load/suite/overhead.go
+++ b/io/load/suite/overhead.go
@@ -44,7 +44,7 @@
 // callers and without TLS on both sides.
 func (suite *Suite) overhead(ctx context.Context, table table) error {
 	running, end, err := suite.starter.Fleet(ctx, fleet.Options{
-		Zones: []ids.AvailabilityZone{"a"}, VMs: 1, Groups: 1, Connections: 2 * callers, Plaintext: true, MemoryAnswers: true,
+		Zones: []ids.AvailabilityZone{"a"}, VMs: 1, Groups: 1, Connections: 2 * callers, Slots: 2 * callers, Plaintext: true, MemoryAnswers: true,
 	})
 	if err != nil {
 		return err
