proof: each failure of the primary must end in a promotion

A case in which nothing is promoted shows nothing, so TestPrimaryFailures checks the term and the primary.

--- a/proof/failover_test.go
+++ b/proof/failover_test.go
@@ -45,10 +45,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			environment := start(t, 3, 0, ample)
-			environment.terms().await("g1", failover.Steady, 0) // until then the group is not watched
+			terms := environment.terms()
+			before := terms.await("g1", failover.Steady, 0) // until then the group is not watched
 			ledger := environment.writeThrough("vm1", "vm2", "vm3")
 			fail(environment)
 			failed := ledger.expectGap(time.Now(), gapBound)
+			if after := terms.await("g1", failover.Steady, 0); after.Term == before.Term || after.Primary == before.Primary {
+				t.Errorf("the primary is %s of term %d after the failure", after.Primary, after.Term)
+			}
 			for number := range environment.Size() { // each VM must find the new primary
 				vm := fleet.VMID(number + 1)
 				environment.within(promotionBound, "a write through "+string(vm), func() bool { return !ledger.acknowledgedBy(vm, failed).IsZero() })
