--- a/io/load/report/plot.go
+++ b/io/load/report/plot.go
@@ -17,6 +17,8 @@
 	marginLeft  = 70
 	marginTop   = 40
 	marginRight = 20
+	// marginBottom holds the numbers and the name of the time axis.
+	marginBottom = 50
 )
 
 // series is one line of a panel.
@@ -44,12 +46,14 @@
 		pick("p99", "#7a3fa0", func(second result.Second) float64 { return second.P99MS }))
 
 	var text strings.Builder
-	height := marginTop + 2*panelHeight + panelGap + 40
+	height := marginTop + 2*panelHeight + panelGap + marginBottom
 	fmt.Fprintf(&text, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n", plotWidth, height)
 	fmt.Fprintf(&text, `<rect width="100%%" height="100%%" fill="white"/><text x="%d" y="20" font-size="14">%s</text>`+"\n",
 		marginLeft, html.EscapeString(measured.Experiment.Name))
 	writePanel(&text, marginTop, "requests/s", answers, measured)
 	writePanel(&text, marginTop+panelHeight+panelGap, "latency in ms", latencies, measured)
+	fmt.Fprintf(&text, `<text x="%d" y="%d" text-anchor="middle">time since the start of the run</text>`+"\n",
+		(marginLeft+plotWidth-marginRight)/2, height-8)
 	text.WriteString("</svg>\n")
 	return text.String()
 }
@@ -74,6 +78,15 @@
 		}
 		fmt.Fprintf(text, `<rect x="%.1f" y="%d" width="%.1f" height="%d" fill="#f3dcda"><title>%s</title></rect>`+"\n",
 			x(failure.At), top, math.Max(2, x(until)-x(failure.At)), panelHeight, html.EscapeString(failure.Target+": "+failure.What))
+		// Labels of failures in the right half end at the fault, so that they stay within the plot.
+		anchor := "start"
+		if failure.At > float64(count)/2 {
+			anchor = "end"
+		}
+		fmt.Fprintf(text, `<line x1="%.1f" x2="%.1f" y1="%d" y2="%d" stroke="#b3261e" stroke-dasharray="4 3"/>`+"\n",
+			x(failure.At), x(failure.At), top, top+panelHeight)
+		fmt.Fprintf(text, `<text x="%.1f" y="%d" fill="#b3261e" text-anchor="%s">%s</text>`+"\n",
+			x(failure.At)+labelOffset[anchor], top+14, anchor, html.EscapeString(label(failure)))
 	}
 	const steps = 4
 	for step := range steps + 1 {
@@ -97,6 +110,22 @@
 	}
 }
 
+// labelOffset keeps the label of a failure clear of its line, in pixels.
+var labelOffset = map[string]float64{"start": 4, "end": -4}
+
+// label names the failure and the gap that it caused.
+func label(failure result.Failure) string {
+	name := failure.Target
+	if failure.Server != "" {
+		name = failure.Server
+	}
+	text := name + ": " + failure.What
+	if failure.GapMS > 0 {
+		text += fmt.Sprintf(", gap %.0f ms", failure.GapMS)
+	}
+	return text
+}
+
 // ceiling rounds up to 1, 2 or 5 times a power of ten, so that the scale has round values.
 func ceiling(value float64) float64 {
 	power := math.Pow(10, math.Floor(math.Log10(value)))
--- a/io/load/report/report_test.go
+++ b/io/load/report/report_test.go
@@ -14,7 +14,8 @@
 	"dotterelgw/io/load/result"
 )
 
-// Guards against reports that hide violations or missing measurements, and plots that are not well-formed XML.
+// Guards against reports that hide violations or missing measurements, and plots that are not well-formed XML or do not
+// name their failures.
 func TestWrite(t *testing.T) {
 	measured := &result.Result{
 		Experiment:     &experiment.Experiment{Name: "a <b> & c"},
@@ -41,6 +42,9 @@
 		t.Fatal(err)
 	}
 	defer plot.Close()
+	if drawn := Plot(measured); !strings.Contains(drawn, ">g1-a: frozen=true, gap 2345 ms</text>") || !strings.Contains(drawn, "time since the start") {
+		t.Errorf("the plot lacks the label of the failure or of the time axis:\n%s", drawn)
+	}
 	for decoder := xml.NewDecoder(plot); ; {
 		if _, err := decoder.Token(); errors.Is(err, io.EOF) {
 			break
