--- a/core/failover/replication.go
+++ b/core/failover/replication.go
@@ -11,6 +11,10 @@
 // where replicas take long to connect.
 const followFor = 5 * time.Second
 
+// receiveFor is the time that replicas get beyond LostAfter. After a stall of the primary of up to 1 s, which must not
+// promote, a busy replica needs a moment to receive what was committed before and after it.
+const receiveFor = 600 * time.Millisecond
+
 // Replication watches whether the log of a group's primary reaches its replicas. A primary that answers but whose
 // replicas receive nothing can acknowledge no write.
 type Replication struct {
@@ -76,7 +80,8 @@
 	}
 }
 
-// Stuck returns the time for which the replicas have received nothing although the primary has more.
+// Stuck returns the time, beyond what replicas are given, for which they have received nothing although the primary has
+// more.
 func (replication *Replication) Stuck() time.Duration {
 	switch {
 	case !replication.pending:
@@ -84,6 +89,6 @@
 	case !replication.replicated:
 		return max(replication.stuck-followFor, 0)
 	default:
-		return replication.stuck
+		return max(replication.stuck-receiveFor, 0)
 	}
 }
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// longestWait is how long a request waits for a grant under way before it is refused.
-	longestWait = 50 * time.Millisecond
+	// longestWait is how long a request waits for a grant under way before it is refused. With 50 ms, first requests on a
+	// busy VM were refused within the rate, since a round trip to a holder took longer.
+	longestWait = 250 * time.Millisecond
 	// planInterval is the time between two looks at the demand; a request that finds no token triggers one at once.
 	planInterval = 5 * time.Millisecond
 	// borrowTimeout bounds a request to a holder; later answers are of little use, since grants expire.
@@ -57,7 +58,7 @@
 type Limiter interface {
 	// Admit spends one token of the organisation if this VM has one; it does not allocate.
 	Admit(organisation ids.OrganisationID) bool
-	// Wait waits up to 50 ms for a token, after Admit returned false.
+	// Wait waits up to 250 ms for a token, after Admit returned false.
 	Wait(ctx context.Context, organisation ids.OrganisationID) bool
 	// Ready tells whether this VM knows the share record, without which nothing is admitted.
 	Ready() bool
--- a/proof/failover_test.go
+++ b/proof/failover_test.go
@@ -111,6 +111,9 @@
 	stallsPerGroup = 4
 	stallLeast     = 200 * time.Millisecond
 	stallMost      = 900 * time.Millisecond
+	// betweenStalls is longer than a probe's interval and its time-out together, so that each stall is one of its own for
+	// every watcher: four stalls of 286 to 361 ms with 10 ms between them were one of 1.3 s to the watchers.
+	betweenStalls = 700 * time.Millisecond
 )
 
 // Guards against a promotion because of a stall that is shorter than 1 s.
@@ -129,8 +132,8 @@
 	groups.Wait()
 }
 
-// stall stops the group's primary several times. After each stall it waits for an acknowledged write, so that the next
-// one does not prolong it.
+// stall stops the group's primary several times. After each stall it waits for an acknowledged write and for the watchers
+// to see the primary, so that the next one does not prolong it.
 func (terms *terms) stall(number int) {
 	t, group, route := terms.t, ids.GroupID(fmt.Sprintf("g%d", number)), fmt.Sprintf("r%d", number)
 	random := rand.New(rand.NewPCG(1, uint64(number)))
@@ -161,6 +164,7 @@
 			if after, err := terms.record(group); err != nil || after.Term != before.Term {
 				t.Errorf("%s: term %d became %d after a stall of %s (%v)", group, before.Term, after.Term, stalled, err)
 			}
+			time.Sleep(betweenStalls)
 		}
 	}
 }
