io/session: wait for the rate only briefly while a connection is held; io/limiter: a waiting request borrows the VM's own part

Ruled out: the fair queue (the organisations of other groups were unaffected), processor time (load average 3).

--- a/io/limiter/account.go
+++ b/io/limiter/account.go
@@ -61,6 +61,13 @@
 	return false
 }
 
+// wanted returns how many tokens to ask for in all.
+func (account *account) wanted(now time.Duration) int64 {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return account.borrower.Plan(now)
+}
+
 // plan returns how many tokens to ask of each of the holders.
 func (account *account) plan(now time.Duration, holders int) [limit.MaxParts]int64 {
 	account.mutex.Lock()
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -160,7 +160,10 @@
 		return false
 	}
 	waiter := account.join()
+	limiter.borrowOwn(organisation, account)
 	select {
+	case <-waiter:
+		return true
 	case limiter.kick <- struct{}{}:
 	default:
 	}
--- a/io/limiter/limiter_test.go
+++ b/io/limiter/limiter_test.go
@@ -144,6 +144,23 @@
 	}
 }
 
+// Guards against refusals on a VM that owns budget while its loop does not run.
+func TestOwnBudgetNeedsNoLoop(t *testing.T) {
+	fleet := &fleet{contract: &contract.Contract{Organisation: testOrganisation, Rate: 1e6, Burst: 1e6}}
+	limiter := New("vm1", fleet, fleet, firstOf, log.NewNopLogger())
+	value, err := json.Marshal(limit.Record{Epoch: 1, VMs: []ids.VMID{"vm1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fleet.Propose(t.Context(), config.SharesKey, 0, value); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(time.Millisecond) // the bucket holds 1,000 tokens by then
+	if !limiter.Admit(testOrganisation) && !limiter.Wait(t.Context(), testOrganisation) {
+		t.Error("the request was refused")
+	}
+}
+
 // waitForFirst waits until the hand-over time of a new share record has passed.
 func waitForFirst(t *testing.T, limiter Limiter) int {
 	t.Helper()
--- a/io/limiter/run.go
+++ b/io/limiter/run.go
@@ -90,6 +90,21 @@
 	}()
 }
 
+// borrowOwn takes what the organisation lacks from the parts that this VM owns. A request that waits does it itself: on
+// a busy VM the loop may come too late.
+func (limiter *limiter) borrowOwn(organisation ids.OrganisationID, account *account) {
+	if !limiter.control.Admitting() {
+		return
+	}
+	sent := limiter.now()
+	wanted := account.wanted(sent)
+	limiter.mutex.Lock()
+	epoch := limiter.holder.Record().Epoch
+	granted, validity := limiter.holder.Borrow(sent, epoch, organisation, wanted)
+	limiter.mutex.Unlock()
+	account.receive(limiter.now(), sent, granted, validity)
+}
+
 // release takes the asked tokens out of what is under way.
 func (limiter *limiter) release(items []*peerpb.BorrowItem) {
 	for _, item := range items {
--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -42,6 +42,7 @@
 	limited  atomic.Bool
 	unsure   atomic.Bool
 	barriers atomic.Int64
+	bounded  atomic.Bool // the last wait for the rate had a deadline of the session's own
 	confirm  atomic.Pointer[func(position.Position) error]
 	mutex    sync.Mutex
 	refused  []*refusal.Refusal
@@ -148,7 +149,11 @@
 
 func (proxy *proxy) Admit(ids.OrganisationID) bool { return !proxy.limited.Load() }
 
-func (proxy *proxy) Wait(context.Context, ids.OrganisationID) bool { return false }
+func (proxy *proxy) Wait(ctx context.Context, _ ids.OrganisationID) bool {
+	_, bounded := ctx.Deadline()
+	proxy.bounded.Store(bounded)
+	return false
+}
 
 func (proxy *proxy) Record(refused *refusal.Refusal, _ session.Caller) *refusal.Refusal {
 	proxy.mutex.Lock()
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -17,6 +18,8 @@
 const (
 	// patience bounds the time for which a request that was not run waits for a primary; a change of primary takes 3 s.
 	patience = 5 * time.Second
+	// heldWait bounds the wait for the rate while a backend connection is held; it covers a round trip to a holder.
+	heldWait = 20 * time.Millisecond
 	// viewPoll is the interval at which a waiting request looks at the group's view.
 	viewPoll = 10 * time.Millisecond
 	// reconnectPause is the pause before a request tries a server again that did not accept a connection.
@@ -169,15 +172,26 @@
 		return refusal.New(refusal.Unsupported, "the route takes reads only")
 	}
 	session.lifted = session.lifted || session.request.class.readWrite
-	organisation := session.caller.Organisation
 	for range session.request.statements {
-		if !session.server.Limiter.Admit(organisation) && !session.server.Limiter.Wait(session.ctx, organisation) {
+		if !session.server.Limiter.Admit(session.caller.Organisation) && !session.waitForRate() {
 			return refusal.New(refusal.RateExceeded, fmt.Sprintf("rate %g/s, burst %g", session.contract.Rate, session.contract.Burst))
 		}
 	}
 	return nil
 }
 
+// waitForRate waits for a statement of the organisation's rate, only briefly while a backend connection is held: an
+// organisation over its rate must not keep scarce connections from the others.
+func (session *Session) waitForRate() bool {
+	ctx := session.ctx
+	if session.backend != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, heldWait)
+		defer cancel()
+	}
+	return session.server.Limiter.Wait(ctx, session.caller.Organisation)
+}
+
 // entitled checks the caller's key and route and that this VM is up to date.
 func (session *Session) entitled() *refusal.Refusal {
 	// The confirmation is looked at first: a contract that was read before it may be older than it.
--- a/standin/fleet/process.go
+++ b/standin/fleet/process.go
@@ -113,6 +113,9 @@
 	})
 }
 
+// PID returns the process's number on this machine.
+func (process *Process) PID() int { return process.command.Process.Pid }
+
 // Ended is closed when the process has ended.
 func (process *Process) Ended() <-chan struct{} { return process.ended }
 
