--- a/core/chart/chart_test.go
+++ b/core/chart/chart_test.go
@@ -62,6 +62,7 @@
 func TestNamed(t *testing.T) {
 	actions := map[string][]chart.Action{
 		"connection": {"offer", "close", "cancel", "discard_all"},
+		"vm":         {"announce_leaving", "close_listener", "end_sessions", "close_connections"},
 		"session": {
 			"report_ready", "send_refusal", "send_protocol_error", "send_stopping", "send_withdrawn", "roll_back", "close",
 		},
--- a/core/chart/registry.go
+++ b/core/chart/registry.go
@@ -10,8 +10,8 @@
 //go:embed charts/*.toml
 var files embed.FS
 
-// Named loads the chart of that name from this package's charts directory: "connection" or "session". The actions are
-// those that the calling code carries out.
+// Named loads the chart of that name from this package's charts directory: "connection", "session" or "vm". The actions
+// are those that the calling code carries out.
 func Named(name string, actions ...Action) (*Chart, error) {
 	source, err := files.ReadFile(path.Join("charts", name+".toml"))
 	if err != nil {
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -9,8 +9,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -64,10 +62,9 @@
 	peers      *peer.Server
 	admin      *admin.Server
 
-	draining  atomic.Bool
-	drainOnce sync.Once
-	drain     chan struct{}
-	servers   *servers
+	life    *life
+	drain   chan struct{}
+	servers *servers
 }
 
 // New opens the listeners and connects the parts; Run starts them.
@@ -79,6 +76,10 @@
 	if gateway.listeners, err = openListeners(settings.Listen); err != nil {
 		return nil, fmt.Errorf("opening listeners: %w", err)
 	}
+	if gateway.life, err = gateway.newLife(); err != nil {
+		gateway.listeners.close()
+		return nil, err
+	}
 	if err := gateway.assemble(logger); err != nil {
 		gateway.listeners.close()
 		return nil, fmt.Errorf("assembling the process: %w", err)
@@ -184,7 +185,7 @@
 // ready returns why the VM takes no new connections, or nil.
 func (gateway *Gateway) ready() error {
 	switch {
-	case gateway.draining.Load():
+	case !gateway.life.serving():
 		return errors.New("the VM is shutting down")
 	case !gateway.controller.Admitting():
 		return errors.New("the configuration is not confirmed")
@@ -196,13 +197,7 @@
 }
 
 // Drain begins a planned stop; Run returns when it is complete.
-func (gateway *Gateway) Drain() {
-	gateway.drainOnce.Do(func() {
-		gateway.draining.Store(true)
-		gateway.controller.Drain()
-		close(gateway.drain)
-	})
-}
+func (gateway *Gateway) Drain() { gateway.fire(eventDrain) }
 
 func (gateway *Gateway) cancel(_ context.Context, request *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
 	return &peerpb.CancelReply{Found: gateway.sessions.Cancel(request.ProcessId, request.SecretKey)}, nil
--- a/io/gateway/run.go
+++ b/io/gateway/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"dotterelgw/core/chart"
 	"dotterelgw/core/config"
 )
 
@@ -57,18 +58,46 @@
 	return failure
 }
 
-// stop lets the balancer notice, closes the listener, and ends the sessions.
+// newLife binds the actions of the process's chart.
+func (gateway *Gateway) newLife() (*life, error) {
+	return newLife(map[chart.Action]func(){
+		actionAnnounceLeaving: func() {
+			gateway.controller.Drain()
+			close(gateway.drain)
+		},
+		actionCloseListener:    func() { _ = gateway.listeners.caller.Close() },
+		actionEndSessions:      gateway.endSessions,
+		actionCloseConnections: gateway.closeConnections,
+	})
+}
+
+func (gateway *Gateway) fire(event chart.Event) {
+	if err := gateway.life.fire(event); err != nil {
+		level.Error(gateway.logger).Log("msg", "event not known", "event", event, "err", err)
+	}
+}
+
+// stop lets the balancer notice, ends the sessions, and closes the connections to other processes.
 func (gateway *Gateway) stop() {
 	level.Info(gateway.logger).Log("msg", "draining", "sessions", gateway.sessions.Sessions())
 	time.Sleep(gateway.settings.Drain.Delay())
-	_ = gateway.listeners.caller.Close()
+	gateway.fire(eventBalancerInformed)
+	gateway.fire(eventSessionsEnded)
+	level.Info(gateway.logger).Log("msg", "stopped")
+}
+
+// endSessions waits for the sessions during the grace period and cuts the rest.
+func (gateway *Gateway) endSessions() {
 	grace, cancel := context.WithTimeout(context.Background(), gateway.settings.Drain.Grace())
 	defer cancel()
 	if err := gateway.sessions.Drain(grace); err != nil {
 		level.Warn(gateway.logger).Log("msg", "sessions were cut", "err", err)
 	}
-	shutdown, cancelShutdown := context.WithTimeout(context.Background(), shutdownTimeout)
-	defer cancelShutdown()
+}
+
+func (gateway *Gateway) closeConnections() {
+	shutdown, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
 	if err := gateway.admin.Shutdown(shutdown); err != nil {
 		level.Warn(gateway.logger).Log("msg", "administration API did not end in time", "err", err)
 	}
@@ -77,7 +106,6 @@
 	gateway.pools.Close()
 	_ = gateway.dialer.Close()
 	_ = gateway.store.Close()
-	level.Info(gateway.logger).Log("msg", "stopped")
 }
 
 // apply hands a changed configuration entry to the parts that follow it.
--- a/io/session/bench_test.go
+++ b/io/session/bench_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net"
-	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -106,26 +105,3 @@
 	}
 	bothLoads(b, conns)
 }
-
-// BenchmarkIdleMemory measures memory per idle caller connection, with the caller's own side of it included.
-func BenchmarkIdleMemory(b *testing.B) {
-	proxy := newProxy(b, 32)
-	usage := func() uint64 {
-		runtime.GC()
-		runtime.GC()
-		var stats runtime.MemStats
-		runtime.ReadMemStats(&stats)
-		return stats.HeapInuse + stats.StackInuse
-	}
-	proxy.connect("app", "")
-	before := usage()
-	const count = 1000
-	conns := make([]net.Conn, 0, count)
-	for range count {
-		conns = append(conns, proxy.dial("app", "").conn)
-	}
-	for range b.N {
-		b.ReportMetric(float64(usage()-before)/count, "B/connection")
-	}
-	runtime.KeepAlive(conns)
-}
