--- a/io/limiter/account.go
+++ b/io/limiter/account.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/limit"
@@ -14,6 +15,8 @@
 	budget   limit.Budget
 	borrower *limit.Borrower
 	waiters  []chan struct{}
+	// answers counts the holders' answers, those without tokens included.
+	answers atomic.Int64
 }
 
 func newAccount(validity time.Duration, budget limit.Budget) *account {
@@ -81,8 +84,9 @@
 	account.borrower.Pend(amount)
 }
 
-// receive takes a grant that was asked for at the time sent, and admits waiting requests.
+// receive takes a holder's answer to what was asked at the time sent, and admits waiting requests.
 func (account *account) receive(now, sent time.Duration, granted int64, validity time.Duration) {
+	account.answers.Add(1)
 	account.mutex.Lock()
 	defer account.mutex.Unlock()
 	account.borrower.Receive(now, sent, granted, validity)
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// longestWait is how long a request waits for a grant under way before it is refused. With 50 ms, first requests on a
-	// busy VM were refused within the rate, since a round trip to a holder took longer.
+	// shortWait is how long a request waits for a grant when holders answer but have none to give. A longer one would
+	// hold up the callers of an organisation over its rate, whose later requests are within it again.
+	shortWait = 50 * time.Millisecond
+	// longestWait is how long it waits while no holder has answered: on a busy VM a round trip takes longer than shortWait.
 	longestWait = 250 * time.Millisecond
 	// planInterval is the time between two looks at the demand; a request that finds no token triggers one at once.
 	planInterval = 5 * time.Millisecond
@@ -58,7 +60,7 @@
 type Limiter interface {
 	// Admit spends one token of the organisation if this VM has one; it does not allocate.
 	Admit(organisation ids.OrganisationID) bool
-	// Wait waits up to 250 ms for a token, after Admit returned false.
+	// Wait waits for a token after Admit returned false: 50 ms, or up to 250 ms while no holder answers.
 	Wait(ctx context.Context, organisation ids.OrganisationID) bool
 	// Ready tells whether this VM knows the share record, without which nothing is admitted.
 	Ready() bool
@@ -76,7 +78,8 @@
 	fleet   Fleet
 	logger  log.Logger
 	began   time.Time
-	wait    time.Duration // how long a request waits for a grant
+	short   time.Duration // how long a request waits when holders answer
+	wait    time.Duration // how long it waits while none does
 	timeout time.Duration // how long a holder may take to answer
 	kick    chan struct{}
 
@@ -92,7 +95,7 @@
 func New(self ids.VMID, control Control, fleet Fleet, rank limit.Ranker, logger log.Logger) Limiter {
 	limiter := &limiter{
 		self: self, control: control, fleet: fleet, began: time.Now(), kick: make(chan struct{}, 1),
-		wait: longestWait, timeout: borrowTimeout,
+		short: shortWait, wait: longestWait, timeout: borrowTimeout,
 		logger: log.With(logger, "part", "limiter"), holder: limit.NewHolder(self, rank, handover),
 	}
 	control.OnChange(limiter.apply)
@@ -159,6 +162,7 @@
 	if !ok {
 		return false
 	}
+	answers := account.answers.Load()
 	waiter := account.join()
 	limiter.borrowOwn(organisation, account)
 	select {
@@ -167,13 +171,20 @@
 	case limiter.kick <- struct{}{}:
 	default:
 	}
-	timer := time.NewTimer(limiter.wait)
+	timer := time.NewTimer(limiter.short)
 	defer timer.Stop()
-	select {
-	case <-waiter:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
+	for waited := false; ; waited = true {
+		select {
+		case <-waiter:
+			return true
+		case <-timer.C:
+			if !waited && account.answers.Load() == answers {
+				timer.Reset(limiter.wait - limiter.short)
+				continue
+			}
+		case <-ctx.Done():
+		}
+		break
 	}
 	return account.leave(waiter)
 }
--- a/io/limiter/limiter_test.go
+++ b/io/limiter/limiter_test.go
@@ -98,7 +98,7 @@
 		made := New(vm, fleet, fleet, firstOf, log.NewNopLogger()).(*limiter)
 		// Long times keep a busy machine from deciding a test; a holder that is silent stays so for longer than a
 		// request waits, as in production.
-		made.wait, made.timeout = 2*time.Second, time.Minute
+		made.short, made.wait, made.timeout = 2*time.Second, 4*time.Second, time.Minute
 		fleet.limiters[vm] = made
 	}
 	for _, limiter := range fleet.limiters {
@@ -161,6 +161,46 @@
 	}
 }
 
+// Guards against a request that waits on although every holder has answered that it has no tokens, and against one that
+// is refused before any holder had the time to answer.
+func TestWaitEndsWithTheAnswers(t *testing.T) {
+	for name, test := range map[string]struct {
+		answers bool
+		least   time.Duration
+	}{
+		"a holder answers": {true, 0},
+		"none answers":     {false, 300 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			fleet := &fleet{contract: &contract.Contract{Organisation: testOrganisation, Rate: 10, Burst: 10}}
+			limiter := New("vm1", fleet, fleet, firstOf, log.NewNopLogger()).(*limiter)
+			limiter.short, limiter.wait = 10*time.Millisecond, time.Minute
+			if !test.answers {
+				limiter.wait = 300 * time.Millisecond
+			}
+			account, _ := limiter.account(testOrganisation)
+			done := make(chan bool)
+			begin := time.Now()
+			go func() { done <- limiter.Wait(t.Context(), testOrganisation) }()
+			for test.answers && waiting(account) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			if test.answers {
+				account.receive(0, 0, 0, time.Second)
+			}
+			if <-done || time.Since(begin) < test.least {
+				t.Errorf("admitted, or refused after %s", time.Since(begin))
+			}
+		})
+	}
+}
+
+func waiting(account *account) int {
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	return len(account.waiters)
+}
+
 // waitForFirst waits until the hand-over time of a new share record has passed.
 func waitForFirst(t *testing.T, limiter Limiter) int {
 	t.Helper()
--- a/io/limiter/run.go
+++ b/io/limiter/run.go
@@ -102,7 +102,9 @@
 	epoch := limiter.holder.Record().Epoch
 	granted, validity := limiter.holder.Borrow(sent, epoch, organisation, wanted)
 	limiter.mutex.Unlock()
-	account.receive(limiter.now(), sent, granted, validity)
+	if granted > 0 {
+		account.receive(limiter.now(), sent, granted, validity)
+	}
 }
 
 // release takes the asked tokens out of what is under way.
@@ -128,8 +130,11 @@
 	return nil
 }
 
-// settle hands the grants out.
+// settle hands the grants out; a holder that did not answer has no reply.
 func (limiter *limiter) settle(sent time.Duration, items []*peerpb.BorrowItem, reply *peerpb.BorrowReply) {
+	if reply == nil {
+		return
+	}
 	granted := make(map[string]*peerpb.Grant, len(items))
 	for _, grant := range reply.GetGrants() {
 		granted[grant.Organisation] = grant
