--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -56,7 +56,6 @@
 	if dependencies.Metrics == nil {
 		dependencies.Metrics = metrics.NewRegistry()
 	}
-	dependencies.Logger = log.With(dependencies.Logger, "component", "admin")
 	server := &Server{Dependencies: dependencies, index: newIndex(), now: time.Now, pause: defaultPause}
 	for _, option := range options {
 		option(server)
--- a/io/frontend/frontend.go
+++ b/io/frontend/frontend.go
@@ -116,7 +116,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return fmt.Errorf("accept: %w", err)
 			}
-			_ = frontend.Logger.Log("component", "frontend", "msg", "accept failed", "err", err)
+			_ = frontend.Logger.Log("msg", "accept failed", "err", err)
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -146,7 +146,7 @@
 func (frontend *Frontend) open(conn net.Conn, count int64) (opened *session.Session) {
 	defer func() {
 		if reason := recover(); reason != nil {
-			_ = frontend.Logger.Log("component", "frontend", "msg", "start-up panicked", "reason", reason, "stack", string(debug.Stack()))
+			_ = frontend.Logger.Log("msg", "start-up panicked", "reason", reason, "stack", string(debug.Stack()))
 			opened = nil
 		}
 	}()
@@ -158,7 +158,7 @@
 	}
 	opened, err := handshake.run()
 	if err != nil {
-		_ = frontend.Logger.Log("component", "frontend", "msg", "start-up failed", "err", err)
+		_ = frontend.Logger.Log("msg", "start-up failed", "err", err)
 		return nil
 	}
 	return opened
--- a/io/frontend/handshake.go
+++ b/io/frontend/handshake.go
@@ -165,7 +165,7 @@
 			if err == nil {
 				return stored, true, !key.Withdrawn.IsZero()
 			}
-			_ = handshake.frontend.Logger.Log("component", "frontend", "msg", "key cannot be used", "organisation", caller.Organisation, "key", caller.Key, "err", err)
+			_ = handshake.frontend.Logger.Log("msg", "key cannot be used", "organisation", caller.Organisation, "key", caller.Key, "err", err)
 		}
 	}
 	user := string(caller.Organisation) + "." + string(caller.Key)
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -108,14 +108,15 @@
 	self := member.Member{ID: vm, Address: gateway.Addresses().Peer, Zone: gateway.settings.AvailabilityZone}
 	gateway.dialer = peer.NewDialer(transport)
 	gateway.controller = control.New(self, gateway.store, platform.NewVMList(gateway.settings.Platform.VMList, vm),
-		gateway.dialer, control.WithLogger(logger), control.WithMetrics(gateway.metrics))
+		gateway.dialer, control.WithLogger(observe.Part(logger, "control")), control.WithMetrics(gateway.metrics))
 	gateway.recorder = admin.NewRecorder(vm, gateway.metrics, time.Now)
 	gateway.pools = backend.New(backend.Login{User: gateway.settings.Backend.User, Password: gateway.settings.Backend.Password, VM: vm})
 	login := group.Login{User: gateway.settings.Backend.ControlUser, Password: gateway.settings.Backend.Password, VM: vm}
 	gateway.groups = group.New(group.WithLogin(login), group.WithBusy(gateway.pools.Busy),
 		group.WithMetrics(gateway.metrics), group.WithLogger(observe.Part(logger, "group")))
 	gateway.servers = newServers(vm, gateway.controller, gateway.groups, gateway.pools)
-	gateway.limiter = limiter.New(vm, gateway.controller, fleet{gateway.controller, gateway.dialer}, rank, logger)
+	gateway.limiter = limiter.New(vm, gateway.controller, fleet{gateway.controller, gateway.dialer}, rank,
+		observe.Part(logger, "limiter"))
 	if err := gateway.assembleCallerSide(logger); err != nil {
 		return err
 	}
@@ -177,7 +178,7 @@
 		VM: gateway.settings.VM, Zone: gateway.settings.AvailabilityZone, Control: gateway.controller,
 		Reader: gateway.store, Groups: gateway.groups, Peers: gateway.dialer, Recorder: gateway.recorder,
 		Ready: gateway.ready, Drain: gateway.Drain, Operators: operators, Metrics: gateway.metrics,
-		Logger: logger,
+		Logger: observe.Part(logger, "admin"),
 	}, options...)
 	return nil
 }
--- a/io/limiter/limiter.go
+++ b/io/limiter/limiter.go
@@ -96,7 +96,7 @@
 	limiter := &limiter{
 		self: self, control: control, fleet: fleet, began: time.Now(), kick: make(chan struct{}, 1),
 		short: shortWait, wait: longestWait, timeout: borrowTimeout,
-		logger: log.With(logger, "part", "limiter"), holder: limit.NewHolder(self, rank, handover),
+		logger: logger, holder: limit.NewHolder(self, rank, handover),
 	}
 	control.OnChange(limiter.apply)
 	return limiter
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -111,7 +111,7 @@
 	defer func() {
 		if reason := recover(); reason != nil {
 			// A fault in one session must not end the others.
-			_ = session.server.Logger.Log("component", "session", "msg", "session panicked", "reason", reason, "stack", string(debug.Stack()))
+			_ = session.server.Logger.Log("msg", "session panicked", "reason", reason, "stack", string(debug.Stack()))
 		}
 	}()
 	for {
