--- /dev/null
+++ b/cmd/dotterel-node/doc.go
@@ -0,0 +1,2 @@
+// Command dotterel-node runs the proxy on the prepared platform.
+package main
--- /dev/null
+++ b/core/handover/plan.go
@@ -0,0 +1,184 @@
+package handover
+
+import (
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+)
+
+// Reason tells why a primary is replaced; it is empty while there is none.
+type Reason string
+
+// The reasons for replacing a primary.
+const (
+	// Lost states that the primary does not answer.
+	Lost Reason = "lost"
+	// Absent states that no server acts as primary.
+	Absent Reason = "absent"
+	// Leaving states that the primary is about to stop or has no registration.
+	Leaving Reason = "leaving"
+	// Stuck states that no replica receives what the primary writes, so that it can acknowledge nothing.
+	Stuck Reason = "stuck"
+)
+
+const (
+	// absentAfter is the time for which no server may act as primary, as one that started is slower to register.
+	absentAfter = 1200 * time.Millisecond
+	// stuckAfter is the time for which no replica may receive anything although the primary has more.
+	stuckAfter = 1200 * time.Millisecond
+)
+
+// Member is what is known of one server of a group.
+type Member struct {
+	// ID names the server.
+	ID ids.BackendServerID
+	// Reachable states that the server answers.
+	Reachable bool
+	// Leaving states that the server takes no new work.
+	Leaving bool
+	// Observed states that the fields below were observed.
+	Observed bool
+	// Role is what the server acts as.
+	Role catalog.Role
+	// Term is the newest term that the server knows.
+	Term ids.Term
+	// Received is the end of the log that the server holds.
+	Received position.Position
+	// Paused is the term for which the server refuses to receive the log; 0 means that it receives.
+	Paused ids.Term
+}
+
+// Watch follows one group and says when its primary is to be replaced. It is not safe for concurrent use.
+type Watch struct {
+	// absentSince is the time since which no server acts as primary; 0 while one does.
+	absentSince time.Duration
+	// stuckSince is the time since which no replica has received anything although the primary has more; 0 while one does.
+	stuckSince time.Duration
+	// reached is the most that a replica had received then.
+	reached position.Position
+}
+
+// Judge returns why the group's primary is to be replaced, from the present state of its servers.
+func (watch *Watch) Judge(now time.Duration, members []Member) Reason {
+	primary := leaderOf(members)
+	if primary == nil {
+		return watch.absent(now, members)
+	}
+	watch.absentSince = 0
+	others := candidates(members, primary.ID)
+	if len(others) == 0 {
+		watch.stuckSince = 0
+		return ""
+	}
+	switch {
+	case !primary.Reachable:
+		return Lost
+	case primary.Leaving && hasStaying(others):
+		return Leaving
+	case watch.stuck(now, primary, others):
+		return Stuck
+	}
+	return ""
+}
+
+// leaderOf returns the primary of the highest term, nil if there is none.
+func leaderOf(members []Member) *Member {
+	var primary *Member
+	for index := range members {
+		member := &members[index]
+		if member.Observed && member.Role == catalog.Leader && (primary == nil || member.Term > primary.Term) {
+			primary = member
+		}
+	}
+	return primary
+}
+
+// candidates returns the servers that answer and may follow the primary.
+func candidates(members []Member, primary ids.BackendServerID) []Member {
+	var others []Member
+	for _, member := range members {
+		if member.ID != primary && member.Observed && member.Reachable {
+			others = append(others, member)
+		}
+	}
+	return others
+}
+
+func hasStaying(members []Member) bool {
+	for _, member := range members {
+		if !member.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// absent waits until the lack of a primary has lasted: one that does not answer yet may turn up.
+func (watch *Watch) absent(now time.Duration, members []Member) Reason {
+	if len(candidates(members, "")) == 0 {
+		watch.absentSince = 0
+		return ""
+	}
+	if watch.absentSince == 0 {
+		watch.absentSince = now
+	}
+	if now-watch.absentSince < absentAfter {
+		return ""
+	}
+	return Absent
+}
+
+// stuck states whether no replica has received anything for a while although the primary has more.
+func (watch *Watch) stuck(now time.Duration, primary *Member, others []Member) bool {
+	most := MostAdvanced(others)
+	if !most.Received.Less(primary.Received) || watch.reached.Less(most.Received) || most.Received.Less(watch.reached) {
+		watch.reached, watch.stuckSince = most.Received, 0
+		return false
+	}
+	if watch.stuckSince == 0 {
+		watch.stuckSince = now
+	}
+	return now-watch.stuckSince >= stuckAfter
+}
+
+// MostAdvanced returns the member whose log is longest; of equals one that stays. It returns the zero value for none.
+func MostAdvanced(members []Member) Member {
+	var best Member
+	for index, member := range members {
+		switch {
+		case index == 0, best.Received.Less(member.Received):
+			best = member
+		case best.Received == member.Received && best.Leaving && !member.Leaving:
+			best = member
+		}
+	}
+	return best
+}
+
+// Fence is the result of an attempt to keep the old primary from acknowledging writes.
+type Fence struct {
+	// SteppedDown states that the old primary acts as a replica now.
+	SteppedDown bool
+	// Final is the end of the old primary's log if it stepped down.
+	Final position.Position
+	// Others holds the other registered servers as they answered after the fence.
+	Others []Member
+	// Silent is the number of other registered servers that did not answer.
+	Silent int
+}
+
+// Successor returns the server to promote. An acknowledged write is in the log of the old primary and of at least one
+// other server. So the longest log holds all of them if every other server has answered, and so does a log as long as
+// that of an old primary that stepped down.
+func (fence Fence) Successor() (Member, bool) {
+	best := MostAdvanced(fence.Others)
+	if len(fence.Others) == 0 {
+		return Member{}, false
+	}
+	if fence.Silent > 0 && (!fence.SteppedDown || best.Received.Less(fence.Final)) {
+		return Member{}, false
+	}
+	return best, true
+}
--- a/core/limit/bucket.go
+++ b/core/limit/bucket.go
@@ -39,3 +39,9 @@
 	bucket.updated = now
 	bucket.tokens = min(bucket.tokens+earned, bucket.burst)
 }
+
+// Tokens returns the number of whole tokens that could be drawn now.
+func (bucket *Bucket) Tokens(now time.Duration) int64 {
+	bucket.fill(now)
+	return int64(bucket.tokens)
+}
--- /dev/null
+++ b/core/quota/account.go
@@ -0,0 +1,90 @@
+package quota
+
+import (
+	"time"
+
+	"dotterelgw/core/limit"
+)
+
+// leastPart is the smallest burst of one part in operations; a part below one operation would never admit any.
+const leastPart = 2
+
+// Account is one organisation's rate on one VM: the VM's own part and what other VMs lent. It is not safe for concurrent use.
+type Account struct {
+	budget   limit.Budget
+	share    limit.Share
+	owns     bool
+	bucket   limit.Bucket
+	borrowed *limit.Borrower
+}
+
+// NewAccount returns an account without a part.
+func NewAccount() *Account { return &Account{borrowed: limit.NewBorrower(limit.MinValidity)} }
+
+// Parts returns into how many parts a budget is divided over the VMs.
+func Parts(budget limit.Budget, vms int) int {
+	whole := limit.Divide(budget.Rate, budget.Burst, 1).Burst
+	return max(1, min(vms, int(whole/leastPart)))
+}
+
+// Resize sets the budget, the number of its parts and whether this VM owns one. A part begins empty, so that a VM that
+// started anew admits nothing that its previous process admitted already.
+func (account *Account) Resize(now time.Duration, budget limit.Budget, parts int, owns bool) {
+	account.budget = budget
+	account.share = limit.Divide(budget.Rate, budget.Burst, parts)
+	account.borrowed.SetValidity(account.share.Validity)
+	switch {
+	case owns && account.owns:
+		account.bucket.Resize(now, account.share)
+	case owns:
+		account.bucket = limit.NewBucket(account.share, now)
+	}
+	account.owns = owns
+}
+
+// Admit spends one operation; first states that the operation was not counted as an arrival yet.
+func (account *Account) Admit(now time.Duration, first bool) bool {
+	if first {
+		account.borrowed.Arrive(now)
+	}
+	// What is lent expires, so it is spent first.
+	if account.borrowed.AdmitWaiting(now) {
+		return true
+	}
+	return account.owns && account.bucket.Take(now, 1) == 1
+}
+
+// horizon is the number of windows of demand for which operations are collected ahead.
+const horizon = 2
+
+// Wanted returns how many operations to borrow now.
+func (account *Account) Wanted(now time.Duration) int64 {
+	forecast := account.borrowed.Demand(now) * horizon
+	have := account.borrowed.Tokens(now)
+	if account.owns {
+		have += account.bucket.Tokens(now)
+	}
+	return max(forecast-have, 0)
+}
+
+// Lend takes up to amount operations out of the VM's own part for another VM. What this VM is about to need stays.
+func (account *Account) Lend(now time.Duration, amount int64) (int64, time.Duration) {
+	if !account.owns {
+		return 0, 0
+	}
+	spare := account.bucket.Tokens(now) - account.borrowed.Demand(now)
+	return account.bucket.Take(now, min(amount, max(spare, 0))), account.share.Validity
+}
+
+// Receive adds what another VM lent for a request that was sent at the time.
+func (account *Account) Receive(now, sent time.Duration, amount int64, validity time.Duration) {
+	account.borrowed.Receive(now, sent, amount, min(validity, limit.MaxValidity))
+}
+
+// RetryAfter returns the time in which the whole fleet earns one more operation.
+func (account *Account) RetryAfter() time.Duration {
+	if account.budget.Rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / account.budget.Rate)
+}
--- /dev/null
+++ b/io/fleet/fleet.go
@@ -0,0 +1,244 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+const (
+	// prefix is the prefix of the keys under which VMs register.
+	prefix = "dotterelgw/vms/"
+	// registrationTTL is the time for which a registration outlives its VM.
+	registrationTTL = 6 * time.Second
+	// keepInterval is the time between two renewals.
+	keepInterval = 2 * time.Second
+	// retryInterval is the pause after a failed call.
+	retryInterval = 300 * time.Millisecond
+	// absentDelay is how long a VM whose registration is gone still counts. It is longer than a VM is cut off from the
+	// service, since one that is cut off goes on using its part of rates and connections.
+	absentDelay = 15 * time.Second
+	// sweepInterval is the time between two looks at VMs that are gone.
+	sweepInterval = time.Second
+)
+
+// VM is the registration of one VM.
+type VM struct {
+	// ID names the VM.
+	ID ids.VMID `json:"vm"`
+	// Peer is host and port for datagrams of other VMs.
+	Peer string `json:"peer"`
+	// Zone is the VM's availability zone.
+	Zone ids.AvailabilityZone `json:"availability_zone"`
+}
+
+// Store is the part of the key-value service that registrations need.
+type Store interface {
+	platform.Store
+	platform.Holder
+}
+
+// Fleet holds the registered VMs.
+type Fleet struct {
+	self      VM
+	store     Store
+	decisions *observe.Decisions
+
+	mutex    sync.Mutex
+	vms      map[ids.VMID]VM
+	absent   map[ids.VMID]time.Duration
+	listed   bool
+	onChange []func([]VM)
+}
+
+// New returns a fleet of this VM alone.
+func New(self VM, store Store, decisions *observe.Decisions) *Fleet {
+	return &Fleet{
+		self: self, store: store, decisions: decisions, vms: map[ids.VMID]VM{self.ID: self}, absent: make(map[ids.VMID]time.Duration),
+	}
+}
+
+// OnChange registers a function that is called with all VMs after each change. It is not called before the first listing.
+func (fleet *Fleet) OnChange(call func([]VM)) { fleet.onChange = append(fleet.onChange, call) }
+
+// Run registers this VM and follows the others until the context ends.
+func (fleet *Fleet) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { fleet.register(ctx) })
+	group.Go(func() { fleet.follow(ctx) })
+	group.Go(func() { fleet.sweep(ctx) })
+	group.Wait()
+}
+
+// register keeps the registration alive.
+func (fleet *Fleet) register(ctx context.Context) {
+	var lease platform.Lease
+	for ctx.Err() == nil {
+		var err error
+		if lease == 0 {
+			lease, err = fleet.hold(ctx)
+		} else if _, err = fleet.store.KeepAlive(ctx, lease); errors.Is(err, platform.ErrLeaseEnded) {
+			fleet.decisions.Event("registration_lapsed", "lease", lease)
+			lease = 0
+			continue
+		}
+		pause := keepInterval
+		if err != nil {
+			fleet.decisions.Request("registration_failed", "lease", lease, "err", err)
+			pause = retryInterval
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// hold stores the registration under a new lease, also over one of this VM's previous process.
+func (fleet *Fleet) hold(ctx context.Context) (platform.Lease, error) {
+	value, err := json.Marshal(fleet.self)
+	if err != nil {
+		return 0, err
+	}
+	lease, _, err := fleet.store.Grant(ctx, registrationTTL)
+	if err != nil {
+		return 0, err
+	}
+	key := prefix + string(fleet.self.ID)
+	revision, stored, err := fleet.store.CompareAndHold(ctx, key, 0, value, lease)
+	if err == nil && !stored {
+		_, stored, err = fleet.store.CompareAndHold(ctx, key, revision, value, lease)
+	}
+	if err == nil && !stored {
+		err = errChanged
+	}
+	if err != nil {
+		return 0, err
+	}
+	fleet.decisions.Event("registered", "lease", lease, "peer", fleet.self.Peer)
+	return lease, nil
+}
+
+// errChanged states that another writer changed the registration meanwhile.
+var errChanged = errors.New("the registration changed meanwhile")
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (fleet *Fleet) follow(ctx context.Context) {
+	for event := range platform.Follow(ctx, fleet.store, prefix, 0) {
+		if event.Err == nil && (event.Complete || len(event.Entries) > 0) {
+			fleet.apply(event)
+		}
+	}
+}
+
+func (fleet *Fleet) apply(event platform.WatchEvent) {
+	fleet.mutex.Lock()
+	present := make(map[ids.VMID]bool)
+	for _, entry := range event.Entries {
+		if id, ok := fleet.applyEntry(entry); ok {
+			present[id] = true
+		}
+	}
+	if event.Complete {
+		fleet.listed = true
+		for id := range fleet.vms {
+			if !present[id] {
+				fleet.miss(id)
+			}
+		}
+	}
+	fleet.mutex.Unlock()
+	fleet.publish()
+}
+
+// applyEntry applies one registration; false if it names no VM. The mutex is held.
+func (fleet *Fleet) applyEntry(entry config.Entry) (ids.VMID, bool) {
+	id := ids.VMID(strings.TrimPrefix(entry.Key, prefix))
+	if entry.Value == nil {
+		fleet.miss(id)
+		return id, false
+	}
+	var vm VM
+	if err := json.Unmarshal(entry.Value, &vm); err != nil || vm.ID != id {
+		fleet.decisions.Event("registration_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
+		return id, false
+	}
+	if held, known := fleet.vms[id]; !known || held != vm {
+		fleet.decisions.Event("vm_registered", "peer_vm", id, "peer", vm.Peer, "revision", entry.Revision)
+	}
+	fleet.vms[id] = vm
+	delete(fleet.absent, id)
+	return id, true
+}
+
+// miss notes that a VM has no registration. The mutex is held.
+func (fleet *Fleet) miss(id ids.VMID) {
+	if _, known := fleet.vms[id]; !known || id == fleet.self.ID {
+		return
+	}
+	if _, ok := fleet.absent[id]; !ok {
+		fleet.absent[id] = clock.Now()
+	}
+}
+
+// sweep drops VMs that have been gone for absentDelay.
+func (fleet *Fleet) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		if fleet.drop(clock.Now()) {
+			fleet.publish()
+		}
+	}
+}
+
+func (fleet *Fleet) drop(now time.Duration) bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	dropped := false
+	for id, since := range fleet.absent {
+		if now-since >= absentDelay {
+			fleet.decisions.Event("vm_gone", "peer_vm", id, "absent", now-since)
+			delete(fleet.vms, id)
+			delete(fleet.absent, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// VMs returns the VMs in the order of their ids, this one included.
+func (fleet *Fleet) VMs() []VM {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return slices.SortedFunc(maps.Values(fleet.vms), func(one, other VM) int { return strings.Compare(string(one.ID), string(other.ID)) })
+}
+
+// Listed states whether the registrations were read.
+func (fleet *Fleet) Listed() bool {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	return fleet.listed
+}
+
+func (fleet *Fleet) publish() {
+	vms := fleet.VMs()
+	for _, call := range fleet.onChange {
+		call(vms)
+	}
+}
--- /dev/null
+++ b/io/mesh/doc.go
@@ -0,0 +1,2 @@
+// Package mesh carries authenticated datagrams between the VMs.
+package mesh
--- /dev/null
+++ b/io/mesh/mesh.go
@@ -0,0 +1,210 @@
+package mesh
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+const (
+	// secretKey is the key under which the VMs share the secret that authenticates their datagrams.
+	secretKey = "dotterelgw/peer_secret"
+	// secretBytes is the length of the secret.
+	secretBytes = 32
+	// macBytes is the length of the authenticator of a datagram.
+	macBytes = 16
+	// maxDatagram bounds a datagram in bytes.
+	maxDatagram = 8 << 10
+	// secretRetry is the pause after a failed attempt to read the secret.
+	secretRetry = 300 * time.Millisecond
+)
+
+// Kind names the meaning of a datagram.
+type Kind string
+
+// frame is a datagram: the message in the encoding of its kind, with its sender.
+type frame struct {
+	Kind    Kind            `cbor:"kind"`
+	Sender  ids.VMID        `cbor:"sender"`
+	Message cbor.RawMessage `cbor:"message"`
+}
+
+// Mesh sends and receives datagrams. Datagrams may be lost, doubled and reordered.
+type Mesh struct {
+	self      ids.VMID
+	conn      *net.UDPConn
+	store     platform.Store
+	decisions *observe.Decisions
+	secret    atomic.Pointer[[]byte]
+
+	mutex    sync.Mutex
+	peers    map[ids.VMID]netip.AddrPort
+	handlers map[Kind]func(sender ids.VMID, message []byte)
+}
+
+// New returns a mesh that listens on the address.
+func New(self ids.VMID, address string, store platform.Store, decisions *observe.Decisions) (*Mesh, error) {
+	local, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, fmt.Errorf("resolving the peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", local)
+	if err != nil {
+		return nil, fmt.Errorf("listening for peers: %w", err)
+	}
+	return &Mesh{
+		self: self, conn: conn, store: store, decisions: decisions,
+		peers: make(map[ids.VMID]netip.AddrPort), handlers: make(map[Kind]func(ids.VMID, []byte)),
+	}, nil
+}
+
+// Handle registers the function that gets the messages of a kind. It is called before Run.
+func Handle[T any](mesh *Mesh, kind Kind, handle func(sender ids.VMID, message T)) {
+	mesh.handlers[kind] = func(sender ids.VMID, encoded []byte) {
+		var message T
+		if err := cbor.Unmarshal(encoded, &message); err != nil {
+			mesh.decisions.Request("datagram_faulty", "sender", sender, "kind", kind, "err", err)
+			return
+		}
+		handle(sender, message)
+	}
+}
+
+// Send sends a message to a VM; a datagram that cannot be sent counts as lost.
+func Send[T any](mesh *Mesh, receiver ids.VMID, kind Kind, message T) {
+	secret := mesh.secret.Load()
+	mesh.mutex.Lock()
+	address, known := mesh.peers[receiver]
+	mesh.mutex.Unlock()
+	if secret == nil || !known {
+		return
+	}
+	encoded, err := cbor.Marshal(message)
+	if err == nil {
+		encoded, err = cbor.Marshal(frame{Kind: kind, Sender: mesh.self, Message: encoded})
+	}
+	if err != nil {
+		mesh.decisions.Event("datagram_unsendable", "kind", kind, "err", err)
+		return
+	}
+	if _, err := mesh.conn.WriteToUDPAddrPort(sign(*secret, encoded), address); err != nil {
+		mesh.decisions.Request("datagram_unsent", "receiver", receiver, "kind", kind, "err", err)
+	}
+}
+
+// sign appends the authenticator.
+func sign(secret, encoded []byte) []byte {
+	mac := hmac.New(sha256.New, secret)
+	mac.Write(encoded)
+	return append(encoded, mac.Sum(nil)[:macBytes]...)
+}
+
+// SetVMs replaces the VMs that can be reached.
+func (mesh *Mesh) SetVMs(vms []fleet.VM) {
+	peers := make(map[ids.VMID]netip.AddrPort, len(vms))
+	for _, vm := range vms {
+		address, err := netip.ParseAddrPort(vm.Peer)
+		if err != nil {
+			mesh.decisions.Event("peer_address_faulty", "peer_vm", vm.ID, "err", err)
+			continue
+		}
+		if vm.ID != mesh.self {
+			peers[vm.ID] = address
+		}
+	}
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	mesh.peers = peers
+}
+
+// Peers returns the other VMs.
+func (mesh *Mesh) Peers() []ids.VMID {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	peers := make([]ids.VMID, 0, len(mesh.peers))
+	for id := range mesh.peers {
+		peers = append(peers, id)
+	}
+	return peers
+}
+
+// Run receives datagrams until the context ends.
+func (mesh *Mesh) Run(ctx context.Context) {
+	go mesh.learnSecret(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = mesh.conn.Close() })
+	defer stop()
+	var buffer [maxDatagram]byte
+	for {
+		size, _, err := mesh.conn.ReadFromUDPAddrPort(buffer[:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A port that is closed on the other side shows here; the datagram is lost.
+			continue
+		}
+		mesh.receive(buffer[:size])
+	}
+}
+
+func (mesh *Mesh) receive(datagram []byte) {
+	secret := mesh.secret.Load()
+	if secret == nil || len(datagram) <= macBytes {
+		return
+	}
+	encoded := datagram[:len(datagram)-macBytes]
+	mac := hmac.New(sha256.New, *secret)
+	mac.Write(encoded)
+	if !hmac.Equal(mac.Sum(nil)[:macBytes], datagram[len(encoded):]) {
+		mesh.decisions.Request("datagram_forged", "bytes", len(datagram))
+		return
+	}
+	var received frame
+	if err := cbor.Unmarshal(encoded, &received); err != nil {
+		mesh.decisions.Request("datagram_faulty", "err", err)
+		return
+	}
+	if handle, ok := mesh.handlers[received.Kind]; ok {
+		handle(received.Sender, received.Message)
+	}
+}
+
+// learnSecret reads the shared secret; the first VM creates it.
+func (mesh *Mesh) learnSecret(ctx context.Context) {
+	for ctx.Err() == nil {
+		entry, found, err := mesh.store.Get(ctx, secretKey)
+		if err == nil && found {
+			mesh.secret.Store(&entry.Value)
+			return
+		}
+		if err == nil {
+			secret := make([]byte, secretBytes)
+			_, _ = rand.Read(secret) // never fails, see crypto/rand
+			_, _, err = mesh.store.CompareAndSwap(ctx, secretKey, 0, secret)
+		}
+		if err != nil {
+			mesh.decisions.Request("peer_secret_unknown", "err", err)
+			timer := time.NewTimer(secretRetry)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/monitor/group.go
@@ -0,0 +1,199 @@
+package monitor
+
+import (
+	"sync"
+	"time"
+
+	"dotterelgw/core/balance"
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/position"
+	"dotterelgw/io/clock"
+)
+
+// Group is what this VM knows of one database group.
+type Group struct {
+	id      ids.GroupID
+	monitor *Monitor
+
+	mutex   sync.Mutex
+	tracker *leader.Tracker
+	servers map[ids.BackendServerID]*Server
+	// changed is closed and replaced when something changes that a request may wait for.
+	changed chan struct{}
+	leader  ids.BackendServerID
+	term    ids.Term
+}
+
+func newGroup(id ids.GroupID, monitor *Monitor) *Group {
+	return &Group{
+		id: id, monitor: monitor, tracker: leader.NewTracker(),
+		servers: make(map[ids.BackendServerID]*Server), changed: make(chan struct{}),
+	}
+}
+
+// ID returns the group's identifier.
+func (group *Group) ID() ids.GroupID { return group.id }
+
+// Hurry has the state of all servers asked for at once.
+func (group *Group) Hurry() {
+	for _, server := range group.Servers() {
+		server.Suspect()
+	}
+}
+
+// Changed returns a channel that is closed at the next change.
+func (group *Group) Changed() <-chan struct{} {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.changed
+}
+
+func (group *Group) notify() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.wake()
+}
+
+// wake tells those who wait. The mutex is held.
+func (group *Group) wake() {
+	close(group.changed)
+	group.changed = make(chan struct{})
+}
+
+// Leader returns the primary if it is known and takes work.
+func (group *Group) Leader() (server *Server, term ids.Term, ok bool) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	info, term, ok := group.tracker.Leader()
+	if !ok {
+		return nil, 0, false
+	}
+	server, ok = group.servers[info.ID]
+	return server, term, ok
+}
+
+// CertainUntil returns the time up to which the primary is the only server that can have acknowledged writes.
+func (group *Group) CertainUntil() time.Duration {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.tracker.CertainUntil()
+}
+
+// Floor returns a position that covers every write acknowledged before the time.
+func (group *Group) Floor(before time.Duration) (position.Position, bool) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.tracker.Floor(before)
+}
+
+// Revoke ends the certainty about the primary, at the wish of the VM that replaces it.
+func (group *Group) Revoke() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.tracker.Revoke(clock.Now())
+}
+
+// Servers returns the group's servers.
+func (group *Group) Servers() []*Server {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	servers := make([]*Server, 0, len(group.servers))
+	for _, server := range group.servers {
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+// Observed returns what was last seen of the server.
+func (group *Group) Observed(id ids.BackendServerID) (leader.Observation, bool) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.tracker.Observed(id)
+}
+
+// ReadRequest says what a read needs of its server.
+type ReadRequest struct {
+	// Organisation is whose read it is.
+	Organisation ids.OrganisationID
+	// Position is what the server's log must hold; the zero value asks for none.
+	Position position.Position
+	// Age is the time since the primary was at Position.
+	Age time.Duration
+	// Primary allows the primary to serve the read.
+	Primary bool
+	// Excluded holds servers that were tried.
+	Excluded map[ids.BackendServerID]bool
+}
+
+// ChooseRead returns the server that is expected to answer the read first, nil if none can.
+func (group *Group) ChooseRead(request ReadRequest) *Server {
+	now := clock.Now()
+	leaderServer, _, _ := group.Leader()
+	var servers []*Server
+	var candidates []balance.Candidate
+	for _, server := range group.Servers() {
+		isLeader := server == leaderServer
+		if request.Excluded[server.ID()] || server.Info().Leaving || !server.Reachable() || isLeader && !request.Primary {
+			continue
+		}
+		servers = append(servers, server)
+		candidates = append(candidates, server.candidate(request.Organisation, isLeader, now))
+	}
+	if index := balance.Choose(candidates, request.Position, request.Age); index >= 0 {
+		return servers[index]
+	}
+	return nil
+}
+
+func (group *Group) sample(id ids.BackendServerID, sentAt time.Duration, at position.Position) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.tracker.Sample(id, sentAt, at)
+}
+
+func (group *Group) observe(id ids.BackendServerID, observation leader.Observation) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.tracker.Observe(id, observation)
+	group.noteLeader(observation)
+	group.wake()
+}
+
+// noteLeader logs a change of the primary. The mutex is held.
+func (group *Group) noteLeader(observation leader.Observation) {
+	info, term, _ := group.tracker.Leader()
+	if info.ID == group.leader && term == group.term {
+		return
+	}
+	group.monitor.decisions.Event("primary_changed", "group", group.id, "from", group.leader, "from_term", group.term,
+		"to", info.ID, "to_term", term, "position", observation.Received.Log)
+	group.leader, group.term = info.ID, term
+}
+
+// setServers replaces the group's servers and returns those that are new and those that are gone.
+func (group *Group) setServers(registered []catalog.Server, limit int) (added, removed []*Server) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	next := make(map[ids.BackendServerID]*Server, len(registered))
+	for _, info := range registered {
+		if held, ok := group.servers[info.ID]; ok && held.Info().Same(info) {
+			held.info.Store(&info)
+			next[info.ID] = held
+			continue
+		}
+		server := group.monitor.newServer(group, info, limit)
+		next[info.ID] = server
+		added = append(added, server)
+	}
+	for id, server := range group.servers {
+		if next[id] != server {
+			removed = append(removed, server)
+		}
+	}
+	group.servers = next
+	group.tracker.SetServers(registered)
+	group.wake()
+	return added, removed
+}
--- /dev/null
+++ b/io/monitor/monitor.go
@@ -0,0 +1,218 @@
+package monitor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/observe"
+)
+
+const (
+	// pollInterval is the time between two status requests to a server; a lease covers three.
+	pollInterval = 450 * time.Millisecond
+	// pollAgain is the time after which a server that did not answer is asked again.
+	pollAgain = 100 * time.Millisecond
+	// pollTimeout bounds a status request, which waits behind statements on a busy server.
+	pollTimeout = 500 * time.Millisecond
+	// defaultConnections is the number of connections to a server while its group's bound is not known.
+	defaultConnections = 2
+)
+
+// Monitor follows all database groups.
+type Monitor struct {
+	dialer    dbpool.Dialer
+	zone      ids.AvailabilityZone
+	decisions *observe.Decisions
+
+	mutex   sync.Mutex
+	ctx     context.Context
+	groups  map[ids.GroupID]*Group
+	catalog *catalog.Catalog
+	vms     int
+}
+
+// New returns a monitor for a VM in the zone that stops asking when the context ends.
+func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, decisions *observe.Decisions) *Monitor {
+	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), vms: 1}
+}
+
+// Group returns the group, nil if no server of it is registered.
+func (monitor *Monitor) Group(id ids.GroupID) *Group {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	return monitor.groups[id]
+}
+
+// Groups returns all groups.
+func (monitor *Monitor) Groups() []*Group {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	groups := make([]*Group, 0, len(monitor.groups))
+	for _, group := range monitor.groups {
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+// SetCatalog takes the bounds of the groups from the configuration.
+func (monitor *Monitor) SetCatalog(current *catalog.Catalog) {
+	monitor.mutex.Lock()
+	monitor.catalog = current
+	monitor.mutex.Unlock()
+	monitor.setLimits()
+}
+
+// SetVMs sets the number of VMs that share the connections to each server.
+func (monitor *Monitor) SetVMs(count int) {
+	monitor.mutex.Lock()
+	monitor.vms = max(1, count)
+	monitor.mutex.Unlock()
+	monitor.setLimits()
+}
+
+// limit returns the number of connections that this VM may have to each server of the group. The mutex is held.
+func (monitor *Monitor) limit(group ids.GroupID) int {
+	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
+		return defaultConnections
+	}
+	return max(1, monitor.catalog.Groups[group].Connections/monitor.vms)
+}
+
+func (monitor *Monitor) setLimits() {
+	for _, group := range monitor.Groups() {
+		monitor.mutex.Lock()
+		limit := monitor.limit(group.id)
+		monitor.mutex.Unlock()
+		for _, server := range group.Servers() {
+			server.Pool.SetLimit(limit)
+		}
+	}
+}
+
+// SetServers takes the registered servers.
+func (monitor *Monitor) SetServers(registered []catalog.Server) {
+	byGroup := make(map[ids.GroupID][]catalog.Server)
+	for _, server := range registered {
+		byGroup[server.Group] = append(byGroup[server.Group], server)
+	}
+	monitor.mutex.Lock()
+	for id := range byGroup {
+		if monitor.groups[id] == nil {
+			monitor.groups[id] = newGroup(id, monitor)
+		}
+	}
+	groups := make(map[*Group]int, len(monitor.groups))
+	for id, group := range monitor.groups {
+		groups[group] = monitor.limit(id)
+	}
+	monitor.mutex.Unlock()
+	for group, limit := range groups {
+		added, removed := group.setServers(byGroup[group.id], limit)
+		for _, server := range added {
+			go monitor.watch(server)
+		}
+		for _, server := range removed {
+			close(server.stop)
+			server.Pool.Close()
+		}
+	}
+}
+
+func (monitor *Monitor) newServer(group *Group, info catalog.Server, limit int) *Server {
+	server := &Server{group: group, stop: make(chan struct{}), hurry: make(chan struct{}, 1), Pool: dbpool.New(info, monitor.dialer, limit)}
+	server.info.Store(&info)
+	return server
+}
+
+// watch asks the server for its state until it is gone.
+func (monitor *Monitor) watch(server *Server) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-monitor.ctx.Done():
+			return
+		case <-server.stop:
+			return
+		case <-server.hurry:
+		case <-timer.C:
+		}
+		pause := pollInterval
+		if _, err := monitor.Ask(server, dbpool.Call{Kind: statement.Status}); err != nil {
+			pause = pollAgain
+		}
+		timer.Reset(pause)
+	}
+}
+
+// errBusy states that the server is alive and had no room for a status request.
+var errBusy = errors.New("the server is busy")
+
+// Ask sends a control statement to the server and notes the state that it answers with.
+func (monitor *Monitor) Ask(server *Server, call dbpool.Call) (leader.Status, error) {
+	ctx, cancel := context.WithTimeout(monitor.ctx, pollTimeout)
+	defer cancel()
+	conn, err := server.Pool.Acquire(ctx, dbpool.Request{Organisation: monitor.anyOrganisation(), Priority: -1, Any: true})
+	if err != nil {
+		monitor.noConnection(server, err)
+		return leader.Status{}, err
+	}
+	sentAt := server.Begin()
+	status, code, err := conn.Status(time.Now().Add(pollTimeout), call)
+	if err != nil {
+		conn.Break()
+		conn.Release(statement.Failed)
+		server.Failed(sentAt)
+		return leader.Status{}, err
+	}
+	conn.Release(statement.Idle)
+	server.Answered(sentAt, statement.Reply{}, false)
+	if code != statement.Complete {
+		return leader.Status{}, errBusy
+	}
+	server.observe(leader.Observation{Status: status, SentAt: sentAt})
+	return status, nil
+}
+
+// noConnection notes what a failed Acquire tells of the server: one that only lacked a free connection may be well.
+func (monitor *Monitor) noConnection(server *Server, err error) {
+	var refused *dbpool.RefusedError
+	switch {
+	case errors.Is(err, dbpool.ErrNoConnection), errors.Is(err, dbpool.ErrClosed), monitor.ctx.Err() != nil:
+	case errors.As(err, &refused) && refused.Code == statement.TooManyConnections:
+	default:
+		server.Refused()
+	}
+}
+
+// NoConnection notes a failed Acquire of the data path.
+func (monitor *Monitor) NoConnection(server *Server, err error) { monitor.noConnection(server, err) }
+
+// anyOrganisation returns the organisation under which a connection for control statements is opened if none is idle.
+func (monitor *Monitor) anyOrganisation() ids.OrganisationID {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	var largest *catalog.Organisation
+	if monitor.catalog != nil {
+		for _, organisation := range monitor.catalog.Organisations {
+			if largest == nil || organisation.Rate > largest.Rate || organisation.Rate == largest.Rate && organisation.ID < largest.ID {
+				largest = organisation
+			}
+		}
+	}
+	if largest == nil {
+		return "none"
+	}
+	return largest.ID
+}
+
+// Since returns the time since a moment of the boot clock.
+func Since(at time.Duration) time.Duration { return clock.Now() - at }
--- /dev/null
+++ b/io/monitor/server.go
@@ -0,0 +1,144 @@
+package monitor
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelgw/core/balance"
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/position"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+)
+
+const (
+	// failuresDown is the number of failures in a row after which a server counts as unreachable.
+	failuresDown = 2
+	// refusedFailures is the weight of a connection that the server refused, which tells more than a late answer.
+	refusedFailures = 2
+)
+
+// Server is what this VM knows of one life of a backend server.
+type Server struct {
+	// Pool holds the connections to the server.
+	Pool *dbpool.Pool
+
+	group    *Group
+	info     atomic.Pointer[catalog.Server]
+	inFlight atomic.Int32
+	stop     chan struct{}
+	// hurry makes the next status request come at once.
+	hurry chan struct{}
+
+	mutex    sync.Mutex
+	latency  balance.Latency
+	applied  position.Position
+	seenAt   time.Duration
+	lag      time.Duration
+	failures int
+	answered time.Duration
+}
+
+// Info returns the server's registration.
+func (server *Server) Info() catalog.Server { return *server.info.Load() }
+
+// ID returns the server's identifier.
+func (server *Server) ID() ids.BackendServerID { return server.Info().ID }
+
+// Begin counts a statement that is sent; the result is the time to hand to Answered.
+func (server *Server) Begin() time.Duration {
+	server.inFlight.Add(1)
+	return clock.Now()
+}
+
+// Answered notes the answer to a statement that was sent at the time. Work states that the statement took a slot, so that
+// its latency tells how busy the server is.
+func (server *Server) Answered(sentAt time.Duration, reply statement.Reply, work bool) {
+	server.inFlight.Add(-1)
+	now := clock.Now()
+	server.mutex.Lock()
+	server.failures, server.answered = 0, now
+	if work {
+		server.latency.Observe(now, now-sentAt)
+	}
+	if reply.Position != (position.Position{}) {
+		server.applied, server.seenAt = reply.Position, now
+	}
+	server.mutex.Unlock()
+	if reply.Position != (position.Position{}) {
+		server.group.sample(server.ID(), sentAt, reply.Position)
+	}
+}
+
+// Failed notes that a statement got no answer.
+func (server *Server) Failed(sentAt time.Duration) {
+	server.inFlight.Add(-1)
+	server.fail(1)
+	now := clock.Now()
+	server.mutex.Lock()
+	server.latency.Observe(now, now-sentAt)
+	server.mutex.Unlock()
+}
+
+// Refused notes that the server could not be connected to.
+func (server *Server) Refused() { server.fail(refusedFailures) }
+
+func (server *Server) fail(count int) {
+	server.mutex.Lock()
+	was := server.failures
+	server.failures += count
+	now := server.failures
+	server.mutex.Unlock()
+	if was < failuresDown && now >= failuresDown {
+		server.group.monitor.decisions.Event("dependency_lost", "dependency", "backend_server", "server", server.ID(),
+			"group", server.group.id, "failures", now)
+		server.group.notify()
+	}
+}
+
+// Reachable states whether the server is expected to answer.
+func (server *Server) Reachable() bool {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.failures < failuresDown
+}
+
+// observe notes an answered status request.
+func (server *Server) observe(observation leader.Observation) {
+	now := clock.Now()
+	server.mutex.Lock()
+	was := server.failures
+	server.failures, server.answered = 0, now
+	server.applied, server.seenAt, server.lag = observation.Applied, now, observation.Lag
+	server.mutex.Unlock()
+	if was >= failuresDown {
+		server.group.monitor.decisions.Event("dependency_regained", "dependency", "backend_server", "server", server.ID(),
+			"group", server.group.id, "failures", was)
+	}
+	server.group.observe(server.ID(), observation)
+}
+
+// candidate describes the server to the choice of a server for a read.
+func (server *Server) candidate(organisation ids.OrganisationID, isLeader bool, now time.Duration) balance.Candidate {
+	info := server.Info()
+	pool := server.Pool.State(organisation)
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return balance.Candidate{
+		Leader: isLeader, Local: info.Zone == server.group.monitor.zone, Latency: server.latency.Estimate(now), Slots: info.Slots,
+		InFlight: int(server.inFlight.Load()) + pool.Waiting, Matching: pool.Matching, Free: pool.Free, Evictable: pool.Evictable,
+		Applied: server.applied, AppliedAge: now - server.seenAt, Lag: server.lag,
+	}
+}
+
+// Suspect notes that the server answered as a replica although it counted as the primary: its state is asked for at once.
+func (server *Server) Suspect() {
+	select {
+	case server.hurry <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/io/node/node.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/directory"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/monitor"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/promoter"
+	"dotterelgw/io/proxy"
+	"dotterelgw/io/quota"
+)
+
+// Platform is what the node needs of the platform that it runs on.
+type Platform struct {
+	// Store is the key-value service.
+	Store fleet.Store
+	// Format decodes the records of operators and backend servers.
+	Format directory.Format
+	// Dialer opens connections to backend servers.
+	Dialer dbpool.Dialer
+	// Promotion promotes backend servers.
+	Promotion promoter.Platform
+	// Caller returns the caller behind an accepted connection.
+	Caller func(conn net.Conn) proxy.Caller
+	// Ready returns the handler of the platform's question whether the VM takes new connections.
+	Ready func(ready func() bool) http.Handler
+}
+
+// Node is the proxy of one VM.
+type Node struct {
+	settings  Settings
+	platform  Platform
+	decisions *observe.Decisions
+	metrics   metrics.Registry
+	directory *directory.Directory
+	fleet     *fleet.Fleet
+	monitor   *monitor.Monitor
+	proxy     *proxy.Server
+	mesh      *mesh.Mesh
+	quota     *quota.Limiter
+	promoter  *promoter.Promoter
+	draining  atomic.Bool
+	ready     atomic.Bool
+}
+
+// memoryFraction is the part of the process's memory at which the garbage collector becomes eager.
+const memoryFraction = 0.7
+
+// New returns a node that does nothing until Run.
+func New(ctx context.Context, settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
+	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryFraction * (1 << 20)))
+	network, err := mesh.New(settings.VM, settings.Listen.Peer, platform.Store, decisions)
+	if err != nil {
+		return nil, fmt.Errorf("joining the other VMs: %w", err)
+	}
+	node := &Node{
+		settings: settings, platform: platform, decisions: decisions, metrics: registry,
+		directory: directory.New(platform.Store, platform.Format, decisions),
+		fleet: fleet.New(fleet.VM{ID: settings.VM, Peer: settings.Listen.Peer, Zone: settings.AvailabilityZone},
+			platform.Store, decisions),
+		monitor: monitor.New(ctx, platform.Dialer, settings.AvailabilityZone, decisions),
+		mesh:    network, quota: quota.New(settings.VM, network),
+	}
+	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, platform.Promotion, network, decisions)
+	node.proxy = proxy.New(proxy.Dependencies{
+		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
+	})
+	node.directory.OnCatalog(node.monitor.SetCatalog)
+	node.directory.OnServers(node.monitor.SetServers)
+	node.directory.OnCatalog(node.quota.SetCatalog)
+	node.fleet.OnChange(node.setVMs)
+	return node, nil
+}
+
+func (node *Node) setVMs(vms []fleet.VM) {
+	identifiers := make([]ids.VMID, 0, len(vms))
+	for _, vm := range vms {
+		identifiers = append(identifiers, vm.ID)
+	}
+	node.mesh.SetVMs(vms)
+	node.quota.SetVMs(identifiers)
+	node.monitor.SetVMs(len(vms))
+}
+
+// Run serves until the context ends, then drains.
+func (node *Node) Run(ctx context.Context) error {
+	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	callers, err := net.Listen("tcp", node.settings.Listen.Caller)
+	if err != nil {
+		return fmt.Errorf("listening for callers: %w", err)
+	}
+	ready, err := net.Listen("tcp", node.settings.Listen.Ready)
+	if err != nil {
+		return fmt.Errorf("listening for readiness: %w", err)
+	}
+	node.decisions.Event("start", "caller", node.settings.Listen.Caller, "peer", node.settings.Listen.Peer,
+		"store", node.settings.Store.Address, "availability_zone", node.settings.AvailabilityZone)
+	var group sync.WaitGroup
+	group.Go(func() { node.directory.Run(background) })
+	group.Go(func() { node.fleet.Run(background) })
+	group.Go(func() { node.mesh.Run(background) })
+	group.Go(func() { node.quota.Run(background) })
+	group.Go(func() { node.promoter.Run(background) })
+	group.Go(func() { node.accept(callers) })
+	readiness := &http.Server{Handler: node.platform.Ready(node.Ready), ReadHeaderTimeout: time.Second}
+	group.Go(func() { _ = readiness.Serve(ready) })
+	<-ctx.Done()
+	node.drain()
+	cancel()
+	_ = callers.Close()
+	_ = readiness.Close()
+	node.decisions.Event("stop", "sessions", node.proxy.Sessions())
+	return nil
+}
+
+// Ready states whether the VM takes new connections.
+func (node *Node) Ready() bool {
+	ready := !node.draining.Load() && node.directory.Complete() && node.fleet.Listed()
+	if node.ready.Swap(ready) != ready {
+		node.decisions.Event("readiness", "ready", ready, "draining", node.draining.Load())
+	}
+	return ready
+}
+
+// accept serves callers until the listener closes.
+func (node *Node) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			node.decisions.Request("accept_failed", "err", err)
+			time.Sleep(acceptPause)
+			continue
+		}
+		if node.proxy.Sessions() >= node.settings.Limits.MaxConnections {
+			node.decisions.Request("connection_refused", "sessions", node.proxy.Sessions())
+			_ = conn.Close()
+			continue
+		}
+		go node.proxy.Serve(node.platform.Caller(conn))
+	}
+}
+
+// acceptPause is the pause after a failed accept, which is mostly a lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// drain lets operations end. New connections are accepted until the platform has noticed that the VM is not ready.
+func (node *Node) drain() {
+	node.draining.Store(true)
+	grace := node.settings.Drain.Grace()
+	node.decisions.Event("drain", "sessions", node.proxy.Sessions(), "grace_ms", grace.Milliseconds())
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	defer cancel()
+	timer := time.NewTimer(min(noticeDelay, grace/3))
+	defer timer.Stop()
+	<-timer.C
+	node.proxy.Drain(ctx, clock.Now()+grace/2-min(noticeDelay, grace/3))
+}
+
+const (
+	// noticeDelay is the time in which the platform notices that the VM is not ready: two questions a second apart, and
+	// the connections that were under way.
+	noticeDelay = 2 * time.Second
+	// stopMargin is the part of the grace in which the process ends.
+	stopMargin = 400 * time.Millisecond
+)
--- /dev/null
+++ b/io/node/settings.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/settings"
+)
+
+// Settings holds what the process is told at its start.
+type Settings struct {
+	// VM is the identifier of the VM that runs the process.
+	VM ids.VMID `toml:"vm"`
+	// AvailabilityZone is the availability zone of the VM.
+	AvailabilityZone ids.AvailabilityZone `toml:"availability_zone"`
+	// Listen holds the addresses that the process listens on.
+	Listen Listen `toml:"listen"`
+	// Store is the key-value service.
+	Store Address `toml:"store"`
+	// Promotion is the service that promotes backend servers.
+	Promotion Address `toml:"promotion"`
+	// Limits holds bounds on what the process takes.
+	Limits Limits `toml:"limits"`
+	// Drain holds the times of a planned stop.
+	Drain Drain `toml:"drain"`
+}
+
+// Listen holds host and port of each listener.
+type Listen struct {
+	// Caller is the address for callers.
+	Caller string `toml:"caller"`
+	// Ready is the address at which the platform asks whether the VM takes new connections.
+	Ready string `toml:"ready"`
+	// Peer is the address for datagrams of other VMs.
+	Peer string `toml:"peer"`
+	// Metrics is the address of the metrics.
+	Metrics string `toml:"metrics"`
+}
+
+// Address is host and port of a service.
+type Address struct {
+	// Address is host and port.
+	Address string `toml:"address"`
+}
+
+// Limits holds bounds on what the process takes.
+type Limits struct {
+	// MemoryMB is the memory of the process in megabytes; beyond it the process is ended.
+	MemoryMB int `toml:"memory_mb"`
+	// MaxConnections is the number of caller connections.
+	MaxConnections int `toml:"max_connections"`
+}
+
+// Drain holds the times of a planned stop.
+type Drain struct {
+	// GraceS is the time in seconds from the signal until the process is ended.
+	GraceS float64 `toml:"grace_s"`
+}
+
+// Grace returns the time from the signal until the process is ended.
+func (drain Drain) Grace() time.Duration { return time.Duration(drain.GraceS * float64(time.Second)) }
+
+// Bounds of the settings.
+const (
+	leastMemoryMB = 32
+	leastGraceS   = 0.5
+)
+
+func defaults() Settings {
+	return Settings{Limits: Limits{MemoryMB: 256, MaxConnections: 4000}, Drain: Drain{GraceS: 6}}
+}
+
+// Load reads and checks a settings file.
+func Load(file string) (Settings, error) {
+	read, faults, err := settings.Decode(file, defaults())
+	if err != nil {
+		return Settings{}, fmt.Errorf("reading settings: %w", err)
+	}
+	if faults = append(faults, read.check()...); len(faults) > 0 {
+		return Settings{}, fmt.Errorf("checking settings: %w", &settings.FaultsError{File: file, Faults: faults})
+	}
+	return read, nil
+}
+
+func (read Settings) check() []settings.Fault {
+	var faults []settings.Fault
+	fault := func(key, allowed string) { faults = append(faults, settings.Fault{Key: key, Allowed: allowed}) }
+	if read.VM == "" {
+		fault("vm", "a name")
+	}
+	addresses := []struct{ key, value string }{
+		{"listen.caller", read.Listen.Caller}, {"listen.ready", read.Listen.Ready}, {"listen.peer", read.Listen.Peer},
+		{"listen.metrics", read.Listen.Metrics}, {"store.address", read.Store.Address}, {"promotion.address", read.Promotion.Address},
+	}
+	taken := make(map[string]string)
+	for _, address := range addresses {
+		if _, _, err := net.SplitHostPort(address.value); err != nil {
+			fault(address.key, "host:port, not "+address.value)
+		}
+		if other, ok := taken[address.value]; ok {
+			fault(address.key, "an address other than that of "+other)
+		}
+		taken[address.value] = address.key
+	}
+	if read.Limits.MemoryMB < leastMemoryMB {
+		fault("limits.memory_mb", fmt.Sprintf("at least %d", leastMemoryMB))
+	}
+	if read.Limits.MaxConnections < 1 {
+		fault("limits.max_connections", "at least 1")
+	}
+	if read.Drain.GraceS < leastGraceS {
+		fault("drain.grace_s", fmt.Sprintf("at least %g", leastGraceS))
+	}
+	return faults
+}
--- a/io/platform/store.go
+++ b/io/platform/store.go
@@ -27,6 +27,8 @@
 type WatchEvent struct {
 	// Entries holds the entries of one or more revisions in order; a deleted entry has a nil value.
 	Entries []config.Entry
+	// Complete states that Entries holds every entry of the prefix, so that others are gone.
+	Complete bool
 	// Revision is the revision up to which the watch has reported everything.
 	Revision ids.Revision
 	// Asked is the time at which the question was sent that this event answers: Revision was current then or later. It is
@@ -51,6 +53,13 @@
 	Revoke(ctx context.Context, lease Lease) error
 }
 
+// Holder stores entries that end with a lease.
+type Holder interface {
+	Leases
+	// CompareAndHold is CompareAndSwap with a lease, at whose end the service removes the entry.
+	CompareAndHold(ctx context.Context, key string, expected ids.Revision, value []byte, lease Lease) (ids.Revision, bool, error)
+}
+
 // Client is the client of the key-value service; one instance serves a process.
 type Client interface {
 	Store
--- /dev/null
+++ b/io/promoter/duty.go
@@ -0,0 +1,150 @@
+package promoter
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+const (
+	// dutyPrefix is the prefix of the key of the duty.
+	dutyPrefix = "dotterelgw/duty/"
+	dutyKey    = dutyPrefix + "promotion"
+	// dutyTTL is the time for which the duty outlives its holder.
+	dutyTTL = 1500 * time.Millisecond
+	// dutyKeep is the time between two renewals.
+	dutyKeep = 400 * time.Millisecond
+	// dutyMargin is the time before the end of the lease from which on the holder orders nothing.
+	dutyMargin = 300 * time.Millisecond
+	// dutyRetry is the pause after a failed call.
+	dutyRetry = 150 * time.Millisecond
+	// dutyRecheck is the longest time for which a VM that lacks the duty does not look at it.
+	dutyRecheck = 4 * time.Second
+)
+
+// Token is a number that rises with every holder of the duty.
+type Token int64
+
+// duty is this VM's hold on the duty.
+type duty struct {
+	self      ids.VMID
+	store     fleet.Store
+	decisions *observe.Decisions
+	// until is the boot time in nanoseconds up to which this VM has the duty.
+	until atomic.Int64
+	token atomic.Int64
+	// vacant gets a value when the duty may be free.
+	vacant chan struct{}
+}
+
+func newDuty(self ids.VMID, store fleet.Store, decisions *observe.Decisions) *duty {
+	return &duty{self: self, store: store, decisions: decisions, vacant: make(chan struct{}, 1)}
+}
+
+// held returns the token and the time left in which it may be used.
+func (duty *duty) held() (token Token, left time.Duration) {
+	left = time.Duration(duty.until.Load()) - clock.Now() - dutyMargin
+	return Token(duty.token.Load()), left
+}
+
+// run takes the duty whenever it is free and keeps it.
+func (duty *duty) run(ctx context.Context) {
+	go duty.follow(ctx)
+	for ctx.Err() == nil {
+		lease, err := duty.take(ctx)
+		switch {
+		case err != nil:
+			duty.decisions.Request("duty_unavailable", "err", err)
+			sleep(ctx, dutyRetry)
+		case lease == 0:
+			duty.wait(ctx)
+		default:
+			duty.keep(ctx, lease)
+		}
+	}
+}
+
+// follow tells when the key of the duty is removed.
+func (duty *duty) follow(ctx context.Context) {
+	for event := range platform.Follow(ctx, duty.store, dutyPrefix, 0) {
+		removed := event.Complete && len(event.Entries) == 0
+		for _, entry := range event.Entries {
+			removed = removed || entry.Key == dutyKey && entry.Value == nil
+		}
+		if removed {
+			select {
+			case duty.vacant <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+func (duty *duty) wait(ctx context.Context) {
+	timer := time.NewTimer(dutyRecheck)
+	defer timer.Stop()
+	select {
+	case <-duty.vacant:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// take tries to become the holder; it returns 0 if another VM is.
+func (duty *duty) take(ctx context.Context) (platform.Lease, error) {
+	_, found, err := duty.store.Get(ctx, dutyKey)
+	if err != nil || found {
+		return 0, err
+	}
+	sent := clock.Now()
+	lease, ttl, err := duty.store.Grant(ctx, dutyTTL)
+	if err != nil {
+		return 0, err
+	}
+	revision, stored, err := duty.store.CompareAndHold(ctx, dutyKey, 0, []byte(duty.self), lease)
+	if err != nil || !stored {
+		// A key whose writing was not confirmed ends with its lease.
+		_ = duty.store.Revoke(ctx, lease)
+		return 0, err
+	}
+	duty.token.Store(int64(revision))
+	duty.until.Store(int64(sent + ttl))
+	duty.decisions.Event("duty_taken", "token", revision, "lease", lease)
+	return lease, nil
+}
+
+// keep renews the lease until it ends.
+func (duty *duty) keep(ctx context.Context, lease platform.Lease) {
+	for ctx.Err() == nil {
+		sleep(ctx, dutyKeep)
+		sent := clock.Now()
+		ttl, err := duty.store.KeepAlive(ctx, lease)
+		if err == nil {
+			duty.until.Store(int64(sent + ttl))
+			continue
+		}
+		if errors.Is(err, platform.ErrLeaseEnded) || clock.Now() > time.Duration(duty.until.Load()) {
+			duty.until.Store(0)
+			duty.decisions.Event("duty_lost", "token", duty.token.Load(), "err", err)
+			return
+		}
+	}
+	duty.until.Store(0)
+	_ = duty.store.Revoke(context.WithoutCancel(ctx), lease)
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/promoter/fence.go
@@ -0,0 +1,106 @@
+package promoter
+
+import (
+	"context"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/monitor"
+)
+
+// The kinds of datagrams.
+const (
+	// kindFence tells that a primary is being replaced.
+	kindFence mesh.Kind = "fence"
+	// kindFenced acknowledges kindFence.
+	kindFenced mesh.Kind = "fenced"
+	// kindLeader tells that a primary was replaced.
+	kindLeader mesh.Kind = "leader"
+)
+
+// notice names the group whose primary is replaced.
+type notice struct {
+	Group ids.GroupID `cbor:"group"`
+	// Number tells the acknowledgements of several notices apart.
+	Number uint64 `cbor:"number"`
+}
+
+// awaitFence returns once no VM relies on the old primary any more: each has acknowledged, or the lease of its last
+// observation before the fence has run out.
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group) {
+	began := clock.Now()
+	group.Revoke()
+	promoter.mutex.Lock()
+	promoter.number++
+	number := promoter.number
+	acks := make(map[ids.VMID]bool)
+	promoter.acks[number] = acks
+	promoter.mutex.Unlock()
+	missing := promoter.mesh.Peers()
+	for clock.Now() < began+leader.LeaseDuration && len(missing) > 0 && ctx.Err() == nil {
+		for _, peer := range missing {
+			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number})
+		}
+		sleep(ctx, ackInterval)
+		missing = promoter.unacknowledged(number)
+	}
+	promoter.mutex.Lock()
+	delete(promoter.acks, number)
+	promoter.mutex.Unlock()
+	promoter.decisions.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds())
+}
+
+func (promoter *Promoter) unacknowledged(number uint64) []ids.VMID {
+	var missing []ids.VMID
+	peers := promoter.mesh.Peers()
+	promoter.mutex.Lock()
+	defer promoter.mutex.Unlock()
+	for _, peer := range peers {
+		if !promoter.acks[number][peer] {
+			missing = append(missing, peer)
+		}
+	}
+	return missing
+}
+
+// fenced answers another VM that replaces a primary: from now on this VM confirms the primary anew before it relies on it.
+func (promoter *Promoter) fenced(sender ids.VMID, message notice) {
+	if group := promoter.find(message.Group); group != nil {
+		group.Revoke()
+	}
+	mesh.Send(promoter.mesh, sender, kindFenced, message)
+}
+
+func (promoter *Promoter) acknowledged(sender ids.VMID, message notice) {
+	promoter.mutex.Lock()
+	defer promoter.mutex.Unlock()
+	if acks, ok := promoter.acks[message.Number]; ok {
+		acks[sender] = true
+	}
+}
+
+// announce tells the other VMs that the group has a new primary.
+func (promoter *Promoter) announce(group *monitor.Group) {
+	group.Hurry()
+	for _, peer := range promoter.mesh.Peers() {
+		mesh.Send(promoter.mesh, peer, kindLeader, notice{Group: group.ID()})
+	}
+}
+
+// replaced has the state of the group's servers asked for at once.
+func (promoter *Promoter) replaced(_ ids.VMID, message notice) {
+	if group := promoter.find(message.Group); group != nil {
+		group.Hurry()
+	}
+}
+
+func (promoter *Promoter) find(id ids.GroupID) *monitor.Group {
+	for _, group := range promoter.groups.Groups() {
+		if group.ID() == id {
+			return group
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/promoter/promoter.go
@@ -0,0 +1,317 @@
+package promoter
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/handover"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/monitor"
+	"dotterelgw/io/observe"
+)
+
+const (
+	// judgeInterval is the time between two looks at the groups.
+	judgeInterval = 100 * time.Millisecond
+	// settleTime is how long a new holder of the duty leaves pauses of its predecessor alone, whose promotion may still
+	// take effect.
+	settleTime = 2 * time.Second
+	// orderTimeout bounds one order to promote.
+	orderTimeout = 700 * time.Millisecond
+	// takeoverTimeout is how long a promoted server may take to act as primary; 600 ms are usual.
+	takeoverTimeout = 3 * time.Second
+	// takeoverPoll is the time between two questions whether it does.
+	takeoverPoll = 60 * time.Millisecond
+	// ackInterval is the time between two calls to VMs that have not acknowledged a fence.
+	ackInterval = 25 * time.Millisecond
+	// orderPause is the pause after an order that failed.
+	orderPause = 150 * time.Millisecond
+)
+
+// Platform promotes backend servers.
+type Platform interface {
+	// Promote orders that the server lead the group. Orders for a server that leads already change nothing.
+	Promote(ctx context.Context, group ids.GroupID, server ids.BackendServerID, token Token) error
+}
+
+// Groups supplies the database groups.
+type Groups interface {
+	// Groups returns all groups.
+	Groups() []*monitor.Group
+	// Ask sends a control statement to the server and notes the state that it answers with.
+	Ask(server *monitor.Server, call dbpool.Call) (leader.Status, error)
+}
+
+// Promoter replaces primaries while this VM has the duty.
+type Promoter struct {
+	duty      *duty
+	groups    Groups
+	platform  Platform
+	mesh      *mesh.Mesh
+	decisions *observe.Decisions
+
+	mutex   sync.Mutex
+	watches map[ids.GroupID]*watch
+	acks    map[uint64]map[ids.VMID]bool
+	number  uint64
+}
+
+// watch is the state of one group.
+type watch struct {
+	handover.Watch
+	// running states that a replacement is under way.
+	running bool
+	// pausedSince is the time since which a replica was seen paused without a replacement; 0 while none is.
+	pausedSince time.Duration
+}
+
+// New returns a promoter that does nothing until Run.
+func New(self ids.VMID, store fleet.Store, groups Groups, platform Platform, network *mesh.Mesh, decisions *observe.Decisions) *Promoter {
+	promoter := &Promoter{
+		duty: newDuty(self, store, decisions), groups: groups, platform: platform, mesh: network, decisions: decisions,
+		watches: make(map[ids.GroupID]*watch), acks: make(map[uint64]map[ids.VMID]bool),
+	}
+	mesh.Handle(network, kindFence, promoter.fenced)
+	mesh.Handle(network, kindFenced, promoter.acknowledged)
+	mesh.Handle(network, kindLeader, promoter.replaced)
+	return promoter
+}
+
+// Run judges the groups until the context ends.
+func (promoter *Promoter) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { promoter.duty.run(ctx) })
+	group.Go(func() {
+		for ctx.Err() == nil {
+			sleep(ctx, judgeInterval)
+			if _, left := promoter.duty.held(); left > 0 {
+				for _, group := range promoter.groups.Groups() {
+					promoter.judge(ctx, group)
+				}
+			}
+		}
+	})
+	group.Wait()
+}
+
+// judge starts a replacement if the group needs one.
+func (promoter *Promoter) judge(ctx context.Context, group *monitor.Group) {
+	promoter.mutex.Lock()
+	defer promoter.mutex.Unlock()
+	watched, ok := promoter.watches[group.ID()]
+	if !ok {
+		watched = &watch{}
+		promoter.watches[group.ID()] = watched
+	}
+	if watched.running {
+		return
+	}
+	now := clock.Now()
+	members := describe(group)
+	reason := watched.Judge(now, members)
+	if reason == "" {
+		promoter.cleanUp(now, watched, group, members)
+		return
+	}
+	watched.running, watched.pausedSince = true, 0
+	go func() {
+		promoter.replace(ctx, group, reason)
+		promoter.mutex.Lock()
+		defer promoter.mutex.Unlock()
+		watched.running = false
+	}()
+}
+
+// cleanUp ends pauses that a replacement left behind which did not come to its end.
+func (promoter *Promoter) cleanUp(now time.Duration, watched *watch, group *monitor.Group, members []handover.Member) {
+	paused := false
+	for _, member := range members {
+		paused = paused || member.Observed && member.Paused > 0
+	}
+	switch {
+	case !paused:
+		watched.pausedSince = 0
+	case watched.pausedSince == 0:
+		watched.pausedSince = now
+	case now-watched.pausedSince > settleTime:
+		watched.pausedSince = now
+		go promoter.resume(group, "")
+	}
+}
+
+// describe returns what is known of the group's servers.
+func describe(group *monitor.Group) []handover.Member {
+	var members []handover.Member
+	for _, server := range group.Servers() {
+		observed, known := group.Observed(server.ID())
+		members = append(members, memberOf(server, observed.Status, known))
+	}
+	return members
+}
+
+func memberOf(server *monitor.Server, status leader.Status, known bool) handover.Member {
+	info := server.Info()
+	return handover.Member{
+		ID: info.ID, Reachable: server.Reachable(), Leaving: info.Leaving, Observed: known, Role: status.Role, Term: status.Term,
+		Received: status.Received, Paused: status.Paused,
+	}
+}
+
+// replace carries out one attempt to replace the group's primary.
+func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, reason handover.Reason) {
+	old, oldTerm, known := group.Leader()
+	if !known {
+		old = nil
+	}
+	term := nextTerm(describe(group), oldTerm)
+	promoter.decisions.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
+	fence := promoter.fence(group, old, term)
+	successor, ok := fence.Successor()
+	if !ok {
+		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
+			"answered", len(fence.Others), "silent", fence.Silent)
+		promoter.resume(group, "")
+		sleep(ctx, orderPause)
+		return
+	}
+	promoter.awaitFence(ctx, group)
+	if !promoter.order(ctx, group, successor) {
+		promoter.resume(group, "")
+		return
+	}
+	promoter.resume(group, successor.ID)
+	if old != nil && !fence.SteppedDown && old.ID() != successor.ID {
+		go func() { _, _ = promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term}) }()
+	}
+	promoter.announce(group)
+}
+
+func idOf(server *monitor.Server) ids.BackendServerID {
+	if server == nil {
+		return ""
+	}
+	return server.ID()
+}
+
+// nextTerm returns a term above all that were seen.
+func nextTerm(members []handover.Member, term ids.Term) ids.Term {
+	for _, member := range members {
+		term = max(term, member.Term, member.Paused)
+	}
+	return term + 1
+}
+
+// fence keeps the old primary from acknowledging writes: it steps down, or no other server receives from it any more.
+func (promoter *Promoter) fence(group *monitor.Group, old *monitor.Server, term ids.Term) handover.Fence {
+	var fence handover.Fence
+	if old != nil && old.Reachable() {
+		status, err := promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term})
+		fence.SteppedDown = err == nil && status.Role == catalog.Replica
+		fence.Final = status.Received
+		promoter.decisions.Event("primary_asked_to_step_down", "group", group.ID(), "server", old.ID(), "term", term,
+			"stepped_down", fence.SteppedDown, "position", status.Received.Log, "err", err)
+	}
+	call := dbpool.Call{Kind: statement.Pause, Term: term}
+	if fence.SteppedDown {
+		call = dbpool.Call{Kind: statement.Status}
+	}
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for _, server := range group.Servers() {
+		if server == old {
+			continue
+		}
+		calls.Go(func() {
+			status, err := promoter.groups.Ask(server, call)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil || !fence.SteppedDown && status.Paused < term {
+				fence.Silent++
+				promoter.decisions.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
+				return
+			}
+			fence.Others = append(fence.Others, memberOf(server, status, true))
+		})
+	}
+	calls.Wait()
+	return fence
+}
+
+// order promotes the server and waits until it acts as primary.
+func (promoter *Promoter) order(ctx context.Context, group *monitor.Group, successor handover.Member) bool {
+	for ctx.Err() == nil {
+		token, left := promoter.duty.held()
+		if left <= 0 {
+			promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "duty_lost")
+			return false
+		}
+		call, cancel := context.WithTimeout(ctx, min(left, orderTimeout))
+		err := promoter.platform.Promote(call, group.ID(), successor.ID, token)
+		cancel()
+		promoter.decisions.Event("promotion_ordered", "group", group.ID(), "server", successor.ID, "token", token,
+			"position", successor.Received.Log, "err", err)
+		if promoter.acts(ctx, group, successor.ID, err) {
+			return true
+		}
+		if !reachable(group, successor.ID) {
+			return false
+		}
+		sleep(ctx, orderPause)
+	}
+	return false
+}
+
+func reachable(group *monitor.Group, id ids.BackendServerID) bool {
+	for _, server := range group.Servers() {
+		if server.ID() == id {
+			return server.Reachable()
+		}
+	}
+	return false
+}
+
+// acts waits until the server acts as primary. After an order that failed it looks only for a moment.
+func (promoter *Promoter) acts(ctx context.Context, group *monitor.Group, id ids.BackendServerID, orderErr error) bool {
+	end := clock.Now() + takeoverTimeout
+	if orderErr != nil {
+		end = clock.Now() + takeoverPoll
+	}
+	for clock.Now() < end && ctx.Err() == nil {
+		for _, server := range group.Servers() {
+			if server.ID() != id {
+				continue
+			}
+			status, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Status})
+			if err == nil && status.Role == catalog.Leader {
+				promoter.decisions.Event("promotion_done", "group", group.ID(), "server", id, "term", status.Term, "position", status.Received.Log)
+				return true
+			}
+		}
+		sleep(ctx, takeoverPoll)
+	}
+	return false
+}
+
+// resume lets paused servers receive again, but for one.
+func (promoter *Promoter) resume(group *monitor.Group, but ids.BackendServerID) {
+	var calls sync.WaitGroup
+	for _, server := range group.Servers() {
+		observed, known := group.Observed(server.ID())
+		if server.ID() == but || !known || observed.Paused == 0 {
+			continue
+		}
+		calls.Go(func() {
+			_, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Resume})
+			promoter.decisions.Event("server_resumed", "group", group.ID(), "server", server.ID(), "err", err)
+		})
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/io/proxy/alone.go
@@ -0,0 +1,125 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+)
+
+const (
+	// leastAttempt is the least time for which an answer to a read is awaited before another server is asked.
+	leastAttempt = 300 * time.Millisecond
+	// maxAttempts bounds the servers that one statement tries after the first.
+	maxAttempts = 5
+	// busyPause is the pause before a statement that found no slot is sent again.
+	busyPause = 15 * time.Millisecond
+)
+
+// runAlone runs a statement outside of a transaction.
+func (session *session) runAlone(request statement.Request, arrived time.Duration) statement.Reply {
+	writes, known := session.writes(request.Statement)
+	if !known {
+		return statement.Reply{Code: statement.UnknownStatement, Message: "no such prepared statement"}
+	}
+	operation, refused := session.admit(arrived)
+	if refused != nil {
+		return session.answer(request, refused, statement.Idle)
+	}
+	operation.writes = writes
+	attempts := &attempts{deadline: time.Now().Add(operation.timeout())}
+	for {
+		reply, again, refused := session.attempt(request, &operation, attempts)
+		switch {
+		case refused != nil:
+			return session.answer(request, refused, statement.Idle)
+		case !again:
+			reply.State = statement.Idle
+			return reply
+		}
+		session.server.retries.Inc(1)
+		if attempts.count++; attempts.count > maxAttempts {
+			return session.answer(request, refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%d attempts, last %s", attempts.count, reply.Code)), statement.Idle)
+		}
+	}
+}
+
+// attempt sends the statement to one server. It returns true if the statement may be sent again.
+func (session *session) attempt(request statement.Request, operation *operation, attempts *attempts) (statement.Reply, bool, *refused) {
+	target, refused := session.acquire(operation, attempts)
+	if refused != nil {
+		return statement.Reply{}, false, refused
+	}
+	call, name, shape := session.call(request)
+	call.After = target.after
+	prefix := target.conn.Align(session.values, name, shape)
+	sentAt := target.server.Begin()
+	deadline := attempts.deadline
+	if patience := time.Now().Add(max(operation.route.Objective, leastAttempt)); !operation.writes && patience.Before(deadline) {
+		deadline = patience
+	}
+	err := target.conn.Send(deadline, append(prefix, call)...)
+	if err == nil {
+		err = target.conn.Settle(deadline, len(prefix))
+	}
+	var reply statement.Reply
+	if err == nil {
+		reply, err = target.conn.Receive(deadline)
+	}
+	if err != nil {
+		return session.lost(request, operation, attempts, target, sentAt, err)
+	}
+	target.server.Answered(sentAt, reply, reply.Code == statement.Complete)
+	if reply.Code == statement.UnknownStatement {
+		target.conn.ForgetPrepared()
+	}
+	target.conn.Release(reply.State)
+	switch {
+	case reply.Code == statement.Complete:
+		if operation.writes {
+			session.written, session.writtenAt = reply.Position, clock.Now()
+		}
+		return reply, false, nil
+	case reply.Code.NotRun():
+		session.turnedAway(request, attempts, target, reply)
+		return reply, true, nil
+	case !operation.writes && attempts.count == 0:
+		// A read that failed on one server may succeed on another.
+		attempts.exclude(target.server)
+		return reply, true, nil
+	}
+	return reply, false, nil
+}
+
+// turnedAway prepares the next attempt after a server promised that the statement did not run.
+func (session *session) turnedAway(request statement.Request, attempts *attempts, target target, reply statement.Reply) {
+	session.server.Decisions.Request("turned_away", "request", request.ID, "server", target.server.ID(), "code", reply.Code,
+		"position", target.after.Log, "server_position", reply.Position.Log, "attempt", attempts.count)
+	switch reply.Code {
+	case statement.Busy:
+		time.Sleep(busyPause)
+	case statement.ReadOnly:
+		target.server.Suspect()
+		time.Sleep(busyPause)
+	default:
+		attempts.exclude(target.server)
+	}
+}
+
+// lost decides what follows when a server gave no answer: a write may have taken effect.
+func (session *session) lost(request statement.Request, operation *operation, attempts *attempts, target target, sentAt time.Duration, err error) (statement.Reply, bool, *refused) {
+	target.server.Failed(sentAt)
+	target.conn.Release(statement.Failed)
+	session.server.Decisions.Request("answer_lost", "request", request.ID, "server", target.server.ID(), "organisation", session.organisation,
+		"waited_ms", (clock.Now() - sentAt).Milliseconds(), "writes", operation.writes, "attempt", attempts.count, "err", err)
+	if operation.writes {
+		return statement.Reply{}, false, refuse(refusal.OutcomeUnknown, 0, err.Error())
+	}
+	if !time.Now().Before(attempts.deadline) {
+		return statement.Reply{}, false, refuse(refusal.BackendLost, retrySoon, err.Error())
+	}
+	attempts.exclude(target.server)
+	return statement.Reply{}, true, nil
+}
--- /dev/null
+++ b/io/proxy/server.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"dotterelgw/core/refusal"
+)
+
+const (
+	// wakeInterval is the time between two calls of Wake for sessions that are to end.
+	wakeInterval = 50 * time.Millisecond
+	// staleCatalog is the age from which on the configuration is too old to admit requests: the operators' changes must
+	// be in force within 3 s, and within 15 s on a VM that the store turns away.
+	staleCatalog = 12 * time.Second
+)
+
+// Server holds the sessions of this VM.
+type Server struct {
+	Dependencies
+	refusals map[refusal.Reason]metrics.Counter
+	retries  metrics.Counter
+	draining atomic.Bool
+	// transactionsEnd is the boot time in nanoseconds at which open transactions are rolled back; 0 means not at all.
+	transactionsEnd atomic.Int64
+
+	mutex    sync.Mutex
+	sessions map[*session]struct{}
+	ended    sync.WaitGroup
+}
+
+// New returns a server without sessions.
+func New(dependencies Dependencies) *Server {
+	server := &Server{
+		Dependencies: dependencies, sessions: make(map[*session]struct{}),
+		refusals: make(map[refusal.Reason]metrics.Counter),
+		retries:  metrics.GetOrRegisterCounter("retries", dependencies.Metrics),
+	}
+	for _, reason := range refusal.All() {
+		server.refusals[reason] = metrics.GetOrRegisterCounter("refused_"+string(reason), dependencies.Metrics)
+	}
+	gauge := metrics.NewFunctionalGauge(func() int64 { return int64(server.Sessions()) })
+	_ = dependencies.Metrics.Register("sessions", gauge)
+	return server
+}
+
+// Sessions returns the number of sessions.
+func (server *Server) Sessions() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.sessions)
+}
+
+// Serve runs one caller's session until it ends.
+func (server *Server) Serve(caller Caller) {
+	session := newSession(server, caller)
+	server.mutex.Lock()
+	server.sessions[session] = struct{}{}
+	server.ended.Add(1)
+	server.mutex.Unlock()
+	defer func() {
+		server.mutex.Lock()
+		delete(server.sessions, session)
+		server.mutex.Unlock()
+		server.ended.Done()
+	}()
+	session.run()
+}
+
+// Drain ends idle sessions, and the others as their operations end. Open transactions are rolled back after the time.
+func (server *Server) Drain(ctx context.Context, transactionsEnd time.Duration) {
+	server.transactionsEnd.Store(int64(transactionsEnd))
+	server.draining.Store(true)
+	ended := make(chan struct{})
+	go func() {
+		server.ended.Wait()
+		close(ended)
+	}()
+	ticker := time.NewTicker(wakeInterval)
+	defer ticker.Stop()
+	for {
+		server.wake()
+		select {
+		case <-ended:
+			return
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (server *Server) wake() {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for session := range server.sessions {
+		session.caller.Wake()
+	}
+}
+
+// outcome returns the latency histogram of a route's kind and outcome.
+func (server *Server) outcome(kind, outcome string) metrics.Histogram {
+	return server.Metrics.GetOrRegister("latency_us."+kind+"."+outcome, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram)
+}
+
+const (
+	// sampleSize is the number of latencies that a histogram keeps.
+	sampleSize = 256
+	// sampleAlpha weighs the sample towards the last five minutes.
+	sampleAlpha = 0.015
+)
--- /dev/null
+++ b/io/proxy/target.go
@@ -0,0 +1,184 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/monitor"
+)
+
+const (
+	// ageMargin is subtracted from the age that a route accepts, for clocks and for the way from the caller.
+	ageMargin = 30 * time.Millisecond
+	// writeGrace is the time after the end of certainty about the primary in which writes are still sent to it: a primary
+	// that was replaced acknowledges none. A primary that is being replaced counts as uncertain at once.
+	writeGrace = 2 * time.Second
+	// recheck is the longest time between two looks at a group while a request waits for it.
+	recheck = 50 * time.Millisecond
+)
+
+// target is a server with what a read must ask of it.
+type target struct {
+	server *monitor.Server
+	conn   *dbpool.Conn
+	after  position.Position
+}
+
+// attempts is the state of the search for a server over the attempts of one statement.
+type attempts struct {
+	deadline time.Time
+	excluded map[ids.BackendServerID]bool
+	count    int
+}
+
+func (attempts *attempts) exclude(server *monitor.Server) {
+	if attempts.excluded == nil {
+		attempts.excluded = make(map[ids.BackendServerID]bool)
+	}
+	attempts.excluded[server.ID()] = true
+}
+
+// acquire returns a connection to a server that may run the operation, waiting for one until the deadline.
+func (session *session) acquire(operation *operation, attempts *attempts) (target, *refused) {
+	group := session.server.Groups.Group(operation.route.Group)
+	if group == nil {
+		return target{}, refuse(refusal.NoPrimary, retryPrimary, "no server is registered")
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), attempts.deadline)
+	defer cancel()
+	for {
+		changed := group.Changed()
+		chosen, missing := session.choose(group, operation, attempts)
+		if chosen.server != nil {
+			conn, err := chosen.server.Pool.Acquire(ctx, poolRequest(operation.organisation.ID, operation.route))
+			if err == nil {
+				chosen.conn = conn
+				return chosen, nil
+			}
+			session.server.Groups.NoConnection(chosen.server, err)
+			missing = refuse(refusal.QueueTimeout, retrySoon, err.Error())
+			if !errors.Is(err, dbpool.ErrNoConnection) && !operation.writes {
+				attempts.exclude(chosen.server)
+			}
+		}
+		if !wait(ctx, changed) {
+			return target{}, missing
+		}
+	}
+}
+
+// wait returns at a change or after a short time; false when the context has ended.
+func wait(ctx context.Context, changed <-chan struct{}) bool {
+	timer := time.NewTimer(recheck)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+// choose returns the server for the operation's next statement, or why there is none now.
+func (session *session) choose(group *monitor.Group, operation *operation, attempts *attempts) (target, *refused) {
+	leader, term, known := group.Leader()
+	if known && !leader.Reachable() {
+		known = false
+	}
+	certain := group.CertainUntil()
+	if operation.writes {
+		if !known || certain+writeGrace < clock.Now() {
+			return target{}, refuse(refusal.NoPrimary, retryPrimary, fmt.Sprintf("term %d, confirmed until %v before", term, operation.arrived-certain))
+		}
+		return target{server: leader}, nil
+	}
+	if operation.route.Consistency == catalog.Primary {
+		if !known || certain < operation.arrived {
+			return target{}, refuse(refusal.NoPrimary, retryPrimary, fmt.Sprintf("term %d, confirmed until %v before", term, operation.arrived-certain))
+		}
+		return target{server: leader}, nil
+	}
+	return session.chooseRead(group, operation, attempts, known && certain >= operation.oldest() && session.written.Term <= term)
+}
+
+// oldest returns the time before which every acknowledged write must be seen.
+func (operation *operation) oldest() time.Duration {
+	return operation.arrived - max(operation.route.MaxAge-ageMargin, 0)
+}
+
+// chooseRead returns the server for a read that may miss recent writes of others.
+func (session *session) chooseRead(group *monitor.Group, operation *operation, attempts *attempts, primary bool) (target, *refused) {
+	now := clock.Now()
+	floor, ok := group.Floor(operation.oldest())
+	if !ok && !primary {
+		return target{}, refuse(refusal.StaleRoute, retrySoon, "no recent position of the primary is known")
+	}
+	request := monitor.ReadRequest{
+		Organisation: operation.organisation.ID, Position: floor, Age: now - operation.oldest(), Primary: primary, Excluded: attempts.excluded,
+	}
+	if operation.route.Consistency == catalog.ReadYourWrites && request.Position.Less(session.written) {
+		request.Position, request.Age = session.written, now-session.writtenAt
+	}
+	if !ok {
+		// Only the primary is known to hold enough.
+		leader, _, _ := group.Leader()
+		return target{server: leader}, nil
+	}
+	server := group.ChooseRead(request)
+	if server == nil && len(attempts.excluded) > 0 {
+		attempts.excluded = nil
+		request.Excluded = nil
+		server = group.ChooseRead(request)
+	}
+	if server == nil {
+		return target{}, refuse(refusal.StaleRoute, retrySoon, fmt.Sprintf("no server has reached %d.%d", request.Position.Term, request.Position.Log))
+	}
+	return target{server: server, after: request.Position}, nil
+}
+
+// serverName returns the name of a prepared statement at backend servers. Sessions that prepare the same shape share it.
+func serverName(shape statement.Shape) string {
+	name := []byte("r_")
+	if shape.Writes {
+		name = []byte("w_")
+	}
+	for _, char := range []byte(shape.Text) {
+		if char >= '0' && char <= '9' || char >= 'a' && char <= 'z' || char >= 'A' && char <= 'Z' {
+			name = append(name, char)
+			continue
+		}
+		name = fmt.Appendf(name, "_%02x", char)
+	}
+	return string(name)
+}
+
+// call returns the call that forwards the statement, and the shape that it needs if it is prepared.
+func (session *session) call(request statement.Request) (call dbpool.Call, name string, shape statement.Shape) {
+	asked := request.Statement
+	call = dbpool.Call{ID: request.ID, Kind: asked.Kind, Text: asked.Text}
+	if asked.Kind != statement.Execute {
+		return call, "", statement.Shape{}
+	}
+	shape = session.prepared[asked.Name]
+	name = serverName(shape)
+	call.Name, call.Value = name, asked.Value
+	return call, name, shape
+}
+
+// writes states whether the statement changes an item; false for a name that is not prepared.
+func (session *session) writes(asked statement.Statement) (writes, known bool) {
+	if asked.Kind != statement.Execute {
+		return asked.Kind == statement.Write, true
+	}
+	shape, known := session.prepared[asked.Name]
+	return shape.Writes, known
+}
--- a/io/settings/load.go
+++ b/io/settings/load.go
@@ -27,7 +27,7 @@
 	if *config == "" {
 		return Settings{}, errors.NotValidf("an empty -config; name the settings file")
 	}
-	settings, faults, err := decode(*config)
+	settings, faults, err := Decode(*config, defaults())
 	if err != nil {
 		return Settings{}, fmt.Errorf("reading settings: %w", err)
 	}
@@ -39,16 +39,16 @@
 	return settings, nil
 }
 
-// decode reads one file; keys that the settings do not have are faults.
-func decode(file string) (Settings, []Fault, error) {
+// Decode reads one file over the defaults; keys that the settings do not have are faults.
+func Decode[T any](file string, defaults T) (T, []Fault, error) {
 	text, err := os.ReadFile(file)
 	if err != nil {
-		return Settings{}, nil, fmt.Errorf("opening the file: %w", err)
+		return defaults, nil, fmt.Errorf("opening the file: %w", err)
 	}
-	settings := defaults()
+	settings := defaults
 	meta, err := toml.NewDecoder(bytes.NewReader(text)).Decode(&settings)
 	if err != nil {
-		return Settings{}, nil, fmt.Errorf("%s: %w", file, err)
+		return defaults, nil, fmt.Errorf("%s: %w", file, err)
 	}
 	var faults []Fault
 	for _, key := range meta.Undecoded() {
--- a/io/settings/settings_test.go
+++ b/io/settings/settings_test.go
@@ -88,7 +88,7 @@
 		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if settings, _, err := decode(file); err == nil {
+		if settings, _, err := Decode(file, defaults()); err == nil {
 			check(settings)
 		}
 	})
