--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -6,6 +6,10 @@
 	"dotterelgw/core/limit"
 )
 
+// LoanValidity is the time for which what is lent may be spent. What is lent and unspent is bounded by the demand of half
+// this time, by which the use of an organisation may exceed its rate in a window.
+const LoanValidity = 600 * time.Millisecond
+
 // leastPart is the smallest burst of one part in operations; a part below one operation would never admit any.
 const leastPart = 2
 
@@ -19,7 +23,7 @@
 }
 
 // NewAccount returns an account without a part.
-func NewAccount() *Account { return &Account{borrowed: limit.NewBorrower(limit.MinValidity)} }
+func NewAccount() *Account { return &Account{borrowed: limit.NewBorrower(LoanValidity)} }
 
 // Parts returns into how many parts a budget is divided over the VMs.
 func Parts(budget limit.Budget, vms int) int {
@@ -32,7 +36,6 @@
 func (account *Account) Resize(now time.Duration, budget limit.Budget, parts int, owns bool) {
 	account.budget = budget
 	account.share = limit.Divide(budget.Rate, budget.Burst, parts)
-	account.borrowed.SetValidity(account.share.Validity)
 	switch {
 	case owns && account.owns:
 		account.bucket.Resize(now, account.share)
@@ -54,31 +57,29 @@
 	return account.owns && account.bucket.Take(now, 1) == 1
 }
 
-// horizon is the number of windows of demand for which operations are collected ahead.
-const horizon = 2
-
-// Wanted returns how many operations to borrow now.
+// Wanted returns how many operations to borrow now: what the next half of a validity needs beyond what is there.
 func (account *Account) Wanted(now time.Duration) int64 {
-	forecast := account.borrowed.Demand(now) * horizon
 	have := account.borrowed.Tokens(now)
 	if account.owns {
 		have += account.bucket.Tokens(now)
 	}
-	return max(forecast-have, 0)
+	return max(account.borrowed.Demand(now)-have, 0)
 }
 
-// Lend takes up to amount operations out of the VM's own part for another VM. What this VM is about to need stays.
-func (account *Account) Lend(now time.Duration, amount int64) (int64, time.Duration) {
+// Lend takes up to amount operations out of the VM's own part for another VM, and returns what is left to lend. What this
+// VM is about to need stays.
+func (account *Account) Lend(now time.Duration, amount int64) (lent, left int64) {
 	if !account.owns {
 		return 0, 0
 	}
-	spare := account.bucket.Tokens(now) - account.borrowed.Demand(now)
-	return account.bucket.Take(now, min(amount, max(spare, 0))), account.share.Validity
+	spare := max(account.bucket.Tokens(now)-account.borrowed.Demand(now), 0)
+	lent = account.bucket.Take(now, min(amount, spare))
+	return lent, spare - lent
 }
 
 // Receive adds what another VM lent for a request that was sent at the time.
-func (account *Account) Receive(now, sent time.Duration, amount int64, validity time.Duration) {
-	account.borrowed.Receive(now, sent, amount, min(validity, limit.MaxValidity))
+func (account *Account) Receive(now, sent time.Duration, amount int64) {
+	account.borrowed.Receive(now, sent, amount, LoanValidity)
 }
 
 // RetryAfter returns the time in which the whole fleet earns one more operation.
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// prefix is the prefix of the keys under which VMs register.
-	prefix = "dotterelgw/vms/"
+	// Prefix is the prefix of the keys under which VMs register.
+	Prefix = "dotterelgw/vms/"
 	// registrationTTL is the time for which a registration outlives its VM.
 	registrationTTL = 6 * time.Second
 	// keepInterval is the time between two renewals.
@@ -112,7 +112,7 @@
 	if err != nil {
 		return 0, err
 	}
-	key := prefix + string(fleet.self.ID)
+	key := Prefix + string(fleet.self.ID)
 	revision, stored, err := fleet.store.CompareAndHold(ctx, key, 0, value, lease)
 	if err == nil && !stored {
 		_, stored, err = fleet.store.CompareAndHold(ctx, key, revision, value, lease)
@@ -140,7 +140,7 @@
 }
 
 func (fleet *Fleet) follow(ctx context.Context) {
-	for event := range platform.Follow(ctx, fleet.store, prefix, 0) {
+	for event := range platform.Follow(ctx, fleet.store, Prefix, 0) {
 		if event.Err == nil && (event.Complete || len(event.Entries) > 0) {
 			fleet.apply(event)
 		}
@@ -169,7 +169,7 @@
 
 // applyEntry applies one registration; false if it names no VM. The mutex is held.
 func (fleet *Fleet) applyEntry(entry config.Entry) (ids.VMID, bool) {
-	id := ids.VMID(strings.TrimPrefix(entry.Key, prefix))
+	id := ids.VMID(strings.TrimPrefix(entry.Key, Prefix))
 	if entry.Value == nil {
 		fleet.miss(id)
 		return id, false
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -78,6 +78,7 @@
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
 	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, platform.Promotion, network, decisions)
+	node.monitor.SetDuty(node.promoter.OnDuty)
 	node.proxy = proxy.New(proxy.Dependencies{
 		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
 	})
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// dutyPrefix is the prefix of the key of the duty.
-	dutyPrefix = "dotterelgw/duty/"
-	dutyKey    = dutyPrefix + "promotion"
+	// Prefix is the prefix of the key of the duty.
+	Prefix  = "dotterelgw/duty/"
+	dutyKey = Prefix + "promotion"
 	// dutyTTL is the time for which the duty outlives its holder.
 	dutyTTL = 1500 * time.Millisecond
 	// dutyKeep is the time between two renewals.
@@ -73,7 +73,7 @@
 
 // follow tells when the key of the duty is removed.
 func (duty *duty) follow(ctx context.Context) {
-	for event := range platform.Follow(ctx, duty.store, dutyPrefix, 0) {
+	for event := range platform.Follow(ctx, duty.store, Prefix, 0) {
 		removed := event.Complete && len(event.Entries) == 0
 		for _, entry := range event.Entries {
 			removed = removed || entry.Key == dutyKey && entry.Value == nil
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -85,6 +85,12 @@
 	return promoter
 }
 
+// OnDuty states whether this VM replaces primaries now.
+func (promoter *Promoter) OnDuty() bool {
+	_, left := promoter.duty.held()
+	return left > 0
+}
+
 // Run judges the groups until the context ends.
 func (promoter *Promoter) Run(ctx context.Context) {
 	var group sync.WaitGroup
@@ -92,7 +98,7 @@
 	group.Go(func() {
 		for ctx.Err() == nil {
 			sleep(ctx, judgeInterval)
-			if _, left := promoter.duty.held(); left > 0 {
+			if promoter.OnDuty() {
 				for _, group := range promoter.groups.Groups() {
 					promoter.judge(ctx, group)
 				}
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -51,8 +51,8 @@
 type lentItem struct {
 	Organisation ids.OrganisationID `cbor:"organisation"`
 	Amount       int64              `cbor:"amount"`
-	// ValidityUS is the time in microseconds, from the sending of the ask, in which the operations may be spent.
-	ValidityUS int64 `cbor:"validity_us"`
+	// Left is what the VM could lend besides.
+	Left int64 `cbor:"left"`
 }
 
 // Limiter admits operations.
@@ -78,6 +78,7 @@
 // account is an organisation's account with those who wait for a loan.
 type account struct {
 	*quota.Account
+	lenders quota.Lenders
 	// lent is closed and replaced when a loan arrives.
 	lent chan struct{}
 	// dryUntil is the time up to which it is no use to wait.
@@ -217,28 +218,29 @@
 // forget drops asks that were not answered in time.
 func (limiter *Limiter) forget(now time.Duration) {
 	for number, asked := range limiter.asked {
-		if now-asked.sent > limit.MaxValidity {
+		if now-asked.sent > quota.LoanValidity {
 			delete(limiter.asked, number)
 		}
 	}
 }
 
-// borrow asks all other VMs for what the organisations lack, the same amount each. The mutex is held.
+// borrow asks other VMs for what the organisations lack. The mutex is held.
 func (limiter *Limiter) borrow(now time.Duration, organisations ...ids.OrganisationID) {
-	peers := limiter.mesh.Peers()
-	if len(organisations) == 0 || len(peers) == 0 {
+	if len(organisations) == 0 {
 		return
 	}
-	var items []askedItem
+	peers := limiter.mesh.Peers()
+	items := make(map[ids.VMID][]askedItem)
 	for _, id := range organisations {
 		held := limiter.accounts[id]
-		wanted := held.Wanted(now) + held.waiting
-		items = append(items, askedItem{Organisation: id, Amount: (wanted + int64(len(peers)) - 1) / int64(len(peers))})
+		for _, demand := range held.lenders.Split(now, held.Wanted(now)+held.waiting, peers) {
+			items[demand.VM] = append(items[demand.VM], askedItem{Organisation: id, Amount: demand.Amount})
+		}
 	}
-	for _, peer := range peers {
+	for peer, asked := range items {
 		limiter.number++
 		limiter.asked[limiter.number] = askedAt{peer: peer, sent: now}
-		mesh.Send(limiter.mesh, peer, kindAsk, ask{Number: limiter.number, Items: items})
+		mesh.Send(limiter.mesh, peer, kindAsk, ask{Number: limiter.number, Items: asked})
 	}
 }
 
@@ -248,18 +250,13 @@
 	limiter.mutex.Lock()
 	now := clock.Now()
 	for _, item := range message.Items {
-		held, ok := limiter.accounts[item.Organisation]
-		if !ok {
-			continue
-		}
-		if amount, validity := held.Lend(now, item.Amount); amount > 0 {
-			answer.Items = append(answer.Items, lentItem{Organisation: item.Organisation, Amount: amount, ValidityUS: validity.Microseconds()})
+		if held, ok := limiter.accounts[item.Organisation]; ok {
+			amount, left := held.Lend(now, item.Amount)
+			answer.Items = append(answer.Items, lentItem{Organisation: item.Organisation, Amount: amount, Left: left})
 		}
 	}
 	limiter.mutex.Unlock()
-	if len(answer.Items) > 0 {
-		mesh.Send(limiter.mesh, sender, kindLend, answer)
-	}
+	mesh.Send(limiter.mesh, sender, kindLend, answer)
 }
 
 // receive takes a loan; one that was not asked for or came twice is ignored.
@@ -274,7 +271,8 @@
 	now := clock.Now()
 	for _, item := range message.Items {
 		if held, ok := limiter.accounts[item.Organisation]; ok {
-			held.Receive(now, asked.sent, item.Amount, time.Duration(item.ValidityUS)*time.Microsecond)
+			held.lenders.Note(now, sender, item.Left)
+			held.Receive(now, asked.sent, item.Amount)
 			close(held.lent)
 			held.lent = make(chan struct{})
 		}
