--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -24,6 +24,7 @@
 	changed chan struct{}
 	leader  ids.BackendServerID
 	term    ids.Term
+	certain bool
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
@@ -158,6 +159,7 @@
 	defer group.mutex.Unlock()
 	group.tracker.Observe(id, observation)
 	group.noteLeader(observation)
+	group.noteCertainty(id, observation)
 	group.wake()
 }
 
@@ -172,6 +174,19 @@
 	group.leader, group.term = info.ID, term
 }
 
+// noteCertainty logs when the primary becomes certain or uncertain, with the observation that decided it. The mutex is held.
+func (group *Group) noteCertainty(id ids.BackendServerID, observation leader.Observation) {
+	now := clock.Now()
+	certain := group.tracker.CertainUntil() > now
+	if certain == group.certain {
+		return
+	}
+	group.certain = certain
+	group.monitor.decisions.Event("primary_certainty", "group", group.id, "certain", certain, "primary", group.leader, "term", group.term,
+		"server", id, "role", observation.Role, "server_term", observation.Term, "paused", observation.Paused,
+		"age_ms", (now - observation.SentAt).Milliseconds())
+}
+
 // setServers replaces the group's servers and returns those that are new and those that are gone.
 func (group *Group) setServers(registered []catalog.Server, limit int) (added, removed []*Server) {
 	group.mutex.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -38,12 +38,15 @@
 	Promotion promoter.Platform
 	// Caller returns the caller behind an accepted connection.
 	Caller func(conn net.Conn) proxy.Caller
+	// SetAddresses changes where the store and the promotion service are.
+	SetAddresses func(store, promotion string)
 	// Ready returns the handler of the platform's question whether the VM takes new connections.
 	Ready func(ready func() bool) http.Handler
 }
 
 // Node is the proxy of one VM.
 type Node struct {
+	mutex     sync.Mutex
 	settings  Settings
 	platform  Platform
 	decisions *observe.Decisions
@@ -99,20 +102,49 @@
 	node.monitor.SetVMs(len(vms))
 }
 
+// Reload applies a settings file that changed. Addresses on which the process listens hold until the next start; settings
+// with faults change nothing.
+func (node *Node) Reload(file, cause string) {
+	next, err := Load(file)
+	if err != nil {
+		node.decisions.Event("reload_refused", "cause", cause, "file", file, "err", err)
+		return
+	}
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	if next == node.settings {
+		node.decisions.Event("reload", "cause", cause, "file", file, "changed", false)
+		return
+	}
+	pending := next.VM != node.settings.VM || next.Listen != node.settings.Listen || next.AvailabilityZone != node.settings.AvailabilityZone
+	node.settings = next
+	node.platform.SetAddresses(next.Store.Address, next.Promotion.Address)
+	node.decisions.Event("reload", "cause", cause, "file", file, "changed", true, "needs_restart", pending,
+		"store", next.Store.Address, "promotion", next.Promotion.Address)
+}
+
+// current returns the settings in force.
+func (node *Node) current() Settings {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.settings
+}
+
 // Run serves until the context ends, then drains.
 func (node *Node) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	callers, err := net.Listen("tcp", node.settings.Listen.Caller)
+	settings := node.current()
+	callers, err := net.Listen("tcp", settings.Listen.Caller)
 	if err != nil {
 		return fmt.Errorf("listening for callers: %w", err)
 	}
-	ready, err := net.Listen("tcp", node.settings.Listen.Ready)
+	ready, err := net.Listen("tcp", settings.Listen.Ready)
 	if err != nil {
 		return fmt.Errorf("listening for readiness: %w", err)
 	}
-	node.decisions.Event("start", "caller", node.settings.Listen.Caller, "peer", node.settings.Listen.Peer,
-		"store", node.settings.Store.Address, "availability_zone", node.settings.AvailabilityZone)
+	node.decisions.Event("start", "caller", settings.Listen.Caller, "peer", settings.Listen.Peer,
+		"store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
 	var group sync.WaitGroup
 	group.Go(func() { node.directory.Run(background) })
 	group.Go(func() { node.fleet.Run(background) })
@@ -152,7 +184,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if node.proxy.Sessions() >= node.settings.Limits.MaxConnections {
+		if node.proxy.Sessions() >= node.current().Limits.MaxConnections {
 			node.decisions.Request("connection_refused", "sessions", node.proxy.Sessions())
 			_ = conn.Close()
 			continue
@@ -167,7 +199,7 @@
 // drain lets operations end. New connections are accepted until the platform has noticed that the VM is not ready.
 func (node *Node) drain() {
 	node.draining.Store(true)
-	grace := node.settings.Drain.Grace()
+	grace := node.current().Drain.Grace()
 	node.decisions.Event("drain", "sessions", node.proxy.Sessions(), "grace_ms", grace.Milliseconds())
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
 	defer cancel()
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -28,7 +28,7 @@
 	if refused != nil {
 		return session.answer(request, refused, statement.Idle)
 	}
-	operation.writes = writes
+	operation.writes, operation.reads = writes, !writes
 	attempts := &attempts{deadline: time.Now().Add(operation.timeout())}
 	for {
 		reply, again, refused := session.attempt(request, &operation, attempts)
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -73,6 +73,8 @@
 	arrived time.Duration
 	// writes states that only the primary may run the statements.
 	writes bool
+	// reads states that statements may read.
+	reads bool
 }
 
 // admit checks route, key and rate at the begin of an operation.
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -96,7 +96,7 @@
 	}
 	certain := group.CertainUntil()
 	if operation.writes {
-		if !known || certain+writeGrace < clock.Now() {
+		if !known || certain < operation.needsCertainty(clock.Now()) {
 			return target{}, refuse(refusal.NoPrimary, retryPrimary, fmt.Sprintf("term %d, confirmed until %v before", term, operation.arrived-certain))
 		}
 		return target{server: leader}, nil
@@ -110,6 +110,18 @@
 	return session.chooseRead(group, operation, attempts, known && certain >= operation.oldest() && session.written.Term <= term)
 }
 
+// needsCertainty returns the time up to which the primary must be certain for the operation to run there. A transaction may
+// read, and a primary that was replaced without knowing it misses writes of its successor.
+func (operation *operation) needsCertainty(now time.Duration) time.Duration {
+	switch {
+	case !operation.reads:
+		return now - writeGrace
+	case operation.route.Consistency == catalog.Primary:
+		return operation.arrived
+	}
+	return operation.oldest()
+}
+
 // oldest returns the time before which every acknowledged write must be seen.
 func (operation *operation) oldest() time.Duration {
 	return operation.arrived - max(operation.route.MaxAge-ageMargin, 0)
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -36,7 +36,7 @@
 		return session.answer(request, refused, statement.Idle)
 	}
 	readOnly := request.Statement.Kind == statement.BeginReadOnly
-	operation.writes = !readOnly
+	operation.writes, operation.reads = !readOnly, true
 	session.transaction = &transaction{
 		operation: operation, readOnly: readOnly, touched: arrived, idleLimit: session.server.Directory.Catalog().TransactionIdle,
 	}
