--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -27,6 +27,9 @@
 	pollAgain = 100 * time.Millisecond
 	// pollTimeout bounds a status request, which waits behind statements on a busy server.
 	pollTimeout = 500 * time.Millisecond
+	// reservedPart is the part of a server's connections that no VM uses: connections of VMs that lost power stay open for
+	// seconds at the server, while the VMs that start anew need some.
+	reservedPart = 0.33
 	// defaultConnections is the number of connections to a server while its group's bound is not known.
 	defaultConnections = 2
 )
@@ -119,7 +122,8 @@
 	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
 		return defaultConnections
 	}
-	return max(1, monitor.catalog.Groups[group].Connections/monitor.vms)
+	usable := float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)
+	return max(1, int(usable/float64(monitor.vms)))
 }
 
 func (monitor *Monitor) setLimits() {
@@ -225,6 +229,7 @@
 // noConnection notes what a failed Acquire tells of the server: one that only lacked a free connection may be well.
 func (monitor *Monitor) noConnection(server *Server, err error) {
 	var refused *dbpool.RefusedError
+	monitor.decisions.Request("connection_unavailable", "server", server.ID(), "group", server.group.id, "err", err)
 	switch {
 	case errors.Is(err, dbpool.ErrNoConnection), errors.Is(err, dbpool.ErrClosed), monitor.ctx.Err() != nil:
 	case errors.As(err, &refused) && refused.Code == statement.TooManyConnections:
