--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -24,6 +24,8 @@
 )
 
 const (
+	// lostAfter is the time for which every attempt to reach a primary must have failed.
+	lostAfter = 600 * time.Millisecond
 	// absentAfter is the time for which no server may act as primary, as one that started is slower to register.
 	absentAfter = 1200 * time.Millisecond
 	// stuckAfter is the time for which no replica may receive anything although the primary has more.
@@ -34,8 +36,10 @@
 type Member struct {
 	// ID names the server.
 	ID ids.BackendServerID
-	// Reachable states that the server answers.
-	Reachable bool
+	// SilentFor is the time since which every attempt to reach the server has failed; 0 while it answers.
+	SilentFor time.Duration
+	// Registered is the role that the server registered with.
+	Registered catalog.Role
 	// Leaving states that the server takes no new work.
 	Leaving bool
 	// Observed states that the fields below were observed.
@@ -62,7 +66,7 @@
 
 // Judge returns why the group's primary is to be replaced, from the present state of its servers.
 func (watch *Watch) Judge(now time.Duration, members []Member) Reason {
-	primary := leaderOf(members)
+	primary := Primary(members)
 	if primary == nil {
 		return watch.absent(now, members)
 	}
@@ -73,8 +77,10 @@
 		return ""
 	}
 	switch {
-	case !primary.Reachable:
+	case primary.SilentFor >= lostAfter:
 		return Lost
+	case primary.SilentFor > 0:
+		return ""
 	case primary.Leaving && hasStaying(others):
 		return Leaving
 	case watch.stuck(now, primary, others):
@@ -83,23 +89,32 @@
 	return ""
 }
 
-// leaderOf returns the primary of the highest term, nil if there is none.
-func leaderOf(members []Member) *Member {
-	var primary *Member
+// Primary returns the primary of the highest term that was observed. If none was, it is the one server that registered as
+// primary and does not answer. It returns nil if there is none.
+func Primary(members []Member) *Member {
+	var observed, registered *Member
 	for index := range members {
 		member := &members[index]
-		if member.Observed && member.Role == catalog.Leader && (primary == nil || member.Term > primary.Term) {
-			primary = member
+		switch {
+		case member.Observed && member.Role == catalog.Leader:
+			if observed == nil || member.Term > observed.Term {
+				observed = member
+			}
+		case !member.Observed && member.Registered == catalog.Leader && member.SilentFor > 0:
+			registered = member
 		}
 	}
-	return primary
+	if observed != nil {
+		return observed
+	}
+	return registered
 }
 
 // candidates returns the servers that answer and may follow the primary.
 func candidates(members []Member, primary ids.BackendServerID) []Member {
 	var others []Member
 	for _, member := range members {
-		if member.ID != primary && member.Observed && member.Reachable {
+		if member.ID != primary && member.Observed && member.SilentFor == 0 {
 			others = append(others, member)
 		}
 	}
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -40,7 +40,8 @@
 	seenAt   time.Duration
 	lag      time.Duration
 	failures int
-	answered time.Duration
+	// failingSince is the time of the first failure after the last answer.
+	failingSince time.Duration
 }
 
 // Info returns the server's registration.
@@ -61,7 +62,7 @@
 	server.inFlight.Add(-1)
 	now := clock.Now()
 	server.mutex.Lock()
-	server.failures, server.answered = 0, now
+	server.failures, server.failingSince = 0, 0
 	if work {
 		server.latency.Observe(now, now-sentAt)
 	}
@@ -92,6 +93,9 @@
 	was := server.failures
 	server.failures += count
 	now := server.failures
+	if server.failingSince == 0 {
+		server.failingSince = clock.Now()
+	}
 	server.mutex.Unlock()
 	if was < failuresDown && now >= failuresDown {
 		server.group.monitor.decisions.Event("dependency_lost", "dependency", "backend_server", "server", server.ID(),
@@ -107,12 +111,22 @@
 	return server.failures < failuresDown
 }
 
+// SilentFor returns the time since which every attempt to reach the server has failed; 0 while it answers.
+func (server *Server) SilentFor() time.Duration {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if server.failures < failuresDown {
+		return 0
+	}
+	return clock.Now() - server.failingSince
+}
+
 // observe notes an answered status request.
 func (server *Server) observe(observation leader.Observation) {
 	now := clock.Now()
 	server.mutex.Lock()
 	was := server.failures
-	server.failures, server.answered = 0, now
+	server.failures, server.failingSince = 0, 0
 	server.applied, server.seenAt, server.lag = observation.Applied, now, observation.Lag
 	server.mutex.Unlock()
 	if was >= failuresDown {
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -67,7 +67,7 @@
 
 // fenced answers another VM that replaces a primary: from now on this VM confirms the primary anew before it relies on it.
 func (promoter *Promoter) fenced(sender ids.VMID, message notice) {
-	if group := promoter.find(message.Group); group != nil {
+	if group := promoter.group(message.Group); group != nil {
 		group.Revoke()
 	}
 	mesh.Send(promoter.mesh, sender, kindFenced, message)
@@ -91,12 +91,12 @@
 
 // replaced has the state of the group's servers asked for at once.
 func (promoter *Promoter) replaced(_ ids.VMID, message notice) {
-	if group := promoter.find(message.Group); group != nil {
+	if group := promoter.group(message.Group); group != nil {
 		group.Hurry()
 	}
 }
 
-func (promoter *Promoter) find(id ids.GroupID) *monitor.Group {
+func (promoter *Promoter) group(id ids.GroupID) *monitor.Group {
 	for _, group := range promoter.groups.Groups() {
 		if group.ID() == id {
 			return group
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,20 +167,19 @@
 func memberOf(server *monitor.Server, status leader.Status, known bool) handover.Member {
 	info := server.Info()
 	return handover.Member{
-		ID: info.ID, Reachable: server.Reachable(), Leaving: info.Leaving, Observed: known, Role: status.Role, Term: status.Term,
+		ID: info.ID, SilentFor: server.SilentFor(), Registered: info.Role, Leaving: info.Leaving, Observed: known, Role: status.Role, Term: status.Term,
 		Received: status.Received, Paused: status.Paused,
 	}
 }
 
 // replace carries out one attempt to replace the group's primary.
 func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, reason handover.Reason) {
-	old, oldTerm, known := group.Leader()
-	if !known {
-		old = nil
-	}
-	term := nextTerm(describe(group), oldTerm)
+	members := describe(group)
+	servers := group.Servers()
+	old := find(servers, handover.Primary(members))
+	term := nextTerm(members)
 	promoter.decisions.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
-	fence := promoter.fence(group, old, term)
+	fence := promoter.fence(group, servers, old, term)
 	successor, ok := fence.Successor()
 	if !ok {
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
@@ -189,6 +189,12 @@
 		return
 	}
 	promoter.awaitFence(ctx, group)
+	if joined(servers, group.Servers()) {
+		// A server that joined meanwhile may receive from the old primary and let it acknowledge writes.
+		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "server_joined")
+		promoter.resume(group, "")
+		return
+	}
 	if !promoter.order(ctx, group, successor) {
 		promoter.resume(group, "")
 		return
@@ -200,6 +206,26 @@
 	promoter.announce(group)
 }
 
+// find returns the server of the member, nil for none.
+func find(servers []*monitor.Server, member *handover.Member) *monitor.Server {
+	for _, server := range servers {
+		if member != nil && server.ID() == member.ID {
+			return server
+		}
+	}
+	return nil
+}
+
+// joined states whether there are servers now that there were not before.
+func joined(before, now []*monitor.Server) bool {
+	for _, server := range now {
+		if !slices.Contains(before, server) {
+			return true
+		}
+	}
+	return false
+}
+
 func idOf(server *monitor.Server) ids.BackendServerID {
 	if server == nil {
 		return ""
@@ -208,22 +234,25 @@
 }
 
 // nextTerm returns a term above all that were seen.
-func nextTerm(members []handover.Member, term ids.Term) ids.Term {
+func nextTerm(members []handover.Member) ids.Term {
+	var term ids.Term
 	for _, member := range members {
 		term = max(term, member.Term, member.Paused)
 	}
 	return term + 1
 }
 
-// fence keeps the old primary from acknowledging writes: it steps down, or no other server receives from it any more.
-func (promoter *Promoter) fence(group *monitor.Group, old *monitor.Server, term ids.Term) handover.Fence {
+// fence keeps the old primary from acknowledging writes: it steps down, or no other server receives from it any more. A
+// primary that is silent is asked all the same, since it may only be hard to reach.
+func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term) handover.Fence {
 	var fence handover.Fence
-	if old != nil && old.Reachable() {
-		status, err := promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term})
-		fence.SteppedDown = err == nil && status.Role == catalog.Replica
-		fence.Final = status.Received
-		promoter.decisions.Event("primary_asked_to_step_down", "group", group.ID(), "server", old.ID(), "term", term,
-			"stepped_down", fence.SteppedDown, "position", status.Received.Log, "err", err)
+	var stepped sync.WaitGroup
+	if old != nil {
+		stepped.Go(func() { promoter.stepDown(group, old, term, &fence) })
+		if old.SilentFor() == 0 {
+			// One that answers can make pauses needless.
+			stepped.Wait()
+		}
 	}
 	call := dbpool.Call{Kind: statement.Pause, Term: term}
 	if fence.SteppedDown {
@@ -231,7 +260,7 @@
 	}
 	var mutex sync.Mutex
 	var calls sync.WaitGroup
-	for _, server := range group.Servers() {
+	for _, server := range servers {
 		if server == old {
 			continue
 		}
@@ -239,7 +268,7 @@
 			status, err := promoter.groups.Ask(server, call)
 			mutex.Lock()
 			defer mutex.Unlock()
-			if err != nil || !fence.SteppedDown && status.Paused < term {
+			if err != nil || call.Kind == statement.Pause && status.Paused < term {
 				fence.Silent++
 				promoter.decisions.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
 				return
@@ -248,9 +277,19 @@
 		})
 	}
 	calls.Wait()
+	stepped.Wait()
 	return fence
 }
 
+// stepDown asks the old primary to act as a replica.
+func (promoter *Promoter) stepDown(group *monitor.Group, old *monitor.Server, term ids.Term, fence *handover.Fence) {
+	status, err := promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term})
+	fence.SteppedDown = err == nil && status.Role == catalog.Replica
+	fence.Final = status.Received
+	promoter.decisions.Event("primary_asked_to_step_down", "group", group.ID(), "server", old.ID(), "term", term,
+		"stepped_down", fence.SteppedDown, "position", status.Received.Log, "err", err)
+}
+
 // order promotes the server and waits until it acts as primary.
 func (promoter *Promoter) order(ctx context.Context, group *monitor.Group, successor handover.Member) bool {
 	for ctx.Err() == nil {
