--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -52,16 +52,17 @@
 	Received position.Position
 	// Paused is the term for which the server refuses to receive the log; 0 means that it receives.
 	Paused ids.Term
+	// ObservedAt is the time at which the fields above were asked for.
+	ObservedAt time.Duration
 }
 
 // Watch follows one group and says when its primary is to be replaced. It is not safe for concurrent use.
 type Watch struct {
 	// absentSince is the time since which no server acts as primary; 0 while one does.
 	absentSince time.Duration
-	// stuckSince is the time since which no replica has received anything although the primary has more; 0 while one does.
-	stuckSince time.Duration
-	// reached is the most that a replica had received then.
-	reached position.Position
+	// owedSince is the time at which the primary was seen to have owed, which no replica had; 0 while one has all.
+	owedSince time.Duration
+	owed      position.Position
 }
 
 // Judge returns why the group's primary is to be replaced, from the present state of its servers.
@@ -73,7 +74,7 @@
 	watch.absentSince = 0
 	others := candidates(members, primary.ID)
 	if len(others) == 0 {
-		watch.stuckSince = 0
+		watch.owedSince = 0
 		return ""
 	}
 	switch {
@@ -145,17 +146,25 @@
 	return Absent
 }
 
-// stuck states whether no replica has received anything for a while although the primary has more.
+// stuck states whether every replica, asked long after the primary was seen to have a position, still lacks it.
 func (watch *Watch) stuck(now time.Duration, primary *Member, others []Member) bool {
-	most := MostAdvanced(others)
-	if !most.Received.Less(primary.Received) || watch.reached.Less(most.Received) || most.Received.Less(watch.reached) {
-		watch.reached, watch.stuckSince = most.Received, 0
+	if watch.owedSince == 0 {
+		if MostAdvanced(others).Received.Less(primary.Received) {
+			watch.owedSince, watch.owed = now, primary.Received
+		}
 		return false
 	}
-	if watch.stuckSince == 0 {
-		watch.stuckSince = now
+	late := 0
+	for _, other := range others {
+		if !other.Received.Less(watch.owed) {
+			watch.owedSince = 0
+			return false
+		}
+		if other.ObservedAt >= watch.owedSince+stuckAfter {
+			late++
+		}
 	}
-	return now-watch.stuckSince >= stuckAfter
+	return late == len(others) && primary.ObservedAt >= watch.owedSince+stuckAfter
 }
 
 // MostAdvanced returns the member whose log is longest; of equals one that stays. It returns the zero value for none.
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -46,6 +46,9 @@
 
 // Node is the proxy of one VM.
 type Node struct {
+	background context.Context
+	stop       context.CancelFunc
+
 	mutex     sync.Mutex
 	settings  Settings
 	platform  Platform
@@ -66,18 +69,21 @@
 const memoryFraction = 0.7
 
 // New returns a node that does nothing until Run.
-func New(ctx context.Context, settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
+func New(settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryFraction * (1 << 20)))
 	network, err := mesh.New(settings.VM, settings.Listen.Peer, platform.Store, decisions)
 	if err != nil {
 		return nil, fmt.Errorf("joining the other VMs: %w", err)
 	}
+	// The state of the servers is asked for until the last operation has ended, not only until the signal to stop.
+	background, stop := context.WithCancel(context.Background())
 	node := &Node{
+		background: background, stop: stop,
 		settings: settings, platform: platform, decisions: decisions, metrics: registry,
 		directory: directory.New(platform.Store, platform.Format, decisions),
 		fleet: fleet.New(fleet.VM{ID: settings.VM, Peer: settings.Listen.Peer, Zone: settings.AvailabilityZone},
 			platform.Store, decisions),
-		monitor: monitor.New(ctx, platform.Dialer, settings.AvailabilityZone, decisions),
+		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
 	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, platform.Promotion, network, decisions)
@@ -132,8 +138,8 @@
 
 // Run serves until the context ends, then drains.
 func (node *Node) Run(ctx context.Context) error {
-	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
+	background := node.background
+	defer node.stop()
 	settings := node.current()
 	callers, err := net.Listen("tcp", settings.Listen.Caller)
 	if err != nil {
@@ -156,7 +162,7 @@
 	group.Go(func() { _ = readiness.Serve(ready) })
 	<-ctx.Done()
 	node.drain()
-	cancel()
+	node.stop()
 	_ = callers.Close()
 	_ = readiness.Close()
 	node.decisions.Event("stop", "sessions", node.proxy.Sessions())
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -159,16 +159,16 @@
 	var members []handover.Member
 	for _, server := range group.Servers() {
 		observed, known := group.Observed(server.ID())
-		members = append(members, memberOf(server, observed.Status, known))
+		members = append(members, memberOf(server, observed, known))
 	}
 	return members
 }
 
-func memberOf(server *monitor.Server, status leader.Status, known bool) handover.Member {
+func memberOf(server *monitor.Server, observed leader.Observation, known bool) handover.Member {
 	info := server.Info()
 	return handover.Member{
-		ID: info.ID, SilentFor: server.SilentFor(), Registered: info.Role, Leaving: info.Leaving, Observed: known, Role: status.Role, Term: status.Term,
-		Received: status.Received, Paused: status.Paused,
+		ID: info.ID, SilentFor: server.SilentFor(), Registered: info.Role, Leaving: info.Leaving, Observed: known, Role: observed.Role, Term: observed.Term,
+		Received: observed.Received, Paused: observed.Paused, ObservedAt: observed.SentAt,
 	}
 }
 
@@ -273,7 +273,7 @@
 				promoter.decisions.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
 				return
 			}
-			fence.Others = append(fence.Others, memberOf(server, status, true))
+			fence.Others = append(fence.Others, memberOf(server, leader.Observation{Status: status}, true))
 		})
 	}
 	calls.Wait()
