--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -25,6 +25,8 @@
 	leader  ids.BackendServerID
 	term    ids.Term
 	certain bool
+	// used is the time of the last request.
+	used time.Duration
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
@@ -37,6 +39,24 @@
 // ID returns the group's identifier.
 func (group *Group) ID() ids.GroupID { return group.id }
 
+// Use notes that there is a request for the group, whose state is asked for from now on.
+func (group *Group) Use() {
+	group.mutex.Lock()
+	now := clock.Now()
+	resting := now-group.used > useMemory
+	group.used = now
+	group.mutex.Unlock()
+	if resting {
+		group.Hurry()
+	}
+}
+
+func (group *Group) inUse() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.used > 0 && clock.Now()-group.used <= useMemory
+}
+
 // Hurry has the state of all servers asked for at once.
 func (group *Group) Hurry() {
 	for _, server := range group.Servers() {
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -18,9 +18,11 @@
 const (
 	// pollInterval is the time between two status requests to a server; a lease covers three.
 	pollInterval = 450 * time.Millisecond
-	// unroutedInterval is the time between two status requests of the VM that replaces primaries to a server of a group
-	// that no route leads to.
-	unroutedInterval = time.Second
+	// unusedInterval is the time between two status requests of the VM that replaces primaries to a server of a group
+	// that this VM has no requests for.
+	unusedInterval = time.Second
+	// useMemory is the time after a request in which the state of its group is kept up to date.
+	useMemory = 5 * time.Second
 	// idleCheck is the time after which a VM that asks nothing looks again whether it should.
 	idleCheck = time.Second
 	// pollAgain is the time after which a server that did not answer is asked again.
@@ -44,7 +46,6 @@
 	ctx     context.Context
 	groups  map[ids.GroupID]*Group
 	catalog *catalog.Catalog
-	routed  map[ids.GroupID]bool
 	onDuty  func() bool
 	vms     int
 }
@@ -75,36 +76,21 @@
 // SetCatalog takes the bounds of the groups from the configuration.
 func (monitor *Monitor) SetCatalog(current *catalog.Catalog) {
 	monitor.mutex.Lock()
-	before := monitor.routed
-	monitor.catalog, monitor.routed = current, make(map[ids.GroupID]bool)
-	for _, route := range current.Routes {
-		monitor.routed[route.Group] = true
-	}
+	monitor.catalog = current
 	monitor.mutex.Unlock()
 	monitor.setLimits()
-	for _, group := range monitor.Groups() {
-		if monitor.isRouted(group.id) && !before[group.id] {
-			group.Hurry()
-		}
-	}
-}
-
-func (monitor *Monitor) isRouted(group ids.GroupID) bool {
-	monitor.mutex.Lock()
-	defer monitor.mutex.Unlock()
-	return monitor.routed[group]
 }
 
 // SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
 func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
 
 // interval returns the time between two status requests to a server of the group; 0 states that it is not asked.
-func (monitor *Monitor) interval(group ids.GroupID) time.Duration {
+func (monitor *Monitor) interval(group *Group) time.Duration {
 	switch {
-	case monitor.isRouted(group):
+	case group.inUse():
 		return pollInterval
 	case monitor.onDuty != nil && monitor.onDuty():
-		return unroutedInterval
+		return unusedInterval
 	}
 	return 0
 }
@@ -177,23 +163,25 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		hurried := false
 		select {
 		case <-monitor.ctx.Done():
 			return
 		case <-server.stop:
 			return
 		case <-server.hurry:
+			hurried = true
 		case <-timer.C:
 		}
-		pause := monitor.interval(server.group.id)
-		if pause == 0 {
+		pause := monitor.interval(server.group)
+		if pause == 0 && !hurried {
 			timer.Reset(idleCheck)
 			continue
 		}
 		if _, err := monitor.Ask(server, dbpool.Call{Kind: statement.Status}); err != nil {
 			pause = pollAgain
 		}
-		timer.Reset(pause)
+		timer.Reset(max(pause, pollAgain))
 	}
 }
 
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -53,6 +53,7 @@
 	if group == nil {
 		return target{}, refuse(refusal.NoPrimary, retryPrimary, "no server is registered")
 	}
+	group.Use()
 	ctx, cancel := context.WithDeadline(context.Background(), attempts.deadline)
 	defer cancel()
 	for {
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -14,6 +14,8 @@
 type transaction struct {
 	operation
 	readOnly bool
+	// begun is the identifier of the caller's begin, under which a server is asked to begin.
+	begun statement.RequestID
 	// wrote states that a write of the transaction succeeded or may have.
 	wrote bool
 	// answered states that the caller got the answer to a statement of it.
@@ -38,7 +40,7 @@
 	readOnly := request.Statement.Kind == statement.BeginReadOnly
 	operation.writes, operation.reads = !readOnly, true
 	session.transaction = &transaction{
-		operation: operation, readOnly: readOnly, touched: arrived, idleLimit: session.server.Directory.Catalog().TransactionIdle,
+		operation: operation, readOnly: readOnly, begun: request.ID, touched: arrived, idleLimit: session.server.Directory.Catalog().TransactionIdle,
 	}
 	session.state = statement.Open
 	return statement.Reply{State: statement.Open}
@@ -50,7 +52,7 @@
 	if transaction == nil {
 		return session.malformed(request, "no transaction is open")
 	}
-	if transaction.conn != nil && !session.endOnServer(transaction) {
+	if transaction.conn != nil && !session.endOnServer(request, transaction) {
 		session.abandon()
 	}
 	session.close()
@@ -61,10 +63,10 @@
 const rollbackTimeout = 200 * time.Millisecond
 
 // endOnServer rolls the transaction back and keeps the connection; false if that failed.
-func (session *session) endOnServer(transaction *transaction) bool {
+func (session *session) endOnServer(request statement.Request, transaction *transaction) bool {
 	deadline := time.Now().Add(rollbackTimeout)
 	sentAt := transaction.server.Begin()
-	err := transaction.conn.Send(deadline, dbpool.Call{Kind: statement.Rollback})
+	err := transaction.conn.Send(deadline, dbpool.Call{ID: request.ID, Kind: statement.Rollback})
 	var reply statement.Reply
 	if err == nil {
 		reply, err = transaction.conn.Receive(deadline)
@@ -205,7 +207,7 @@
 		if refused != nil {
 			return refused
 		}
-		call := dbpool.Call{Kind: statement.Begin, After: target.after}
+		call := dbpool.Call{ID: transaction.begun, Kind: statement.Begin, After: target.after}
 		if transaction.readOnly {
 			call.Kind = statement.BeginReadOnly
 		}
