One VM observes the backend servers for the others

The VM that has the duty of promotion asks the servers and answers the others by datagram; ages count from the sending of the question.

--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -25,8 +25,8 @@
 	leader  ids.BackendServerID
 	term    ids.Term
 	certain bool
-	// used is the time of the last request.
-	used time.Duration
+	// used is the time of the last request, asked that of the last question of another VM.
+	used, asked time.Duration
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
@@ -57,13 +57,57 @@
 	return group.used > 0 && clock.Now()-group.used <= useMemory
 }
 
-// Hurry has the state of all servers asked for at once.
+// observeForOthers notes that other VMs ask for the state of the group.
+func (group *Group) observeForOthers() {
+	group.mutex.Lock()
+	now := clock.Now()
+	resting := now-group.asked > observerMemory
+	group.asked = now
+	group.mutex.Unlock()
+	if resting {
+		group.poll()
+	}
+}
+
+// interval returns the time between two status requests to the servers, and the age of an observation that makes one
+// needless; 0 and 0 state that nobody wants to know.
+func (group *Group) interval() (every, unlessYounger time.Duration) {
+	group.mutex.Lock()
+	observes := group.asked > 0 && clock.Now()-group.asked <= observerMemory
+	group.mutex.Unlock()
+	switch {
+	case observes:
+		return observeInterval, 0
+	case group.inUse():
+		return shareInterval, staleObservation
+	case group.monitor.onDuty != nil && group.monitor.onDuty():
+		return unusedInterval, 0
+	}
+	return 0, 0
+}
+
+// Hurry has the state of all servers asked for at once, by the VM that observes the group or by this one.
 func (group *Group) Hurry() {
+	select {
+	case group.monitor.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// poll has this VM ask all servers at once.
+func (group *Group) poll() {
 	for _, server := range group.Servers() {
 		server.Suspect()
 	}
 }
 
+// server returns the server with the identifier, nil for none.
+func (group *Group) server(id ids.BackendServerID) *Server {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.servers[id]
+}
+
 // Changed returns a channel that is closed at the next change.
 func (group *Group) Changed() <-chan struct{} {
 	group.mutex.Lock()
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -12,12 +12,11 @@
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
+	"dotterelgw/io/mesh"
 	"dotterelgw/io/observe"
 )
 
 const (
-	// pollInterval is the time between two status requests to a server; a lease covers three.
-	pollInterval = 450 * time.Millisecond
 	// unusedInterval is the time between two status requests of the VM that replaces primaries to a server of a group
 	// that this VM has no requests for.
 	unusedInterval = time.Second
@@ -27,6 +26,8 @@
 	idleCheck = time.Second
 	// pollAgain is the time after which a server that did not answer is asked again.
 	pollAgain = 100 * time.Millisecond
+	// pollSlack is the time by which a look comes after an observation has become stale.
+	pollSlack = 20 * time.Millisecond
 	// pollTimeout bounds a status request, which waits behind statements on a busy server.
 	pollTimeout = 500 * time.Millisecond
 	// reservedPart is the part of a server's connections that no VM uses: connections of VMs that lost power stay open for
@@ -48,11 +49,18 @@
 	catalog *catalog.Catalog
 	onDuty  func() bool
 	vms     int
+
+	mesh      *mesh.Mesh
+	self      ids.VMID
+	observers Observers
+	asked     asked
+	number    uint64
+	hurry     chan struct{}
 }
 
 // New returns a monitor for a VM in the zone that stops asking when the context ends.
 func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, decisions *observe.Decisions) *Monitor {
-	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), vms: 1}
+	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), vms: 1, hurry: make(chan struct{}, 1)}
 }
 
 // Group returns the group, nil if no server of it is registered.
@@ -81,20 +89,6 @@
 	monitor.setLimits()
 }
 
-// SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
-func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
-
-// interval returns the time between two status requests to a server of the group; 0 states that it is not asked.
-func (monitor *Monitor) interval(group *Group) time.Duration {
-	switch {
-	case group.inUse():
-		return pollInterval
-	case monitor.onDuty != nil && monitor.onDuty():
-		return unusedInterval
-	}
-	return 0
-}
-
 // SetVMs sets the number of VMs that share the connections to each server.
 func (monitor *Monitor) SetVMs(count int) {
 	monitor.mutex.Lock()
@@ -103,6 +97,9 @@
 	monitor.setLimits()
 }
 
+// SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
+func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
+
 // limit returns the number of connections that this VM may have to each server of the group. The mutex is held.
 func (monitor *Monitor) limit(group ids.GroupID) int {
 	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
@@ -173,16 +170,27 @@
 			hurried = true
 		case <-timer.C:
 		}
-		pause := monitor.interval(server.group)
-		if pause == 0 && !hurried {
-			timer.Reset(idleCheck)
-			continue
-		}
-		if _, err := monitor.Ask(server, dbpool.Call{Kind: statement.Status}); err != nil {
-			pause = pollAgain
+		timer.Reset(monitor.next(server, hurried))
+	}
+}
+
+// next asks the server for its state if that is due, and returns the time until the next look.
+func (monitor *Monitor) next(server *Server, hurried bool) time.Duration {
+	every, unlessYounger := server.group.interval()
+	silent := server.SilentFor() > 0
+	switch {
+	case hurried || silent && every > 0:
+	case every == 0:
+		return idleCheck
+	case unlessYounger > 0:
+		if observed, known := server.group.Observed(server.ID()); known && clock.Now()-observed.SentAt < unlessYounger {
+			return unlessYounger - (clock.Now() - observed.SentAt) + pollSlack
 		}
-		timer.Reset(max(pause, pollAgain))
 	}
+	if _, err := monitor.Ask(server, dbpool.Call{Kind: statement.Status}); err != nil {
+		return pollAgain
+	}
+	return max(every, pollAgain)
 }
 
 // errBusy states that the server is alive and had no room for a status request.
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -123,16 +123,24 @@
 
 // observe notes an answered status request.
 func (server *Server) observe(observation leader.Observation) {
-	now := clock.Now()
 	server.mutex.Lock()
 	was := server.failures
 	server.failures, server.failingSince = 0, 0
-	server.applied, server.seenAt, server.lag = observation.Applied, now, observation.Lag
 	server.mutex.Unlock()
 	if was >= failuresDown {
 		server.group.monitor.decisions.Event("dependency_regained", "dependency", "backend_server", "server", server.ID(),
 			"group", server.group.id, "failures", was)
 	}
+	server.learn(observation)
+}
+
+// learn notes an observation of this or another VM.
+func (server *Server) learn(observation leader.Observation) {
+	server.mutex.Lock()
+	if observation.SentAt > server.seenAt {
+		server.applied, server.seenAt, server.lag = observation.Applied, observation.SentAt, observation.Lag
+	}
+	server.mutex.Unlock()
 	server.group.observe(server.ID(), observation)
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"dotterelgw/core/ids"
+	"dotterelgw/core/member"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/directory"
@@ -88,6 +89,7 @@
 	}
 	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, platform.Promotion, network, decisions)
 	node.monitor.SetDuty(node.promoter.OnDuty)
+	node.monitor.Share(network, settings.VM, node.observers)
 	node.proxy = proxy.New(proxy.Dependencies{
 		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
 	})
@@ -108,6 +110,23 @@
 	node.monitor.SetVMs(len(vms))
 }
 
+// observers returns the VMs that observe the backend servers for the others: the one that replaces primaries, which asks
+// them anyway, then one that all VMs agree on.
+func (node *Node) observers() []ids.VMID {
+	var observers []ids.VMID
+	if holder := node.promoter.Holder(); holder != "" {
+		observers = append(observers, holder)
+	}
+	var members []member.Member
+	for _, vm := range node.fleet.VMs() {
+		members = append(members, member.Member{ID: vm.ID})
+	}
+	for _, second := range member.Top("observer", 1, members) {
+		observers = append(observers, second.ID)
+	}
+	return observers
+}
+
 // Reload applies a settings file that changed. Addresses on which the process listens hold until the next start; settings
 // with faults change nothing.
 func (node *Node) Reload(file, cause string) {
@@ -156,6 +175,7 @@
 	group.Go(func() { node.fleet.Run(background) })
 	group.Go(func() { node.mesh.Run(background) })
 	group.Go(func() { node.quota.Run(background) })
+	group.Go(func() { node.monitor.Run(background) })
 	group.Go(func() { node.promoter.Run(background) })
 	group.Go(func() { node.accept(callers) })
 	readiness := &http.Server{Handler: node.platform.Ready(node.Ready), ReadHeaderTimeout: time.Second}
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -40,6 +40,8 @@
 	// until is the boot time in nanoseconds up to which this VM has the duty.
 	until atomic.Int64
 	token atomic.Int64
+	// holder is the VM that was last seen to have the duty.
+	holder atomic.Value
 	// vacant gets a value when the duty may be free.
 	vacant chan struct{}
 }
@@ -54,6 +56,12 @@
 	return Token(duty.token.Load()), left
 }
 
+// seenHolder returns the VM that was last seen to have the duty, or an empty name.
+func (duty *duty) seenHolder() ids.VMID {
+	holder, _ := duty.holder.Load().(ids.VMID)
+	return holder
+}
+
 // run takes the duty whenever it is free and keeps it.
 func (duty *duty) run(ctx context.Context) {
 	go duty.follow(ctx)
@@ -76,6 +84,7 @@
 	for event := range platform.Follow(ctx, duty.store, Prefix, 0) {
 		removed := event.Complete && len(event.Entries) == 0
 		for _, entry := range event.Entries {
+			duty.holder.Store(ids.VMID(entry.Value))
 			removed = removed || entry.Key == dutyKey && entry.Value == nil
 		}
 		if removed {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -86,6 +86,9 @@
 	return promoter
 }
 
+// Holder returns the VM that was last seen to replace primaries, or an empty name.
+func (promoter *Promoter) Holder() ids.VMID { return promoter.duty.seenHolder() }
+
 // OnDuty states whether this VM replaces primaries now.
 func (promoter *Promoter) OnDuty() bool {
 	_, left := promoter.duty.held()
