--- a/io/node/node.go
+++ b/io/node/node.go
@@ -92,6 +92,7 @@
 	node.monitor.Share(network, settings.VM, node.observers)
 	node.proxy = proxy.New(proxy.Dependencies{
 		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
+		MaxCatalogAge: settings.Configuration.MaxAge(),
 	})
 	node.directory.OnCatalog(node.monitor.SetCatalog)
 	node.directory.OnServers(node.monitor.SetServers)
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -25,6 +25,24 @@
 	Limits Limits `toml:"limits"`
 	// Drain holds the times of a planned stop.
 	Drain Drain `toml:"drain"`
+	// Configuration holds how soon changes of the configuration must be in force.
+	Configuration Configuration `toml:"configuration"`
+}
+
+// Configuration holds how soon changes of the configuration must be in force.
+type Configuration struct {
+	// ApplyMS is the time in milliseconds on a VM that reaches the key-value service.
+	ApplyMS float64 `toml:"apply_ms"`
+	// StretchMS is the time in milliseconds by which it may be longer on a VM that does not.
+	StretchMS float64 `toml:"stretch_ms"`
+}
+
+// staleMargin is the time before the end of the bound at which a VM stops relying on an old configuration.
+const staleMargin = 500 * time.Millisecond
+
+// MaxAge returns the age from which on a configuration is too old to admit requests.
+func (configuration Configuration) MaxAge() time.Duration {
+	return time.Duration((configuration.ApplyMS+configuration.StretchMS)*float64(time.Millisecond)) - staleMargin
 }
 
 // Listen holds host and port of each listener.
@@ -66,10 +84,11 @@
 const (
 	leastMemoryMB = 32
 	leastGraceS   = 0.5
+	leastApplyMS  = 1000
 )
 
 func defaults() Settings {
-	return Settings{Limits: Limits{MemoryMB: 256, MaxConnections: 4000}, Drain: Drain{GraceS: 6}}
+	return Settings{Limits: Limits{MemoryMB: 256, MaxConnections: 4000}, Drain: Drain{GraceS: 6}, Configuration: Configuration{ApplyMS: 3000, StretchMS: 12000}}
 }
 
 // Load reads and checks a settings file.
@@ -113,5 +132,11 @@
 	if read.Drain.GraceS < leastGraceS {
 		fault("drain.grace_s", fmt.Sprintf("at least %g", leastGraceS))
 	}
+	if read.Configuration.ApplyMS < leastApplyMS {
+		fault("configuration.apply_ms", fmt.Sprintf("at least %d", leastApplyMS))
+	}
+	if read.Configuration.StretchMS < 0 {
+		fault("configuration.stretch_ms", "0 or more")
+	}
 	return faults
 }
--- a/io/proxy/dependencies.go
+++ b/io/proxy/dependencies.go
@@ -65,6 +65,8 @@
 	Limiter   Limiter
 	Decisions *observe.Decisions
 	Metrics   metrics.Registry
+	// MaxCatalogAge is the age from which on the configuration is too old to admit requests.
+	MaxCatalogAge time.Duration
 }
 
 // poolRequest returns the request for a connection.
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -14,9 +14,6 @@
 const (
 	// wakeInterval is the time between two calls of Wake for sessions that are to end.
 	wakeInterval = 50 * time.Millisecond
-	// staleCatalog is the age from which on the configuration is too old to admit requests: the operators' changes must
-	// be in force within 3 s, and within 15 s on a VM that the store turns away.
-	staleCatalog = 12 * time.Second
 )
 
 // Server holds the sessions of this VM.
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -114,7 +114,7 @@
 // authorise checks the session's route and key against the configuration in force.
 func (session *session) authorise() (*catalog.Route, *catalog.Organisation, *refused) {
 	current := session.server.Directory.Catalog()
-	if age := session.server.Directory.CatalogAge(); age > staleCatalog {
+	if age := session.server.Directory.CatalogAge(); age > session.server.MaxCatalogAge {
 		return nil, nil, refuse(refusal.NotConfirmed, retryElsewhere, fmt.Sprintf("configuration %d was confirmed %v ago", current.Version, age))
 	}
 	session.version = current.Version
