--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -37,9 +37,7 @@
 	Evictable bool
 	// Applied is the position that reads on the server were last known to see.
 	Applied position.Position
-	// AppliedAge is the time since Applied was observed.
-	AppliedAge time.Duration
-	// Lag is how far the server was behind then.
+	// Lag is how far the server was behind the primary then.
 	Lag time.Duration
 }
 
--- a/core/leader/history.go
+++ b/core/leader/history.go
@@ -50,3 +50,13 @@
 	}
 	return position.Position{}, false
 }
+
+// Missing returns the time of the oldest sample that a server which has reached the position lacks; false if it lacks none.
+func (history *History) Missing(reached position.Position) (time.Duration, bool) {
+	for _, sample := range history.samples {
+		if reached.Less(sample.position) {
+			return sample.at, true
+		}
+	}
+	return 0, false
+}
--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -129,6 +129,16 @@
 	return tracker.history.Floor(before)
 }
 
+// Lag returns how far a server was behind the primary at the time at which reads on it saw the position. It is a lower
+// bound, as it counts from the oldest known position that the server lacked.
+func (tracker *Tracker) Lag(applied position.Position, at time.Duration) time.Duration {
+	missing, ok := tracker.history.Missing(applied)
+	if !ok {
+		return 0
+	}
+	return max(at-missing, 0)
+}
+
 // Observed returns what was last seen of the server.
 func (tracker *Tracker) Observed(id ids.BackendServerID) (Observation, bool) {
 	held, ok := tracker.members[id]
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -153,6 +153,13 @@
 	return group.tracker.Floor(before)
 }
 
+// lag returns how far a server was behind the primary when reads on it saw the position.
+func (group *Group) lag(applied position.Position, at time.Duration) time.Duration {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.tracker.Lag(applied, at)
+}
+
 // Revoke ends the certainty about the primary, at the wish of the VM that replaces it.
 func (group *Group) Revoke() {
 	group.mutex.Lock()
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -38,7 +38,6 @@
 	latency  balance.Latency
 	applied  position.Position
 	seenAt   time.Duration
-	lag      time.Duration
 	failures int
 	// failingSince is the time of the first failure after the last answer.
 	failingSince time.Duration
@@ -138,7 +137,7 @@
 func (server *Server) learn(observation leader.Observation) {
 	server.mutex.Lock()
 	if observation.SentAt > server.seenAt {
-		server.applied, server.seenAt, server.lag = observation.Applied, observation.SentAt, observation.Lag
+		server.applied, server.seenAt = observation.Applied, observation.SentAt
 	}
 	server.mutex.Unlock()
 	server.group.observe(server.ID(), observation)
@@ -149,11 +148,15 @@
 	info := server.Info()
 	pool := server.Pool.State(organisation)
 	server.mutex.Lock()
+	applied, seenAt := server.applied, server.seenAt
+	server.mutex.Unlock()
+	lag := server.group.lag(applied, seenAt)
+	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	return balance.Candidate{
 		Leader: isLeader, Local: info.Zone == server.group.monitor.zone, Latency: server.latency.Estimate(now), Slots: info.Slots,
 		InFlight: int(server.inFlight.Load()) + pool.Waiting, Matching: pool.Matching, Free: pool.Free, Evictable: pool.Evictable,
-		Applied: server.applied, AppliedAge: now - server.seenAt, Lag: server.lag,
+		Applied: applied, Lag: lag,
 	}
 }
 
