--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -18,6 +18,9 @@
 const (
 	// failuresDown is the number of failures in a row after which a server counts as unreachable.
 	failuresDown = 2
+	// silentAfter is the time without any answer after which lost answers tell that a server is unreachable; single answers
+	// may be lost while others come.
+	silentAfter = 250 * time.Millisecond
 	// refusedFailures is the weight of a connection that the server refused, which tells more than a late answer.
 	refusedFailures = 2
 )
@@ -41,6 +44,8 @@
 	failures int
 	// failingSince is the time of the first failure after the last answer.
 	failingSince time.Duration
+	// refused states that a connection could not be opened since the last answer.
+	refused bool
 }
 
 // Info returns the server's registration.
@@ -61,7 +66,7 @@
 	server.inFlight.Add(-1)
 	now := clock.Now()
 	server.mutex.Lock()
-	server.failures, server.failingSince = 0, 0
+	server.failures, server.failingSince, server.refused = 0, 0, false
 	if work {
 		server.latency.Observe(now, now-sentAt)
 	}
@@ -85,7 +90,12 @@
 }
 
 // Refused notes that the server could not be connected to.
-func (server *Server) Refused() { server.fail(refusedFailures) }
+func (server *Server) Refused() {
+	server.mutex.Lock()
+	server.refused = true
+	server.mutex.Unlock()
+	server.fail(refusedFailures)
+}
 
 func (server *Server) fail(count int) {
 	server.mutex.Lock()
@@ -103,18 +113,30 @@
 	}
 }
 
+// Latency returns the time that the server is expected to take for a statement.
+func (server *Server) Latency() time.Duration {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.latency.Estimate(clock.Now())
+}
+
 // Reachable states whether the server is expected to answer.
 func (server *Server) Reachable() bool {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	return server.failures < failuresDown
+	return !server.silent()
+}
+
+// silent states whether the failures since the last answer tell that the server is unreachable. The mutex is held.
+func (server *Server) silent() bool {
+	return server.failures >= failuresDown && (server.refused || clock.Now()-server.failingSince >= silentAfter)
 }
 
 // SilentFor returns the time since which every attempt to reach the server has failed; 0 while it answers.
 func (server *Server) SilentFor() time.Duration {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if server.failures < failuresDown {
+	if !server.silent() {
 		return 0
 	}
 	return clock.Now() - server.failingSince
@@ -124,7 +146,7 @@
 func (server *Server) observe(observation leader.Observation) {
 	server.mutex.Lock()
 	was := server.failures
-	server.failures, server.failingSince = 0, 0
+	server.failures, server.failingSince, server.refused = 0, 0, false
 	server.mutex.Unlock()
 	if was >= failuresDown {
 		server.group.monitor.decisions.Event("dependency_regained", "dependency", "backend_server", "server", server.ID(),
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -7,11 +7,14 @@
 	"dotterelgw/core/refusal"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
+	"dotterelgw/io/monitor"
 )
 
 const (
 	// leastAttempt is the least time for which an answer to a read is awaited before another server is asked.
-	leastAttempt = 300 * time.Millisecond
+	leastAttempt = 150 * time.Millisecond
+	// latencyFactor is the number of usual latencies for which an answer to a read is awaited.
+	latencyFactor = 6
 	// maxAttempts bounds the servers that one statement tries after the first.
 	maxAttempts = 5
 	// busyPause is the pause before a statement that found no slot is sent again.
@@ -57,8 +60,8 @@
 	prefix := target.conn.Align(session.values, name, shape)
 	sentAt := target.server.Begin()
 	deadline := attempts.deadline
-	if patience := time.Now().Add(max(operation.route.Objective, leastAttempt)); !operation.writes && patience.Before(deadline) {
-		deadline = patience
+	if !operation.writes {
+		deadline = earlier(deadline, time.Now().Add(patience(target.server)))
 	}
 	err := target.conn.Send(deadline, append(prefix, call)...)
 	if err == nil {
@@ -93,6 +96,19 @@
 	return reply, false, nil
 }
 
+// patience returns how long an answer to a statement that can be repeated is awaited: what was lost does not come, and
+// what merely is slow comes by then.
+func patience(server *monitor.Server) time.Duration {
+	return max(leastAttempt, latencyFactor*server.Latency())
+}
+
+func earlier(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
+}
+
 // turnedAway prepares the next attempt after a server promised that the statement did not run.
 func (session *session) turnedAway(request statement.Request, attempts *attempts, target target, reply statement.Reply) {
 	session.server.Decisions.Request("turned_away", "request", request.ID, "server", target.server.ID(), "code", reply.Code,
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -248,13 +248,18 @@
 	call, name, shape := session.call(request)
 	prefix := transaction.conn.Align(session.values, name, shape)
 	sentAt := transaction.server.Begin()
-	err := transaction.conn.Send(attempts.deadline, append(prefix, call)...)
+	deadline := attempts.deadline
+	if request.Statement.Kind != statement.Commit {
+		// Without its commit nothing of a transaction is kept, so it can be begun anew.
+		deadline = earlier(deadline, time.Now().Add(patience(transaction.server)))
+	}
+	err := transaction.conn.Send(deadline, append(prefix, call)...)
 	if err == nil {
-		err = transaction.conn.Settle(attempts.deadline, len(prefix))
+		err = transaction.conn.Settle(deadline, len(prefix))
 	}
 	var reply statement.Reply
 	if err == nil {
-		reply, err = transaction.conn.Receive(attempts.deadline)
+		reply, err = transaction.conn.Receive(deadline)
 	}
 	if err != nil {
 		transaction.server.Failed(sentAt)
