--- a/cmd/dotterel-node/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Command dotterel-node runs the proxy on the prepared platform.
-package main
--- a/cmd/dotterelgw/main.go
+++ b/cmd/dotterelgw/main.go
@@ -15,8 +15,10 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"dotterelgw/io/gateway"
+	"dotterelgw/io/node"
 	"dotterelgw/io/observe"
 	"dotterelgw/io/settings"
+	"dotterelgw/platform"
 )
 
 func main() {
@@ -35,6 +37,19 @@
 	if len(arguments) > 0 && arguments[0] == "serve" {
 		return serve(ctx, arguments[1:], stdout, stderr)
 	}
+	nodeFlags := passOn("node")
+	nodeConfig := nodeFlags.String("config", "", "settings file (TOML)")
+	nodeCheck := &ffcli.Command{
+		Name: "check", ShortUsage: "dotterelgw node check FILE", ShortHelp: "checks the settings file of a node and prints every fault", FlagSet: passOn("check"),
+		Exec: func(_ context.Context, arguments []string) error { return checkNode(arguments, stdout) },
+	}
+	nodeCommand := &ffcli.Command{
+		Name: "node", ShortUsage: "dotterelgw node -config FILE", ShortHelp: "runs the proxy on the prepared platform until SIGTERM",
+		FlagSet: nodeFlags, Subcommands: []*ffcli.Command{nodeCheck},
+		Exec: func(ctx context.Context, arguments []string) error {
+			return serveNode(ctx, *nodeConfig, arguments, stdout)
+		},
+	}
 	check := &ffcli.Command{
 		Name: "check", ShortUsage: "dotterelgw config check FILE", ShortHelp: "checks a settings file and prints every fault", FlagSet: passOn("check"),
 		Exec: func(_ context.Context, arguments []string) error { return checkSettings(arguments, stdout) },
@@ -48,7 +63,7 @@
 	}
 	serve := &ffcli.Command{Name: "serve", ShortUsage: "dotterelgw serve -config FILE", ShortHelp: "runs the proxy until SIGTERM"}
 	root := &ffcli.Command{
-		Name: "dotterelgw", ShortUsage: "dotterelgw serve|config|version", Subcommands: []*ffcli.Command{serve, config, version},
+		Name: "dotterelgw", ShortUsage: "dotterelgw serve|node|config|version", Subcommands: []*ffcli.Command{serve, nodeCommand, config, version},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	return root.ParseAndRun(ctx, arguments)
@@ -70,6 +85,28 @@
 	return gateway.Run(ctx)
 }
 
+// serveNode runs the proxy on the prepared platform; its log goes to stdout, and SIGHUP reloads its settings.
+func serveNode(ctx context.Context, file string, arguments []string, stdout io.Writer) error {
+	if file == "" || len(arguments) > 0 {
+		return errors.New("node takes -config FILE and nothing else")
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	return platform.Run(ctx, file, stdout, reloads)
+}
+
+func checkNode(arguments []string, stdout io.Writer) error {
+	if len(arguments) != 1 {
+		return errors.New("node check takes one file")
+	}
+	if _, err := node.Load(arguments[0]); err != nil {
+		return err
+	}
+	fmt.Fprintln(stdout, arguments[0]+": valid")
+	return nil
+}
+
 func checkSettings(arguments []string, stdout io.Writer) error {
 	if len(arguments) != 1 {
 		return errors.New("config check takes one file")
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -169,6 +169,10 @@
 	if err != nil {
 		return fmt.Errorf("listening for readiness: %w", err)
 	}
+	numbers, err := net.Listen("tcp", settings.Listen.Metrics)
+	if err != nil {
+		return fmt.Errorf("listening for metrics: %w", err)
+	}
 	node.decisions.Event("start", "caller", settings.Listen.Caller, "peer", settings.Listen.Peer,
 		"store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
 	var group sync.WaitGroup
@@ -181,11 +185,17 @@
 	group.Go(func() { node.accept(callers) })
 	readiness := &http.Server{Handler: node.platform.Ready(node.Ready), ReadHeaderTimeout: time.Second}
 	group.Go(func() { _ = readiness.Serve(ready) })
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", observe.MetricsHandler(node.metrics, "dotterelgw_"))
+	collected := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	group.Go(func() { _ = collected.Serve(numbers) })
 	<-ctx.Done()
 	node.drain()
 	node.stop()
+	// A listener that does not close ends with the process.
 	_ = callers.Close()
 	_ = readiness.Close()
+	_ = collected.Close()
 	node.decisions.Event("stop", "sessions", node.proxy.Sessions())
 	return nil
 }
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -110,8 +110,12 @@
 		fault("vm", "a name")
 	}
 	addresses := []struct{ key, value string }{
-		{"listen.caller", read.Listen.Caller}, {"listen.ready", read.Listen.Ready}, {"listen.peer", read.Listen.Peer},
-		{"listen.metrics", read.Listen.Metrics}, {"store.address", read.Store.Address}, {"promotion.address", read.Promotion.Address},
+		{"listen.caller", read.Listen.Caller},
+		{"listen.ready", read.Listen.Ready},
+		{"listen.peer", read.Listen.Peer},
+		{"listen.metrics", read.Listen.Metrics},
+		{"store.address", read.Store.Address},
+		{"promotion.address", read.Promotion.Address},
 	}
 	taken := make(map[string]string)
 	for _, address := range addresses {
