--- /dev/null
+++ b/core/handover/plan_test.go
@@ -0,0 +1,129 @@
+package handover_test
+
+import (
+	"testing"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/handover"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+)
+
+const second = time.Second
+
+func at(log ids.LogPosition) position.Position { return position.Position{Term: 1, Log: log} }
+
+func leads(id ids.BackendServerID, log ids.LogPosition) handover.Member {
+	return handover.Member{ID: id, Observed: true, Role: catalog.Leader, Registered: catalog.Leader, Term: 1, Received: at(log)}
+}
+
+func follows(id ids.BackendServerID, log ids.LogPosition) handover.Member {
+	return handover.Member{ID: id, Observed: true, Role: catalog.Replica, Term: 1, Received: at(log)}
+}
+
+func silent(member handover.Member, since time.Duration) handover.Member {
+	member.SilentFor = since
+	return member
+}
+
+func leaving(member handover.Member) handover.Member {
+	member.Leaving = true
+	return member
+}
+
+func unknown(member handover.Member) handover.Member {
+	member.Observed = false
+	return member
+}
+
+// Each case is a reason to replace a primary, or one that only looks like it.
+func TestJudge(t *testing.T) {
+	for name, test := range map[string]struct {
+		members []handover.Member
+		want    handover.Reason
+	}{
+		"all well":                     {[]handover.Member{leads("a", 5), follows("b", 5), follows("c", 4)}, ""},
+		"silent for long":              {[]handover.Member{silent(leads("a", 5), second), follows("b", 5)}, handover.Lost},
+		"silent for a moment":          {[]handover.Member{silent(leads("a", 5), second/10), follows("b", 5)}, ""},
+		"silent with nobody to follow": {[]handover.Member{silent(leads("a", 5), second), silent(follows("b", 5), second)}, ""},
+		"registered as primary, never seen": {
+			[]handover.Member{silent(unknown(leads("a", 0)), second), follows("b", 5)}, handover.Lost,
+		},
+		"leaving":                    {[]handover.Member{leaving(leads("a", 5)), follows("b", 5)}, handover.Leaving},
+		"leaving with all others":    {[]handover.Member{leaving(leads("a", 5)), leaving(follows("b", 5))}, ""},
+		"the replaced one is silent": {[]handover.Member{silent(leads("a", 5), second), {ID: "b", Observed: true, Role: catalog.Leader, Term: 2}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var watch handover.Watch
+			if got := watch.Judge(10*second, test.members); got != test.want {
+				t.Errorf("reason %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a promotion at the start, when servers have not told their roles yet.
+func TestAbsentPrimary(t *testing.T) {
+	var watch handover.Watch
+	members := []handover.Member{follows("b", 5), follows("c", 5)}
+	if got := watch.Judge(10*second, members); got != "" {
+		t.Errorf("at once: %q", got)
+	}
+	if got := watch.Judge(12*second, members); got != handover.Absent {
+		t.Errorf("after 2 s: %q", got)
+	}
+	watch.Judge(13*second, append(members, leads("a", 5)))
+	if got := watch.Judge(14*second, members); got != "" {
+		t.Errorf("after a primary was seen: %q", got)
+	}
+}
+
+// Pattern: a primary is cut off from its replicas only. Guards against a group that acknowledges no write for as long as
+// the cut lasts, and against taking old observations for a cut.
+func TestStuckPrimary(t *testing.T) {
+	observed := func(member handover.Member, at time.Duration) handover.Member {
+		member.ObservedAt = at
+		return member
+	}
+	for name, test := range map[string]struct {
+		then handover.Member
+		want handover.Reason
+	}{
+		"the replica stays behind":      {observed(follows("b", 5), 12*second), handover.Stuck},
+		"the replica caught up":         {observed(follows("b", 8), 12*second), ""},
+		"the observation is an old one": {observed(follows("b", 5), 10*second), ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var watch handover.Watch
+			watch.Judge(10*second, []handover.Member{observed(leads("a", 8), 10*second), observed(follows("b", 5), 10*second)})
+			got := watch.Judge(12*second, []handover.Member{observed(leads("a", 9), 12*second), test.then})
+			if got != test.want {
+				t.Errorf("reason %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Each case that gives a successor must have every acknowledged write in its log.
+func TestSuccessor(t *testing.T) {
+	for name, test := range map[string]struct {
+		fence handover.Fence
+		want  ids.BackendServerID
+	}{
+		"the longest log of all others":            {handover.Fence{Others: []handover.Member{follows("b", 5), follows("c", 6)}}, "c"},
+		"one that stays before one that leaves":    {handover.Fence{Others: []handover.Member{leaving(follows("b", 6)), follows("c", 6)}}, "c"},
+		"the longest log even if it leaves":        {handover.Fence{Others: []handover.Member{leaving(follows("b", 7)), follows("c", 6)}}, "b"},
+		"a silent replica may hold more":           {handover.Fence{Others: []handover.Member{follows("b", 5)}, Silent: 1}, ""},
+		"a silent replica holds no more than this": {handover.Fence{Others: []handover.Member{follows("b", 5)}, Silent: 1, SteppedDown: true, Final: at(5)}, "b"},
+		"a log shorter than the old primary's":     {handover.Fence{Others: []handover.Member{follows("b", 5)}, Silent: 1, SteppedDown: true, Final: at(6)}, ""},
+		"nobody":                                   {handover.Fence{SteppedDown: true}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			successor, ok := test.fence.Successor()
+			if successor.ID != test.want || ok != (test.want != "") {
+				t.Errorf("successor %q, %t, want %q", successor.ID, ok, test.want)
+			}
+		})
+	}
+}
--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -57,8 +57,9 @@
 	}
 	held.observed, held.known = observation, true
 	tracker.elect()
-	if id == tracker.leader {
-		tracker.Sample(id, observation.SentAt, observation.Received)
+	// The primary's observation may count only now that another server confirms it.
+	if primary, ok := tracker.members[tracker.leader]; ok {
+		tracker.Sample(tracker.leader, primary.observed.SentAt, primary.observed.Received)
 	}
 }
 
--- a/core/quota/lenders.go
+++ b/core/quota/lenders.go
@@ -32,13 +32,13 @@
 	lenders.hints[vm] = hint{left: left, at: now}
 }
 
-// left returns what the VM may have to lend. One that had nothing is worth asking again as its part fills.
-func (lenders *Lenders) left(now time.Duration, vm ids.VMID) int64 {
+// left returns what the VM may have to lend: what it had then and what its part, with the rate, has earned since.
+func (lenders *Lenders) left(now time.Duration, vm ids.VMID, rate float64) int64 {
 	held, known := lenders.hints[vm]
 	if !known || now-held.at > hintValidity {
 		return unknownLeft
 	}
-	return held.left
+	return held.left + int64(rate*(now-held.at).Seconds())
 }
 
 // Demand is what one VM is asked for.
@@ -49,13 +49,15 @@
 	Amount int64
 }
 
-// Split divides the amount over the VMs that have most to lend. Asking more than needed would drain parts in vain.
-func (lenders *Lenders) Split(now time.Duration, amount int64, vms []ids.VMID) []Demand {
+// Split divides the amount over the VMs that have most to lend; rate is that of one part in operations a second. Asking more than needed would drain parts in vain.
+func (lenders *Lenders) Split(now time.Duration, amount int64, rate float64, vms []ids.VMID) []Demand {
 	ranked := slices.Clone(vms)
-	slices.SortStableFunc(ranked, func(one, other ids.VMID) int { return int(lenders.left(now, other) - lenders.left(now, one)) })
+	slices.SortStableFunc(ranked, func(one, other ids.VMID) int {
+		return int(lenders.left(now, other, rate) - lenders.left(now, one, rate))
+	})
 	var demands []Demand
 	for _, vm := range ranked {
-		left := lenders.left(now, vm)
+		left := lenders.left(now, vm, rate)
 		if amount <= 0 || left <= 0 {
 			break
 		}
--- a/io/platform/client_test.go
+++ b/io/platform/client_test.go
@@ -9,6 +9,7 @@
 
 	"dotterelgw/core/ids"
 	"dotterelgw/io/platform"
+	"dotterelgw/io/platform/storetest"
 	standin "dotterelgw/standin/platform"
 )
 
@@ -266,3 +267,21 @@
 		t.Error("outage: no error")
 	}
 }
+
+// Guards against this client keeping the contract of the product's store only in part; the same tests run against others.
+func TestStore(t *testing.T) {
+	storetest.Run(t, func(t *testing.T) storetest.Service {
+		service, client, _ := start(t)
+		return storetest.Service{
+			Store: client, Leases: client, Forget: service.Compact,
+			LoseAnswers: func(lose bool) {
+				service.Change(func(switches *standin.Switches) {
+					switches.LoseAnswers = 0
+					if lose {
+						switches.LoseAnswers = 1
+					}
+				})
+			},
+		}
+	})
+}
--- /dev/null
+++ b/io/platform/storetest/storetest.go
@@ -0,0 +1,158 @@
+package storetest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/io/platform"
+)
+
+// Service is a client together with the switches of the service behind it.
+type Service struct {
+	// Store is the client under test.
+	Store platform.Store
+	// Leases is the same client.
+	Leases platform.Leases
+	// LoseAnswers has the service carry out writes and not answer them.
+	LoseAnswers func(lose bool)
+	// Forget has the service drop its history.
+	Forget func()
+}
+
+// testTimeout bounds one test.
+const testTimeout = 10 * time.Second
+
+// Run runs all tests, each against a service of its own.
+func Run(t *testing.T, start func(t *testing.T) Service) {
+	t.Helper()
+	for name, test := range map[string]func(context.Context, *testing.T, Service){
+		"a swap against another revision changes nothing": swap,
+		"a list holds every entry of the prefix once":     list,
+		"a lost answer is an unknown outcome":             lostAnswer,
+		"a watch reports changes in order":                watch,
+		"following resumes after history was dropped":     compacted,
+		"a lease that was revoked has ended":              lease,
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+			defer cancel()
+			test(ctx, t, start(t))
+		})
+	}
+}
+
+func put(ctx context.Context, t *testing.T, store platform.Store, key string, expected ids.Revision, value string) ids.Revision {
+	t.Helper()
+	revision, ok, err := store.CompareAndSwap(ctx, key, expected, []byte(value))
+	if err != nil || !ok {
+		t.Fatalf("storing %s: swapped %t, error %v", key, ok, err)
+	}
+	return revision
+}
+
+func swap(ctx context.Context, t *testing.T, service Service) {
+	first := put(ctx, t, service.Store, "/s/a", 0, "1")
+	second := put(ctx, t, service.Store, "/s/a", first, "2")
+	for name, expected := range map[string]ids.Revision{"absent": 0, "older": first, "newer": second + 1} {
+		current, ok, err := service.Store.CompareAndSwap(ctx, "/s/a", expected, []byte("lost"))
+		if err != nil || ok || current != second {
+			t.Errorf("%s: revision %d, swapped %t, error %v, want revision %d", name, current, ok, err, second)
+		}
+	}
+	entry, found, err := service.Store.Get(ctx, "/s/a")
+	if err != nil || !found || string(entry.Value) != "2" || entry.Revision != second {
+		t.Errorf("got %+v, found %t, error %v", entry, found, err)
+	}
+	if _, found, err := service.Store.Get(ctx, "/s/none"); err != nil || found {
+		t.Errorf("absent key: found %t, error %v", found, err)
+	}
+}
+
+func list(ctx context.Context, t *testing.T, service Service) {
+	const count = 11
+	for i := range count {
+		put(ctx, t, service.Store, fmt.Sprintf("/l/%02d", i), 0, "x")
+	}
+	last := put(ctx, t, service.Store, "/other", 0, "outside")
+	entries, revision, err := service.Store.List(ctx, "/l/")
+	if err != nil || len(entries) != count || revision < last {
+		t.Fatalf("%d entries at revision %d, error %v, want %d at %d", len(entries), revision, err, count, last)
+	}
+	for i, entry := range entries {
+		if entry.Key != fmt.Sprintf("/l/%02d", i) {
+			t.Errorf("entry %d is %s", i, entry.Key)
+		}
+	}
+}
+
+func lostAnswer(ctx context.Context, t *testing.T, service Service) {
+	service.LoseAnswers(true)
+	short, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	_, _, err := service.Store.CompareAndSwap(short, "/o/a", 0, []byte("kept"))
+	service.LoseAnswers(false)
+	if !errors.Is(err, platform.ErrOutcomeUnknown) {
+		t.Fatalf("error %v, want an unknown outcome", err)
+	}
+	if entry, found, err := service.Store.Get(ctx, "/o/a"); err != nil || !found || string(entry.Value) != "kept" {
+		t.Errorf("after the lost answer: %+v, found %t, error %v", entry, found, err)
+	}
+}
+
+func watch(ctx context.Context, t *testing.T, service Service) {
+	first := put(ctx, t, service.Store, "/w/a", 0, "1")
+	events, err := service.Store.Watch(ctx, "/w/", first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(ctx, t, service.Store, "/w/a", first, "2")
+	put(ctx, t, service.Store, "/other", 0, "outside")
+	put(ctx, t, service.Store, "/w/b", 0, "3")
+	var values string
+	for event := range events {
+		if event.Err != nil {
+			t.Fatal(event.Err)
+		}
+		for _, entry := range event.Entries {
+			values += string(entry.Value)
+		}
+		if len(values) >= 3 {
+			break
+		}
+	}
+	if values != "123" {
+		t.Errorf("values in the order of the watch: %q, want 123", values)
+	}
+}
+
+func compacted(ctx context.Context, t *testing.T, service Service) {
+	first := put(ctx, t, service.Store, "/c/a", 0, "1")
+	put(ctx, t, service.Store, "/c/a", first, "2")
+	service.Forget()
+	for event := range platform.Follow(ctx, service.Store, "/c/", first) {
+		if event.Complete && len(event.Entries) == 1 && string(event.Entries[0].Value) == "2" {
+			return
+		}
+	}
+	t.Error("the watch ended without a listing")
+}
+
+func lease(ctx context.Context, t *testing.T, service Service) {
+	held, ttl, err := service.Leases.Grant(ctx, 5*time.Second)
+	if err != nil || ttl <= 0 {
+		t.Fatalf("time to live %v, error %v", ttl, err)
+	}
+	if ttl, err := service.Leases.KeepAlive(ctx, held); err != nil || ttl <= 0 {
+		t.Errorf("renewal: time to live %v, error %v", ttl, err)
+	}
+	if err := service.Leases.Revoke(ctx, held); err != nil {
+		t.Errorf("revoking: %v", err)
+	}
+	if _, err := service.Leases.KeepAlive(ctx, held); !errors.Is(err, platform.ErrLeaseEnded) {
+		t.Errorf("renewing a revoked lease: %v", err)
+	}
+}
