Leave servers paused until the primary of the new term reaches them

Cause, found by reading and by two trials on scratch copies: a server that was resumed after a promotion and had not heard of the new primary looked like one that was never fenced; it could confirm the replaced primary to a VM that reaches only these two, and acknowledge its writes. The trials show that a pause for the next term ends by itself when the primary of that term reaches the server.

--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -111,6 +111,22 @@
 	return registered
 }
 
+// LeftPaused returns the highest term for which a server is paused although it has no primary, and whether there is one.
+// A pause for the term of the primary is none of these: it ends when the server hears of that primary, and until then
+// keeps the primary before it from getting acknowledgements.
+func LeftPaused(members []Member) (term ids.Term, left bool) {
+	primary := Primary(members)
+	if primary == nil || !primary.Observed {
+		return 0, false
+	}
+	for _, member := range members {
+		if member.Observed && member.Paused > primary.Term {
+			term, left = max(term, member.Paused), true
+		}
+	}
+	return term, left
+}
+
 // candidates returns the servers that answer and may follow the primary.
 func candidates(members []Member, primary ids.BackendServerID) []Member {
 	var others []Member
--- a/core/handover/plan_test.go
+++ b/core/handover/plan_test.go
@@ -127,3 +127,28 @@
 		})
 	}
 }
+
+// Guards against a pause being ended that keeps a replaced primary, which still reaches the server, from acknowledging
+// writes, and against a group whose servers stay paused for a term that nobody leads.
+func TestLeftPaused(t *testing.T) {
+	paused := func(term ids.Term) handover.Member {
+		member := follows("b", 5)
+		member.Paused = term
+		return member
+	}
+	for name, test := range map[string]struct {
+		members []handover.Member
+		want    ids.Term
+	}{
+		"for the primary's own term": {[]handover.Member{{ID: "a", Observed: true, Role: catalog.Leader, Term: 2}, paused(2)}, 0},
+		"for a term without primary": {[]handover.Member{leads("a", 5), paused(2)}, 2},
+		"without any primary":        {[]handover.Member{follows("a", 5), paused(2)}, 0},
+		"none":                       {[]handover.Member{leads("a", 5), follows("b", 5)}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if term, left := handover.LeftPaused(test.members); term != test.want || left != (test.want != 0) {
+				t.Errorf("term %d, %t, want %d", term, left, test.want)
+			}
+		})
+	}
+}
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -142,18 +142,15 @@
 
 // cleanUp ends pauses that a replacement left behind which did not come to its end.
 func (promoter *Promoter) cleanUp(now time.Duration, watched *watch, group *monitor.Group, members []handover.Member) {
-	paused := false
-	for _, member := range members {
-		paused = paused || member.Observed && member.Paused > 0
-	}
+	term, left := handover.LeftPaused(members)
 	switch {
-	case !paused:
+	case !left:
 		watched.pausedSince = 0
 	case watched.pausedSince == 0:
 		watched.pausedSince = now
 	case now-watched.pausedSince > settleTime:
 		watched.pausedSince = now
-		go promoter.resume(group, "")
+		go promoter.resume(group, term)
 	}
 }
 
@@ -187,7 +184,7 @@
 	if !ok {
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
 			"answered", len(fence.Others), "silent", fence.Silent)
-		promoter.resume(group, "")
+		promoter.resume(group, term)
 		sleep(ctx, orderPause)
 		return
 	}
@@ -195,14 +192,14 @@
 	if joined(servers, group.Servers()) {
 		// A server that joined meanwhile may receive from the old primary and let it acknowledge writes.
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "server_joined")
-		promoter.resume(group, "")
+		promoter.resume(group, term)
 		return
 	}
+	// From here on pauses stay: they end when the server hears of the primary of the new term, and until then an old
+	// primary that it can still reach gets no acknowledgement from it.
 	if !promoter.order(ctx, group, successor) {
-		promoter.resume(group, "")
 		return
 	}
-	promoter.resume(group, successor.ID)
 	if old != nil && !fence.SteppedDown && old.ID() != successor.ID {
 		go func() { _, _ = promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term}) }()
 	}
@@ -236,11 +233,11 @@
 	return server.ID()
 }
 
-// nextTerm returns a term above all that were seen.
+// nextTerm returns the term after the newest one. A server that is paused for it receives again from its primary.
 func nextTerm(members []handover.Member) ids.Term {
 	var term ids.Term
 	for _, member := range members {
-		term = max(term, member.Term, member.Paused)
+		term = max(term, member.Term)
 	}
 	return term + 1
 }
@@ -348,17 +345,17 @@
 	return false
 }
 
-// resume lets paused servers receive again, but for one.
-func (promoter *Promoter) resume(group *monitor.Group, but ids.BackendServerID) {
+// resume lets servers receive again that were paused for the term, which got no primary.
+func (promoter *Promoter) resume(group *monitor.Group, term ids.Term) {
 	var calls sync.WaitGroup
 	for _, server := range group.Servers() {
 		observed, known := group.Observed(server.ID())
-		if server.ID() == but || !known || observed.Paused == 0 {
+		if !known || observed.Paused == 0 || observed.Paused > term {
 			continue
 		}
 		calls.Go(func() {
 			_, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Resume})
-			promoter.decisions.Event("server_resumed", "group", group.ID(), "server", server.ID(), "err", err)
+			promoter.decisions.Event("server_resumed", "group", group.ID(), "server", server.ID(), "paused", observed.Paused, "err", err)
 		})
 	}
 	calls.Wait()
