--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -21,18 +21,16 @@
 	// prepared holds the names prepared on the connection.
 	prepared map[string]bool
 	// broken states that the connection must not be used again.
-	broken  bool
-	idleAt  time.Time
-	reused  bool
+	broken bool
+	idleAt time.Time
+	// takenAt is the time from which on the connection is held.
+	takenAt time.Time
 	pending int
 }
 
 // Server returns the server that the connection leads to.
 func (conn *Conn) Server() catalog.Server { return conn.pool.server }
 
-// Reused states whether the connection served somebody before, so that the server may have closed it meanwhile.
-func (conn *Conn) Reused() bool { return conn.reused }
-
 // Align returns the calls that give the connection the session's values and the prepared statement, if any is named.
 func (conn *Conn) Align(values map[string]string, name string, shape statement.Shape) []Call {
 	var calls []Call
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"dotterelgw/core/balance"
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/statement"
@@ -22,6 +23,8 @@
 	// controlConnections is the number of connections beyond the limit for statements of the proxy's own, which must not
 	// wait for transactions of callers.
 	controlConnections = 1
+	// holdGain is the weight of the last hold in the average.
+	holdGain = 0.1
 	// matchPatience is how long a request may be passed by others that match an idle connection.
 	matchPatience = 40 * time.Millisecond
 )
@@ -29,6 +32,8 @@
 var (
 	// ErrNoConnection states that no connection became free in time; nothing was sent.
 	ErrNoConnection = errors.New("no connection became free")
+	// ErrCrowded states that no connection is expected to become free in time; nothing was sent.
+	ErrCrowded = errors.New("too many requests wait for a connection")
 	// ErrClosed states that the server is gone or the process ends; nothing was sent.
 	ErrClosed = errors.New("the pool is closed")
 )
@@ -47,7 +52,9 @@
 	waiters []*waiter
 	// crowdedUntil is the time up to which nothing is opened.
 	crowdedUntil time.Time
-	closed       bool
+	// hold is the average time for which a connection is held.
+	hold   time.Duration
+	closed bool
 }
 
 // waiter is a request for a connection; grant gets a connection, or nil as the permission to open one.
@@ -120,6 +127,10 @@
 		pool.mutex.Unlock()
 		return nil, ErrClosed
 	}
+	if expected, deadline := pool.expectedWait(request), deadlineOf(ctx); expected > time.Until(deadline) {
+		pool.mutex.Unlock()
+		return nil, fmt.Errorf("%s: expected wait of %v: %w", pool.server.ID, expected, ErrCrowded)
+	}
 	waiting := &waiter{Request: request, arrived: time.Now(), grant: make(chan *Conn, 1)}
 	pool.waiters = append(pool.waiters, waiting)
 	pool.dispatch()
@@ -137,9 +148,29 @@
 		pool.forget()
 		return nil, fmt.Errorf("%s: %w", pool.server.ID, ErrNoConnection)
 	}
+	conn.takenAt = time.Now()
 	return conn, nil
 }
 
+// expectedWait returns how long the request is expected to wait behind those that come before it. The mutex is held.
+func (pool *Pool) expectedWait(request Request) time.Duration {
+	ahead := 0
+	for _, waiting := range pool.waiters {
+		if waiting.Priority <= request.Priority {
+			ahead++
+		}
+	}
+	return balance.Wait(ahead, pool.limit, pool.hold)
+}
+
+// deadlineOf returns the context's deadline, far in the future if it has none.
+func deadlineOf(ctx context.Context) time.Time {
+	if deadline, ok := ctx.Deadline(); ok {
+		return deadline
+	}
+	return time.Now().Add(time.Hour)
+}
+
 // withdraw takes a waiter out of the queue; false if it was served meanwhile.
 func (pool *Pool) withdraw(waiting *waiter) bool {
 	pool.mutex.Lock()
@@ -156,6 +187,7 @@
 // granted turns a grant into a connection, opening one if it is a permission.
 func (pool *Pool) granted(ctx context.Context, waiting *waiter, conn *Conn) (*Conn, error) {
 	if conn != nil {
+		conn.takenAt = time.Now()
 		return conn, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -165,7 +197,7 @@
 		pool.refused(err)
 		return nil, fmt.Errorf("opening a connection: %w", err)
 	}
-	return &Conn{link: link, pool: pool, organisation: waiting.Organisation}, nil
+	return &Conn{link: link, pool: pool, organisation: waiting.Organisation, takenAt: waiting.arrived}, nil
 }
 
 // refused counts a connection that could not be opened.
@@ -199,12 +231,12 @@
 func (pool *Pool) release(conn *Conn, usable bool) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	pool.hold += time.Duration(holdGain * float64(time.Since(conn.takenAt)-pool.hold))
 	if !usable || pool.closed || pool.open > pool.limit {
 		pool.open--
 		go conn.link.Close(!conn.broken)
 	} else {
 		conn.idleAt = time.Now()
-		conn.reused = true
 		pool.idle = append(pool.idle, conn)
 	}
 	pool.dispatch()
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -259,7 +259,7 @@
 }
 
 // setServers replaces the group's servers and returns those that are new and those that are gone.
-func (group *Group) setServers(registered []catalog.Server, limit int) (added, removed []*Server) {
+func (group *Group) setServers(registered []catalog.Server) (added, removed []*Server) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	next := make(map[ids.BackendServerID]*Server, len(registered))
@@ -269,7 +269,7 @@
 			next[info.ID] = held
 			continue
 		}
-		server := group.monitor.newServer(group, info, limit)
+		server := group.monitor.newServer(group, info)
 		next[info.ID] = server
 		added = append(added, server)
 	}
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"dotterelgw/core/allot"
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/member"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -48,7 +53,7 @@
 	groups  map[ids.GroupID]*Group
 	catalog *catalog.Catalog
 	onDuty  func() bool
-	vms     int
+	vms     []member.Member
 
 	mesh      *mesh.Mesh
 	self      ids.VMID
@@ -60,7 +65,7 @@
 
 // New returns a monitor for a VM in the zone that stops asking when the context ends.
 func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, decisions *observe.Decisions) *Monitor {
-	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), vms: 1, hurry: make(chan struct{}, 1)}
+	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), hurry: make(chan struct{}, 1)}
 }
 
 // Group returns the group, nil if no server of it is registered.
@@ -89,10 +94,13 @@
 	monitor.setLimits()
 }
 
-// SetVMs sets the number of VMs that share the connections to each server.
-func (monitor *Monitor) SetVMs(count int) {
+// SetVMs sets the VMs that share the connections to each server.
+func (monitor *Monitor) SetVMs(vms []ids.VMID) {
 	monitor.mutex.Lock()
-	monitor.vms = max(1, count)
+	monitor.vms = nil
+	for _, vm := range vms {
+		monitor.vms = append(monitor.vms, member.Member{ID: vm})
+	}
 	monitor.mutex.Unlock()
 	monitor.setLimits()
 }
@@ -100,22 +108,28 @@
 // SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
 func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
 
-// limit returns the number of connections that this VM may have to each server of the group. The mutex is held.
-func (monitor *Monitor) limit(group ids.GroupID) int {
+// usable returns the number of connections to each server of the group for all VMs together, and the VMs. The mutex is held.
+func (monitor *Monitor) usable(group ids.GroupID) (connections int, vms []member.Member) {
 	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
-		return defaultConnections
+		return defaultConnections * len(monitor.vms), monitor.vms
 	}
-	usable := float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)
-	return max(1, int(usable/float64(monitor.vms)))
+	return int(float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)), monitor.vms
+}
+
+// limit returns the number of connections that this VM may have to the server, of which all VMs have the total.
+func (monitor *Monitor) limit(server catalog.Server, total int) int {
+	monitor.mutex.Lock()
+	usable, vms := monitor.usable(server.Group)
+	monitor.mutex.Unlock()
+	ranked := member.Top("connections/"+string(server.ID), len(vms), vms)
+	rank := slices.IndexFunc(ranked, func(vm member.Member) bool { return vm.ID == monitor.self })
+	return allot.Demand(max(1, allot.Divide(usable, max(1, len(vms)), max(0, rank))), usable, total)
 }
 
 func (monitor *Monitor) setLimits() {
 	for _, group := range monitor.Groups() {
-		monitor.mutex.Lock()
-		limit := monitor.limit(group.id)
-		monitor.mutex.Unlock()
 		for _, server := range group.Servers() {
-			server.Pool.SetLimit(limit)
+			server.setLimit()
 		}
 	}
 }
@@ -132,14 +146,12 @@
 			monitor.groups[id] = newGroup(id, monitor)
 		}
 	}
-	groups := make(map[*Group]int, len(monitor.groups))
-	for id, group := range monitor.groups {
-		groups[group] = monitor.limit(id)
-	}
+	groups := slices.Collect(maps.Values(monitor.groups))
 	monitor.mutex.Unlock()
-	for group, limit := range groups {
-		added, removed := group.setServers(byGroup[group.id], limit)
+	for _, group := range groups {
+		added, removed := group.setServers(byGroup[group.id])
 		for _, server := range added {
+			server.setLimit()
 			go monitor.watch(server)
 		}
 		for _, server := range removed {
@@ -149,8 +161,8 @@
 	}
 }
 
-func (monitor *Monitor) newServer(group *Group, info catalog.Server, limit int) *Server {
-	server := &Server{group: group, stop: make(chan struct{}), hurry: make(chan struct{}, 1), Pool: dbpool.New(info, monitor.dialer, limit)}
+func (monitor *Monitor) newServer(group *Group, info catalog.Server) *Server {
+	server := &Server{group: group, connections: math.MaxInt32, stop: make(chan struct{}), hurry: make(chan struct{}, 1), Pool: dbpool.New(info, monitor.dialer, defaultConnections)}
 	server.info.Store(&info)
 	return server
 }
@@ -227,7 +239,7 @@
 	var refused *dbpool.RefusedError
 	monitor.decisions.Request("connection_unavailable", "server", server.ID(), "group", server.group.id, "err", err)
 	switch {
-	case errors.Is(err, dbpool.ErrNoConnection), errors.Is(err, dbpool.ErrClosed), monitor.ctx.Err() != nil:
+	case errors.Is(err, dbpool.ErrNoConnection), errors.Is(err, dbpool.ErrCrowded), errors.Is(err, dbpool.ErrClosed), monitor.ctx.Err() != nil:
 	case errors.As(err, &refused) && refused.Code == statement.TooManyConnections:
 	default:
 		server.Refused()
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -37,11 +37,13 @@
 	// hurry makes the next status request come at once.
 	hurry chan struct{}
 
-	mutex    sync.Mutex
-	latency  balance.Latency
-	applied  position.Position
-	seenAt   time.Duration
-	failures int
+	mutex   sync.Mutex
+	latency balance.Latency
+	applied position.Position
+	seenAt  time.Duration
+	// connections is the number of connections that all VMs were seen to have; the largest number until it is known.
+	connections int
+	failures    int
 	// failingSince is the time of the first failure after the last answer.
 	failingSince time.Duration
 	// refused states that a connection could not be opened since the last answer.
@@ -160,11 +162,21 @@
 	server.mutex.Lock()
 	if observation.SentAt > server.seenAt {
 		server.applied, server.seenAt = observation.Applied, observation.SentAt
+		server.connections = observation.Connections
 	}
 	server.mutex.Unlock()
+	server.setLimit()
 	server.group.observe(server.ID(), observation)
 }
 
+// setLimit bounds the connections of this VM by its part and by what the other VMs leave unused.
+func (server *Server) setLimit() {
+	server.mutex.Lock()
+	total := server.connections
+	server.mutex.Unlock()
+	server.Pool.SetLimit(server.group.monitor.limit(server.Info(), total))
+}
+
 // candidate describes the server to the choice of a server for a read.
 func (server *Server) candidate(organisation ids.OrganisationID, isLeader bool, now time.Duration) balance.Candidate {
 	info := server.Info()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -108,7 +108,7 @@
 	}
 	node.mesh.SetVMs(vms)
 	node.quota.SetVMs(identifiers)
-	node.monitor.SetVMs(len(vms))
+	node.monitor.SetVMs(identifiers)
 }
 
 // observers returns the VMs that observe the backend servers for the others: the one that replaces primaries, which asks
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strconv"
 	"time"
 
 	"dotterelgw/core/ids"
@@ -105,42 +106,50 @@
 
 func (read Settings) check() []settings.Fault {
 	var faults []settings.Fault
-	fault := func(key, allowed string) { faults = append(faults, settings.Fault{Key: key, Allowed: allowed}) }
+	fault := func(key, value, allowed string) {
+		faults = append(faults, settings.Fault{Key: key, Value: value, Allowed: allowed})
+	}
 	if read.VM == "" {
-		fault("vm", "a name")
+		fault("vm", "", "a name")
 	}
-	addresses := []struct{ key, value string }{
-		{"listen.caller", read.Listen.Caller},
-		{"listen.ready", read.Listen.Ready},
-		{"listen.peer", read.Listen.Peer},
-		{"listen.metrics", read.Listen.Metrics},
-		{"store.address", read.Store.Address},
-		{"promotion.address", read.Promotion.Address},
+	// The peer port takes datagrams, so it may have the number of a port for connections.
+	addresses := []struct{ key, value, network string }{
+		{"listen.caller", read.Listen.Caller, "tcp"},
+		{"listen.ready", read.Listen.Ready, "tcp"},
+		{"listen.peer", read.Listen.Peer, "udp"},
+		{"listen.metrics", read.Listen.Metrics, "tcp"},
+		{"store.address", read.Store.Address, ""},
+		{"promotion.address", read.Promotion.Address, ""},
 	}
 	taken := make(map[string]string)
 	for _, address := range addresses {
 		if _, _, err := net.SplitHostPort(address.value); err != nil {
-			fault(address.key, "host:port, not "+address.value)
+			fault(address.key, address.value, "host:port")
+			continue
+		}
+		if address.network == "" {
+			continue
 		}
-		if other, ok := taken[address.value]; ok {
-			fault(address.key, "an address other than that of "+other)
+		place := address.network + " " + address.value
+		if other, ok := taken[place]; ok {
+			fault(address.key, address.value, "an address other than that of "+other)
 		}
-		taken[address.value] = address.key
+		taken[place] = address.key
 	}
 	if read.Limits.MemoryMB < leastMemoryMB {
-		fault("limits.memory_mb", fmt.Sprintf("at least %d", leastMemoryMB))
+		fault("limits.memory_mb", strconv.Itoa(read.Limits.MemoryMB), fmt.Sprintf("at least %d", leastMemoryMB))
 	}
 	if read.Limits.MaxConnections < 1 {
-		fault("limits.max_connections", "at least 1")
+		fault("limits.max_connections", strconv.Itoa(read.Limits.MaxConnections), "at least 1")
 	}
 	if read.Drain.GraceS < leastGraceS {
-		fault("drain.grace_s", fmt.Sprintf("at least %g", leastGraceS))
+		fault("drain.grace_s", fmt.Sprint(read.Drain.GraceS), fmt.Sprintf("at least %g", leastGraceS))
 	}
 	if read.Configuration.ApplyMS < leastApplyMS {
-		fault("configuration.apply_ms", fmt.Sprintf("at least %d", leastApplyMS))
+		fault("configuration.apply_ms", fmt.Sprint(read.Configuration.ApplyMS), fmt.Sprintf("at least %d", leastApplyMS))
 	}
 	if read.Configuration.StretchMS < 0 {
-		fault("configuration.stretch_ms", "0 or more")
+		fault("configuration.stretch_ms", fmt.Sprint(read.Configuration.StretchMS), "0 or more")
 	}
 	return faults
 }
--- /dev/null
+++ b/io/node/settings_test.go
@@ -0,0 +1,79 @@
+package node_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgw/io/node"
+)
+
+const valid = `
+vm = "vm1"
+availability_zone = "a"
+[listen]
+caller = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+peer = "127.0.0.1:1"
+metrics = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+[promotion]
+address = "127.0.0.1:5"
+[drain]
+grace_s = 6
+[configuration]
+apply_ms = 3000
+stretch_ms = 12000
+`
+
+func load(t *testing.T, text string) (node.Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return node.Load(file)
+}
+
+// Guards against units being mixed up, and against a peer port for datagrams being refused for its number.
+func TestLoad(t *testing.T) {
+	settings, err := load(t, valid)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if settings.Drain.Grace() != 6*time.Second || settings.Configuration.MaxAge() != 14500*time.Millisecond {
+		t.Errorf("grace %v, age %v", settings.Drain.Grace(), settings.Configuration.MaxAge())
+	}
+}
+
+// Guards against faults that are reported without their key, one at a time or not at all.
+func TestFaults(t *testing.T) {
+	for name, test := range map[string]struct {
+		old, new string
+		want     []string
+	}{
+		"unknown key":     {"vm = ", "speed = 1\nvm = ", []string{"speed"}},
+		"no name":         {`"vm1"`, `""`, []string{"vm"}},
+		"no port":         {`"127.0.0.1:2"`, `"127.0.0.1"`, []string{`listen.ready = "127.0.0.1"`}},
+		"same port":       {`metrics = "127.0.0.1:4"`, `metrics = "127.0.0.1:2"`, []string{"listen.metrics", "listen.ready"}},
+		"several":         {"grace_s = 6", "grace_s = 0", []string{"drain.grace_s"}},
+		"negative":        {"stretch_ms = 12000", "stretch_ms = -1", []string{"configuration.stretch_ms"}},
+		"too little time": {"apply_ms = 3000", "apply_ms = 10", []string{"configuration.apply_ms"}},
+		"no TOML":         {"[store]", "[store", []string{"settings.toml"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := load(t, strings.Replace(valid, test.old, test.new, 1))
+			if err == nil {
+				t.Fatal("no error")
+			}
+			for _, want := range test.want {
+				if !strings.Contains(err.Error(), want) {
+					t.Errorf("%q lacks %q", err, want)
+				}
+			}
+		})
+	}
+}
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -19,6 +19,10 @@
 const (
 	// ageMargin is subtracted from the age that a route accepts, for clocks and for the way from the caller.
 	ageMargin = 30 * time.Millisecond
+	// maxCrowded is the number of servers without room after which a read is refused.
+	maxCrowded = 3
+	// runPart is the part of a statement's time that is kept for running it.
+	runPart = 0.4
 	// writeGrace is the time after the end of certainty about the primary in which writes are still sent to it: a primary
 	// that was replaced acknowledges none. A primary that is being replaced counts as uncertain at once.
 	writeGrace = 2 * time.Second
@@ -54,9 +58,10 @@
 		return target{}, refuse(refusal.NoPrimary, retryPrimary, "no server is registered")
 	}
 	group.Use()
-	ctx, cancel := context.WithDeadline(context.Background(), attempts.deadline)
+	// What is sent needs time to run: a statement that is broken off at once may have run in vain, or in doubt.
+	ctx, cancel := context.WithDeadline(context.Background(), attempts.deadline.Add(-time.Duration(float64(operation.timeout())*runPart)))
 	defer cancel()
-	for {
+	for crowded := 0; ; {
 		changed := group.Changed()
 		chosen, missing := session.choose(group, operation, attempts)
 		if chosen.server != nil {
@@ -67,6 +72,13 @@
 			}
 			session.server.Groups.NoConnection(chosen.server, err)
 			missing = refuse(refusal.QueueTimeout, retrySoon, err.Error())
+			if errors.Is(err, dbpool.ErrCrowded) {
+				if crowded++; operation.onPrimary() || crowded >= maxCrowded {
+					return target{}, refuse(refusal.QueueFull, retrySoon, err.Error())
+				}
+				attempts.exclude(chosen.server)
+				continue
+			}
 			if !errors.Is(err, dbpool.ErrNoConnection) && !operation.writes {
 				attempts.exclude(chosen.server)
 			}
@@ -98,19 +110,27 @@
 	certain := group.CertainUntil()
 	if operation.writes {
 		if !known || certain < operation.needsCertainty(clock.Now()) {
-			return target{}, refuse(refusal.NoPrimary, retryPrimary, fmt.Sprintf("term %d, confirmed until %v before", term, operation.arrived-certain))
+			return target{}, refuse(refusal.NoPrimary, retryPrimary, uncertain(term, certain))
 		}
 		return target{server: leader}, nil
 	}
 	if operation.route.Consistency == catalog.Primary {
 		if !known || certain < operation.arrived {
-			return target{}, refuse(refusal.NoPrimary, retryPrimary, fmt.Sprintf("term %d, confirmed until %v before", term, operation.arrived-certain))
+			return target{}, refuse(refusal.NoPrimary, retryPrimary, uncertain(term, certain))
 		}
 		return target{server: leader}, nil
 	}
 	return session.chooseRead(group, operation, attempts, known && certain >= operation.oldest() && session.written.Term <= term)
 }
 
+// uncertain describes how old the certainty about the primary is.
+func uncertain(term ids.Term, certain time.Duration) string {
+	if certain == 0 {
+		return fmt.Sprintf("term %d, not confirmed", term)
+	}
+	return fmt.Sprintf("term %d, confirmed until %v ago", term, (clock.Now() - certain).Round(time.Millisecond))
+}
+
 // needsCertainty returns the time up to which the primary must be certain for the operation to run there. A transaction may
 // read, and a primary that was replaced without knowing it misses writes of its successor.
 func (operation *operation) needsCertainty(now time.Duration) time.Duration {
@@ -123,6 +143,11 @@
 	return operation.oldest()
 }
 
+// onPrimary states whether only the primary may run the operation.
+func (operation *operation) onPrimary() bool {
+	return operation.writes || operation.route.Consistency == catalog.Primary
+}
+
 // oldest returns the time before which every acknowledged write must be seen.
 func (operation *operation) oldest() time.Duration {
 	return operation.arrived - max(operation.route.MaxAge-ageMargin, 0)
