--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -36,8 +36,8 @@
 	// pollTimeout bounds a status request, which waits behind statements on a busy server.
 	pollTimeout = 500 * time.Millisecond
 	// reservedPart is the part of a server's connections that no VM uses: connections of VMs that lost power stay open for
-	// seconds at the server, while the VMs that start anew need some.
-	reservedPart = 0.33
+	// seconds at the server, beside which those of the next processes must fit.
+	reservedPart = 0.5
 	// defaultConnections is the number of connections to a server while its group's bound is not known.
 	defaultConnections = 2
 )
