--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -26,7 +26,7 @@
 	// dutyRetry is the pause after a failed call.
 	dutyRetry = 150 * time.Millisecond
 	// dutyRecheck is the longest time for which a VM that lacks the duty does not look at it.
-	dutyRecheck = 4 * time.Second
+	dutyRecheck = 15 * time.Second
 )
 
 // Token is a number that rises with every holder of the duty.
