--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -80,6 +80,15 @@
 	waiting int64
 }
 
+// wanted returns how many operations to ask for now. Asking for those that wait besides those to come evens out parts that
+// are all nearly empty; at sparse demand there are none to come.
+func (entry *entry) wanted(now time.Duration) int64 {
+	if entry.borrowed.Demand(now) <= sparseDemand {
+		return max(entry.Wanted(now), entry.waiting)
+	}
+	return entry.Wanted(now) + entry.waiting
+}
+
 // pending is an ask under way.
 type pending struct {
 	to   ids.VMID
@@ -183,7 +192,7 @@
 	book.forget(now)
 	items := make(map[ids.VMID][]Wanted)
 	for id, held := range book.accounts {
-		if wanted := max(held.Wanted(now), held.waiting); wanted > 0 {
+		if wanted := held.wanted(now); wanted > 0 {
 			for _, demand := range held.lenders.Split(now, wanted, held.share.Rate, held.owners) {
 				items[demand.VM] = append(items[demand.VM], Wanted{Organisation: id, Amount: demand.Amount})
 			}
