--- a/cmd/dotterelctl/main.go
+++ b/cmd/dotterelctl/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -58,7 +59,7 @@
 	rootFlags := tool.flags("dotterelctl")
 	root := &ffcli.Command{
 		Name:       "dotterelctl",
-		ShortUsage: "dotterelctl [flags] contract|key|group|status|refusal|drain ...",
+		ShortUsage: "dotterelctl [flags] contract|key|group|status|refusal|trace|drain ...",
 		LongHelp: "Exit codes: 0 done; 1 wrong usage; 2 refused or invalid; 3 conflict with another change;\n" +
 			"4 no administration API answered, or the outcome is unknown; 5 stored, but not yet in force everywhere.\n" +
 			"Flags may stand before or after the command; they can be set by the environment as DOTTEREL_ADMIN and so on.",
@@ -79,6 +80,7 @@
 			tool.command("status", "", "shows members, revision and groups", tool.status),
 			tool.group("refusal", "explains refusals",
 				tool.command("explain", "ID", "explains a refusal by the identifier in its detail", tool.explain)),
+			tool.command("trace", "REQUEST FILE...", "finds a request in log files and says why it failed", tool.traceRequest),
 			tool.command("drain", "VM", "begins the planned stop of a VM", tool.drain),
 		},
 		Exec: usage,
@@ -110,7 +112,33 @@
 
 func (tool *tool) command(name, arguments, help string, exec func(ctx context.Context, arguments []string) error) *ffcli.Command {
 	flags := tool.flags(name)
-	return &ffcli.Command{Name: name, ShortUsage: name + " [flags] " + arguments, ShortHelp: help, FlagSet: flags, Exec: exec}
+	return &ffcli.Command{
+		Name: name, ShortUsage: name + " [flags] " + arguments, ShortHelp: help, FlagSet: flags,
+		Exec: func(ctx context.Context, arguments []string) error {
+			positional, err := interleaved(flags, arguments)
+			if err != nil {
+				return err
+			}
+			return exec(ctx, positional)
+		},
+	}
+}
+
+// interleaved parses flags that stand behind arguments and returns the arguments.
+func interleaved(flags *flag.FlagSet, arguments []string) ([]string, error) {
+	var positional []string
+	for len(arguments) > 0 {
+		if first := arguments[0]; !strings.HasPrefix(first, "-") || first == "-" {
+			positional = append(positional, first)
+			arguments = arguments[1:]
+			continue
+		}
+		if err := flags.Parse(arguments); err != nil {
+			return nil, &usageError{err.Error(), "see the flags with -h"}
+		}
+		arguments = flags.Args()
+	}
+	return positional, nil
 }
 
 // usage refuses a command line that names no command.
--- a/cmd/dotterelctl/main_test.go
+++ b/cmd/dotterelctl/main_test.go
@@ -223,3 +223,33 @@
 		t.Errorf("with -ca: code %d: %s", code, stderr)
 	}
 }
+
+// Guards against a flag behind an argument being taken for an argument.
+func TestFlagsBehindArguments(t *testing.T) {
+	url, _ := serve(t, map[string]answer{"GET /v1/contracts/seixal": {http.StatusOK, admin.ContractView{Organisation: "seixal"}}})
+	for name, arguments := range map[string][]string{
+		"before": {"contract", "show", "-json", "seixal"}, "behind": {"contract", "show", "seixal", "-json"},
+	} {
+		if code, stdout, stderr := call(t, url, arguments...); code != exitDone || !strings.HasPrefix(stdout, "{") {
+			t.Errorf("%s: code %d, output %q, %q", name, code, stdout, stderr)
+		}
+	}
+	if code, _, stderr := call(t, url, "contract", "show", "seixal", "-none"); code != exitUsage {
+		t.Errorf("an unknown flag: code %d, %q", code, stderr)
+	}
+}
+
+// Guards against a request that is found only in one of several logs.
+func TestTrace(t *testing.T) {
+	log := write(t, "time=2026-06-24T20:34:38.500Z vm=a event=refused request=q2 reason=rate_exceeded outcome=\"not run\"\n")
+	code, stdout, stderr := call(t, "http://127.0.0.1:1", "trace", "q2", write(t, ""), log)
+	if code != exitDone || !strings.Contains(stdout, "cause: rate_exceeded on a") {
+		t.Errorf("code %d, output %q, %q", code, stdout, stderr)
+	}
+	if code, _, _ := call(t, "http://127.0.0.1:1", "trace", "q2"); code != exitUsage {
+		t.Errorf("without files: code %d", code)
+	}
+	if code, _, stderr := call(t, "http://127.0.0.1:1", "trace", "q9", log); code == exitDone || !strings.Contains(stderr, "q9") {
+		t.Errorf("an unknown request: code %d, %q", code, stderr)
+	}
+}
