--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -57,6 +57,7 @@
 	}
 	call, name, shape := session.call(request)
 	call.After = target.after
+	session.routed = routed{server: target.server.ID(), required: target.after, attempts: attempts.count + 1}
 	prefix := target.conn.Align(session.values, name, shape)
 	sentAt := target.server.Begin()
 	deadline := attempts.deadline
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"time"
 
 	"dotterelgw/core/catalog"
@@ -84,7 +85,7 @@
 		return operation{}, refused
 	}
 	if ok, after := session.server.Limiter.Admit(organisation); !ok {
-		return operation{}, refuse(refusal.RateExceeded, after, "")
+		return operation{}, refuse(refusal.RateExceeded, after, fmt.Sprintf("rate %g/s and burst %g over all VMs", organisation.Rate, organisation.Burst))
 	}
 	return operation{route: route, organisation: organisation, arrived: arrived}, nil
 }
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -48,6 +48,15 @@
 	// written is the position of the session's last acknowledged write, and writtenAt the time of it.
 	written   position.Position
 	writtenAt time.Duration
+	// routed is where the last statement ran.
+	routed routed
+}
+
+// routed is the decision on where a statement runs, for the log.
+type routed struct {
+	server   ids.BackendServerID
+	required position.Position
+	attempts int
 }
 
 func newSession(server *Server, caller Caller) *session {
@@ -214,11 +223,20 @@
 	transaction.ended = reason
 }
 
-// measure notes the latency of an answer.
+// measure notes the latency of an answer and where it came from.
 func (session *session) measure(request statement.Request, reply statement.Reply, arrived time.Duration) {
 	switch request.Statement.Kind {
 	case statement.Read, statement.Write, statement.Execute, statement.Commit:
-		took := clock.Now() - arrived
-		session.server.outcome(request.Statement.Kind.String(), reply.Code.String()).Update(took.Microseconds())
+	default:
+		return
+	}
+	took := clock.Now() - arrived
+	session.server.outcome(request.Statement.Kind.String(), reply.Code.String()).Update(took.Microseconds())
+	if reply.Code != statement.Complete {
+		return
 	}
+	session.server.Decisions.Request("served", "request", request.ID, "kind", request.Statement.Kind, "route", session.route,
+		"organisation", session.organisation, "server", session.routed.server, "required", session.routed.required.Log,
+		"position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routed.attempts,
+		"configuration", session.version, "took_ms", took.Milliseconds())
 }
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dotterelgw/core/position"
 	"dotterelgw/core/refusal"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
@@ -24,6 +25,8 @@
 	ended  refusal.Reason
 	conn   *dbpool.Conn
 	server *monitor.Server
+	// after is the position that the server was asked for.
+	after position.Position
 	// touched is the time of the caller's last statement; idleLimit is how long it may be idle, 0 for ever.
 	touched, idleLimit time.Duration
 }
@@ -223,7 +226,7 @@
 		}
 		if err == nil && reply.Code == statement.Complete {
 			target.server.Answered(sentAt, reply, false)
-			transaction.conn, transaction.server = target.conn, target.server
+			transaction.conn, transaction.server, transaction.after = target.conn, target.server, target.after
 			return nil
 		}
 		if err != nil {
@@ -246,6 +249,7 @@
 func (session *session) exchange(request statement.Request, attempts *attempts) (statement.Reply, error) {
 	transaction := session.transaction
 	call, name, shape := session.call(request)
+	session.routed = routed{server: transaction.server.ID(), required: transaction.after, attempts: attempts.count + 1}
 	prefix := transaction.conn.Align(session.values, name, shape)
 	sentAt := transaction.server.Begin()
 	deadline := attempts.deadline
