A primary that leaves gets new work for 3 s at most; writes need certainty where nothing is acknowledged by replicas

Found by reading: without a holder of the duty a leaving primary would be used beyond the platform's bound; with syncReplicas 0 a replaced primary acknowledges writes by itself. Sessions are bounded by the descriptors of the settings.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -84,8 +84,6 @@
 	Keys map[Key]*Organisation
 	// TransactionIdle is the time after which an open transaction without statements may be ended; 0 means never.
 	TransactionIdle time.Duration
-	// MaxMessageBytes bounds one message of a caller; 0 means the protocol's own bound.
-	MaxMessageBytes int
 }
 
 // Role is what a backend server believes itself to be.
--- a/io/dbpool/pool_test.go
+++ b/io/dbpool/pool_test.go
@@ -228,3 +228,37 @@
 		}
 	}
 }
+
+// Pattern: load above what the connections can carry. Guards against requests that wait for their whole time and are refused
+// late.
+func TestCrowdedPool(t *testing.T) {
+	pool := dbpool.New(catalog.Server{ID: "s"}, &server{limit: 10}, 1)
+	const hold = 20 * time.Millisecond
+	for range 30 {
+		conn := must(t, pool, "one")
+		time.Sleep(hold)
+		conn.Release(statement.Idle)
+	}
+	held := must(t, pool, "one")
+	defer held.Release(statement.Idle)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	const waiting = 20
+	answers := make(chan error, waiting)
+	for range waiting {
+		go func() {
+			_, err := pool.Acquire(ctx, dbpool.Request{Organisation: "one"})
+			answers <- err
+		}()
+	}
+	began := time.Now()
+	crowded := 0
+	for range waiting / 2 {
+		if err := <-answers; errors.Is(err, dbpool.ErrCrowded) {
+			crowded++
+		}
+	}
+	if took := time.Since(began); crowded != waiting/2 || took > patience/2 {
+		t.Errorf("%d of the first %d answers say crowded, after %v", crowded, waiting/2, took)
+	}
+}
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -265,7 +265,7 @@
 	next := make(map[ids.BackendServerID]*Server, len(registered))
 	for _, info := range registered {
 		if held, ok := group.servers[info.ID]; ok && held.Info().Same(info) {
-			held.info.Store(&info)
+			held.register(info)
 			next[info.ID] = held
 			continue
 		}
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -163,7 +163,7 @@
 
 func (monitor *Monitor) newServer(group *Group, info catalog.Server) *Server {
 	server := &Server{group: group, connections: math.MaxInt32, stop: make(chan struct{}), hurry: make(chan struct{}, 1), Pool: dbpool.New(info, monitor.dialer, defaultConnections)}
-	server.info.Store(&info)
+	server.register(info)
 	return server
 }
 
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -36,6 +36,8 @@
 	stop     chan struct{}
 	// hurry makes the next status request come at once.
 	hurry chan struct{}
+	// leavingSince is the boot time in nanoseconds since which the server is known to leave; 0 while it stays.
+	leavingSince atomic.Int64
 
 	mutex   sync.Mutex
 	latency balance.Latency
@@ -56,6 +58,26 @@
 // ID returns the server's identifier.
 func (server *Server) ID() ids.BackendServerID { return server.Info().ID }
 
+// register takes a newer registration of the same life of the server.
+func (server *Server) register(info catalog.Server) {
+	server.info.Store(&info)
+	switch {
+	case !info.Leaving:
+		server.leavingSince.Store(0)
+	case server.leavingSince.Load() == 0:
+		server.leavingSince.Store(int64(clock.Now()))
+	}
+}
+
+// leavingUse is the time for which a primary that leaves is still used, while it is replaced.
+const leavingUse = 3 * time.Second
+
+// Usable states whether the server, if it is the primary, takes new work.
+func (server *Server) Usable() bool {
+	since := time.Duration(server.leavingSince.Load())
+	return server.Reachable() && (since == 0 || clock.Now()-since < leavingUse)
+}
+
 // Begin counts a statement that is sent; the result is the time to hand to Answered.
 func (server *Server) Begin() time.Duration {
 	server.inFlight.Add(1)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -221,7 +221,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		if node.proxy.Sessions() >= node.current().Limits.MaxConnections {
+		if node.proxy.Sessions() >= node.current().Limits.MaxSessions() {
 			node.decisions.Request("connection_refused", "sessions", node.proxy.Sessions())
 			_ = conn.Close()
 			continue
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -68,10 +68,16 @@
 type Limits struct {
 	// MemoryMB is the memory of the process in megabytes; beyond it the process is ended.
 	MemoryMB int `toml:"memory_mb"`
-	// MaxConnections is the number of caller connections.
-	MaxConnections int `toml:"max_connections"`
+	// MaxDescriptors is the number of descriptors that the process may open.
+	MaxDescriptors int `toml:"max_descriptors"`
 }
 
+// reservedDescriptors is the number of descriptors kept for what is no caller: files, the store, other VMs, backend servers.
+const reservedDescriptors = 500
+
+// MaxSessions returns the number of callers that the process takes.
+func (limits Limits) MaxSessions() int { return limits.MaxDescriptors - reservedDescriptors }
+
 // Drain holds the times of a planned stop.
 type Drain struct {
 	// GraceS is the time in seconds from the signal until the process is ended.
@@ -89,7 +95,7 @@
 )
 
 func defaults() Settings {
-	return Settings{Limits: Limits{MemoryMB: 256, MaxConnections: 4000}, Drain: Drain{GraceS: 6}, Configuration: Configuration{ApplyMS: 3000, StretchMS: 12000}}
+	return Settings{Limits: Limits{MemoryMB: 256, MaxDescriptors: 4000}, Drain: Drain{GraceS: 6}, Configuration: Configuration{ApplyMS: 3000, StretchMS: 12000}}
 }
 
 // Load reads and checks a settings file.
@@ -139,8 +145,8 @@
 	if read.Limits.MemoryMB < leastMemoryMB {
 		fault("limits.memory_mb", strconv.Itoa(read.Limits.MemoryMB), fmt.Sprintf("at least %d", leastMemoryMB))
 	}
-	if read.Limits.MaxConnections < 1 {
-		fault("limits.max_connections", strconv.Itoa(read.Limits.MaxConnections), "at least 1")
+	if read.Limits.MaxSessions() < 1 {
+		fault("limits.max_descriptors", strconv.Itoa(read.Limits.MaxDescriptors), fmt.Sprintf("more than %d", reservedDescriptors))
 	}
 	if read.Drain.GraceS < leastGraceS {
 		fault("drain.grace_s", fmt.Sprint(read.Drain.GraceS), fmt.Sprintf("at least %g", leastGraceS))
--- a/io/proxy/dependencies.go
+++ b/io/proxy/dependencies.go
@@ -16,7 +16,7 @@
 // Caller is the connection of a caller in some protocol. One goroutine uses it, but for Wake.
 type Caller interface {
 	// Start reads what the caller sends first: the route and its key, which is empty if it shows none.
-	Start(deadline time.Time, maxMessage int) (ids.RouteName, catalog.Key, error)
+	Start(deadline time.Time) (ids.RouteName, catalog.Key, error)
 	// Accept tells the caller that its session is open.
 	Accept() error
 	// Reject tells the caller why there is no session.
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -76,6 +76,8 @@
 	writes bool
 	// reads states that statements may read.
 	reads bool
+	// fenced states that the group's primary acknowledges a write only once a replica holds it.
+	fenced bool
 }
 
 // admit checks route, key and rate at the begin of an operation.
@@ -87,7 +89,9 @@
 	if ok, after := session.server.Limiter.Admit(organisation); !ok {
 		return operation{}, refuse(refusal.RateExceeded, after, fmt.Sprintf("rate %g/s and burst %g over all VMs", organisation.Rate, organisation.Burst))
 	}
-	return operation{route: route, organisation: organisation, arrived: arrived}, nil
+	group := session.server.Directory.Catalog().Groups[route.Group]
+	fenced := group != nil && group.SyncReplicas > 0
+	return operation{route: route, organisation: organisation, arrived: arrived, fenced: fenced}, nil
 }
 
 // timeout returns the time that one statement of the operation may take.
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -81,7 +81,7 @@
 
 // start reads what the caller starts with; false if there is no session.
 func (session *session) start() bool {
-	route, key, err := session.caller.Start(time.Now().Add(startTimeout), session.maxMessage())
+	route, key, err := session.caller.Start(time.Now().Add(startTimeout))
 	if err != nil {
 		if reply, ok := session.caller.ReplyTo(err); ok {
 			session.server.Decisions.Request("start_refused", "code", reply.Code, "err", err)
@@ -101,13 +101,6 @@
 	return session.caller.Accept() == nil
 }
 
-func (session *session) maxMessage() int {
-	if current := session.server.Directory.Catalog(); current != nil {
-		return current.MaxMessageBytes
-	}
-	return 0
-}
-
 // reject ends a start-up; the caller may be gone, which leaves nothing to do.
 func (session *session) reject(reply statement.Reply) { _ = session.caller.Reject(reply) }
 
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -104,7 +104,7 @@
 // choose returns the server for the operation's next statement, or why there is none now.
 func (session *session) choose(group *monitor.Group, operation *operation, attempts *attempts) (target, *refused) {
 	leader, term, known := group.Leader()
-	if known && !leader.Reachable() {
+	if known && !leader.Usable() {
 		known = false
 	}
 	certain := group.CertainUntil()
@@ -132,12 +132,13 @@
 }
 
 // needsCertainty returns the time up to which the primary must be certain for the operation to run there. A transaction may
-// read, and a primary that was replaced without knowing it misses writes of its successor.
+// read, and a primary that was replaced without knowing it misses writes of its successor. A single write needs none if
+// a primary that was replaced can acknowledge nothing.
 func (operation *operation) needsCertainty(now time.Duration) time.Duration {
 	switch {
-	case !operation.reads:
+	case !operation.reads && operation.fenced:
 		return now - writeGrace
-	case operation.route.Consistency == catalog.Primary:
+	case operation.route.Consistency == catalog.Primary || !operation.fenced:
 		return operation.arrived
 	}
 	return operation.oldest()
