--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,8 @@
 test:
 	$(GO) test -count=1 $$($(GO) list ./... | grep -v /proof)
 	$(GO) test -count=1 -parallel 5 ./proof
+	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime 2s ./platform/lines
+	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 2s ./platform/records
 
 lint:
 	@out="$$($(GOFUMPT) -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))"; if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -73,6 +73,9 @@
 	}, nil
 }
 
+// Address returns the address on which the mesh listens.
+func (mesh *Mesh) Address() string { return mesh.conn.LocalAddr().String() }
+
 // Handle registers the function that gets the messages of a kind. It is called before Run.
 func Handle[T any](mesh *Mesh, kind Kind, handle func(sender ids.VMID, message T)) {
 	mesh.handlers[kind] = func(sender ids.VMID, encoded []byte) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -82,7 +82,7 @@
 		background: background, stop: stop,
 		settings: settings, platform: platform, decisions: decisions, metrics: registry,
 		directory: directory.New(platform.Store, platform.Format, decisions),
-		fleet: fleet.New(fleet.VM{ID: settings.VM, Peer: settings.Listen.Peer, Zone: settings.AvailabilityZone},
+		fleet: fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone},
 			platform.Store, decisions),
 		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
 		mesh:    network, quota: quota.New(settings.VM, network),
@@ -173,8 +173,8 @@
 	if err != nil {
 		return fmt.Errorf("listening for metrics: %w", err)
 	}
-	node.decisions.Event("start", "caller", settings.Listen.Caller, "peer", settings.Listen.Peer,
-		"store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
+	node.decisions.Event("start", "caller", callers.Addr(), "ready", ready.Addr(), "peer", node.mesh.Address(),
+		"metrics", numbers.Addr(), "store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
 	var group sync.WaitGroup
 	group.Go(func() { node.directory.Run(background) })
 	group.Go(func() { node.fleet.Run(background) })
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -129,11 +129,13 @@
 	}
 	taken := make(map[string]string)
 	for _, address := range addresses {
-		if _, _, err := net.SplitHostPort(address.value); err != nil {
+		_, port, err := net.SplitHostPort(address.value)
+		if err != nil {
 			fault(address.key, address.value, "host:port")
 			continue
 		}
-		if address.network == "" {
+		// With port 0 the system chooses one.
+		if address.network == "" || port == "0" {
 			continue
 		}
 		place := address.network + " " + address.value
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -75,7 +75,10 @@
 	if !session.start() {
 		return
 	}
-	for session.next() == nil {
+	for {
+		if err := session.next(); err != nil {
+			return
+		}
 	}
 }
 
