--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -37,14 +37,8 @@
 
 func start(t *testing.T, id ids.VMID, secret string) (*mesh.Mesh, fleet.VM, chan string) {
 	t.Helper()
-	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := conn.LocalAddr().String()
-	_ = conn.Close()
 	decisions := observe.NewDecisions(io.Discard, string(id))
-	network, err := mesh.New(id, address, store{secret: secret}, decisions)
+	network, err := mesh.New(id, "127.0.0.1:0", store{secret: secret}, decisions)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,7 +55,7 @@
 		<-ended
 		decisions.Close(time.Second)
 	})
-	return network, fleet.VM{ID: id, Peer: address}, received
+	return network, fleet.VM{ID: id, Peer: network.Address()}, received
 }
 
 // Guards against orders from a sender that does not know the secret, and against faulty datagrams ending the reception.
