--- a/core/handover/plan_test.go
+++ b/core/handover/plan_test.go
@@ -152,3 +152,20 @@
 		})
 	}
 }
+
+// Guards against requests that wait for a primary beyond their time, and against a time to come back that is none.
+func TestExpectedBack(t *testing.T) {
+	const long = time.Hour
+	for name, test := range map[string]struct{ silent, fence, want time.Duration }{
+		"all well":         {0, long, 0},
+		"silent just now":  {second / 10, long, 1500 * time.Millisecond},
+		"silent for long":  {5 * second, long, 300 * time.Millisecond},
+		"fenced just now":  {5 * second, 0, 750 * time.Millisecond},
+		"fenced long ago":  {0, second, 0},
+		"planned handover": {0, second / 2, 250 * time.Millisecond},
+	} {
+		if got := handover.ExpectedBack(test.silent, test.fence); got != test.want {
+			t.Errorf("%s: %v, want %v", name, got, test.want)
+		}
+	}
+}
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -6,6 +6,7 @@
 
 	"dotterelgw/core/balance"
 	"dotterelgw/core/catalog"
+	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
 	"dotterelgw/core/position"
@@ -27,6 +28,8 @@
 	certain bool
 	// used is the time of the last request, asked that of the last question of another VM.
 	used, asked time.Duration
+	// fenced is the time at which the primary was last fenced.
+	fenced time.Duration
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
@@ -139,6 +142,17 @@
 	return server, term, ok
 }
 
+// ExpectedBack returns the time after which the group is expected to have a primary that takes work.
+func (group *Group) ExpectedBack() time.Duration {
+	var silent time.Duration
+	if leader, _, known := group.Leader(); known {
+		silent = leader.SilentFor()
+	}
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return handover.ExpectedBack(silent, clock.Now()-group.fenced)
+}
+
 // CertainUntil returns the time up to which the primary is the only server that can have acknowledged writes.
 func (group *Group) CertainUntil() time.Duration {
 	group.mutex.Lock()
@@ -164,7 +178,8 @@
 func (group *Group) Revoke() {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	group.tracker.Revoke(clock.Now())
+	group.fenced = clock.Now()
+	group.tracker.Revoke(group.fenced)
 }
 
 // Servers returns the group's servers.
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -83,12 +83,27 @@
 				attempts.exclude(chosen.server)
 			}
 		}
+		if hopeless := session.hopeless(ctx, group, missing); hopeless != nil {
+			return target{}, hopeless
+		}
 		if !wait(ctx, changed) {
 			return target{}, missing
 		}
 	}
 }
 
+// hopeless returns the refusal of a request that waits for a primary which is not expected in time, nil if waiting may help.
+func (session *session) hopeless(ctx context.Context, group *monitor.Group, missing *refused) *refused {
+	if missing.Reason != refusal.NoPrimary && missing.Reason != refusal.StaleRoute {
+		return nil
+	}
+	expected := group.ExpectedBack()
+	if deadline, ok := ctx.Deadline(); !ok || expected <= time.Until(deadline) {
+		return nil
+	}
+	return refuse(missing.Reason, expected, missing.Note)
+}
+
 // wait returns at a change or after a short time; false when the context has ended.
 func wait(ctx context.Context, changed <-chan struct{}) bool {
 	timer := time.NewTimer(recheck)
