One way to run a call on a connection; files split by concern; errors with context; no read without a known primary

Read as a newcomer would: three copies of send, settle and receive are one (dbpool.Conn.Run); the replacement and the limits of connections have files of their own. A read whose primary went between two looks would have ended its session by a panic.

--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -77,8 +77,8 @@
 	return nil
 }
 
-// Settle reads the answers to the calls of Align; all must have succeeded.
-func (conn *Conn) Settle(deadline time.Time, count int) error {
+// settle reads the answers to the calls of Align; all must have succeeded.
+func (conn *Conn) settle(deadline time.Time, count int) error {
 	for range count {
 		reply, err := conn.Receive(deadline)
 		if err != nil {
@@ -103,6 +103,17 @@
 	return reply, nil
 }
 
+// Run sends the call behind those of Align and returns its answer.
+func (conn *Conn) Run(deadline time.Time, prefix []Call, call Call) (statement.Reply, error) {
+	if err := conn.Send(deadline, append(prefix, call)...); err != nil {
+		return statement.Reply{}, err
+	}
+	if err := conn.settle(deadline, len(prefix)); err != nil {
+		return statement.Reply{}, err
+	}
+	return conn.Receive(deadline)
+}
+
 // Status sends one control call and returns the state that the server answers with.
 func (conn *Conn) Status(deadline time.Time, call Call) (leader.Status, statement.Code, error) {
 	if err := conn.Send(deadline, call); err != nil {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -106,11 +107,11 @@
 func (fleet *Fleet) hold(ctx context.Context) (platform.Lease, error) {
 	value, err := json.Marshal(fleet.self)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("encoding the registration: %w", err)
 	}
 	lease, _, err := fleet.store.Grant(ctx, registrationTTL)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("registering: %w", err)
 	}
 	key := Prefix + string(fleet.self.ID)
 	revision, stored, err := fleet.store.CompareAndHold(ctx, key, 0, value, lease)
@@ -121,7 +122,7 @@
 		err = errChanged
 	}
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("storing the registration: %w", err)
 	}
 	fleet.decisions.Event("registered", "lease", lease, "peer", fleet.self.Peer)
 	return lease, nil
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
-	"dotterelgw/core/allot"
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
@@ -35,11 +35,6 @@
 	pollSlack = 20 * time.Millisecond
 	// pollTimeout bounds a status request, which waits behind statements on a busy server.
 	pollTimeout = 500 * time.Millisecond
-	// reservedPart is the part of a server's connections that no VM uses: connections of VMs that lost power stay open for
-	// seconds at the server, beside which those of the next processes must fit.
-	reservedPart = 0.5
-	// defaultConnections is the number of connections to a server while its group's bound is not known.
-	defaultConnections = 2
 )
 
 // Monitor follows all database groups.
@@ -108,32 +103,6 @@
 // SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
 func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
 
-// usable returns the number of connections to each server of the group for all VMs together, and the VMs. The mutex is held.
-func (monitor *Monitor) usable(group ids.GroupID) (connections int, vms []member.Member) {
-	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
-		return defaultConnections * len(monitor.vms), monitor.vms
-	}
-	return int(float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)), monitor.vms
-}
-
-// limit returns the number of connections that this VM may have to the server, of which all VMs have the total.
-func (monitor *Monitor) limit(server catalog.Server, total int) int {
-	monitor.mutex.Lock()
-	usable, vms := monitor.usable(server.Group)
-	monitor.mutex.Unlock()
-	ranked := member.Top("connections/"+string(server.ID), len(vms), vms)
-	rank := slices.IndexFunc(ranked, func(vm member.Member) bool { return vm.ID == monitor.self })
-	return allot.Demand(max(1, allot.Divide(usable, max(1, len(vms)), max(0, rank))), usable, total)
-}
-
-func (monitor *Monitor) setLimits() {
-	for _, group := range monitor.Groups() {
-		for _, server := range group.Servers() {
-			server.setLimit()
-		}
-	}
-}
-
 // SetServers takes the registered servers.
 func (monitor *Monitor) SetServers(registered []catalog.Server) {
 	byGroup := make(map[ids.GroupID][]catalog.Server)
@@ -214,8 +183,8 @@
 	defer cancel()
 	conn, err := server.Pool.Acquire(ctx, dbpool.Request{Organisation: monitor.anyOrganisation(), Priority: -1, Any: true})
 	if err != nil {
-		monitor.noConnection(server, err)
-		return leader.Status{}, err
+		monitor.NoConnection(server, err)
+		return leader.Status{}, fmt.Errorf("asking %s: %w", server.ID(), err)
 	}
 	sentAt := server.Begin()
 	status, code, err := conn.Status(time.Now().Add(pollTimeout), call)
@@ -223,7 +192,7 @@
 		conn.Break()
 		conn.Release(statement.Failed)
 		server.Failed(sentAt)
-		return leader.Status{}, err
+		return leader.Status{}, fmt.Errorf("asking %s: %w", server.ID(), err)
 	}
 	conn.Release(statement.Idle)
 	server.Answered(sentAt, statement.Reply{}, false)
@@ -234,8 +203,8 @@
 	return status, nil
 }
 
-// noConnection notes what a failed Acquire tells of the server: one that only lacked a free connection may be well.
-func (monitor *Monitor) noConnection(server *Server, err error) {
+// NoConnection notes what a failed Acquire tells of the server: one that only lacked a free connection may be well.
+func (monitor *Monitor) NoConnection(server *Server, err error) {
 	var refused *dbpool.RefusedError
 	monitor.decisions.Request("connection_unavailable", "server", server.ID(), "group", server.group.id, "err", err)
 	switch {
@@ -246,9 +215,6 @@
 	}
 }
 
-// NoConnection notes a failed Acquire of the data path.
-func (monitor *Monitor) NoConnection(server *Server, err error) { monitor.noConnection(server, err) }
-
 // anyOrganisation returns the organisation under which a connection for control statements is opened if none is idle.
 func (monitor *Monitor) anyOrganisation() ids.OrganisationID {
 	monitor.mutex.Lock()
@@ -266,6 +232,3 @@
 	}
 	return largest.ID
 }
-
-// Since returns the time since a moment of the boot clock.
-func Since(at time.Duration) time.Duration { return clock.Now() - at }
--- a/io/node/reload.go
+++ b/io/node/reload.go
@@ -13,7 +13,11 @@
 func (node *Node) Follow(ctx context.Context, file string, signals <-chan os.Signal) {
 	ticker := time.NewTicker(fileCheck)
 	defer ticker.Stop()
-	held, _ := os.ReadFile(file)
+	held, err := os.ReadFile(file)
+	if err != nil {
+		// A file that can be read later counts as changed then.
+		node.decisions.Event("settings_unreadable", "file", file, "err", err)
+	}
 	for {
 		cause := "file"
 		select {
--- a/io/observe/metrics.go
+++ b/io/observe/metrics.go
@@ -16,8 +16,8 @@
 
 // MetricsHandler serves the registry in the text format of Prometheus.
 func MetricsHandler(registry metrics.Registry, prefix string) http.Handler {
-	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		format := expfmt.Negotiate(request.Header)
+	return http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		format := expfmt.NewFormat(expfmt.TypeTextPlain)
 		writer.Header().Set("Content-Type", string(format))
 		encoder := expfmt.NewEncoder(writer, format)
 		registry.Each(func(name string, metric any) {
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -109,19 +110,26 @@
 // take tries to become the holder; it returns 0 if another VM is.
 func (duty *duty) take(ctx context.Context) (platform.Lease, error) {
 	_, found, err := duty.store.Get(ctx, dutyKey)
-	if err != nil || found {
-		return 0, err
+	if err != nil {
+		return 0, fmt.Errorf("looking at the duty: %w", err)
+	}
+	if found {
+		return 0, nil
 	}
 	sent := clock.Now()
 	lease, ttl, err := duty.store.Grant(ctx, dutyTTL)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("taking the duty: %w", err)
 	}
 	revision, stored, err := duty.store.CompareAndHold(ctx, dutyKey, 0, []byte(duty.self), lease)
 	if err != nil || !stored {
-		// A key whose writing was not confirmed ends with its lease.
-		_ = duty.store.Revoke(ctx, lease)
-		return 0, err
+		duty.revoke(ctx, lease)
+	}
+	if err != nil {
+		return 0, fmt.Errorf("storing the duty: %w", err)
+	}
+	if !stored {
+		return 0, nil
 	}
 	duty.token.Store(int64(revision))
 	duty.until.Store(int64(sent + ttl))
@@ -146,7 +154,14 @@
 		}
 	}
 	duty.until.Store(0)
-	_ = duty.store.Revoke(context.WithoutCancel(ctx), lease)
+	duty.revoke(context.WithoutCancel(ctx), lease)
+}
+
+// revoke ends a lease, and with it a key whose writing was not confirmed. If that fails it ends by itself.
+func (duty *duty) revoke(ctx context.Context, lease platform.Lease) {
+	if err := duty.store.Revoke(ctx, lease); err != nil {
+		duty.decisions.Request("lease_not_revoked", "lease", lease, "err", err)
+	}
 }
 
 func sleep(ctx context.Context, pause time.Duration) {
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
@@ -20,6 +21,9 @@
 	kindLeader mesh.Kind = "leader"
 )
 
+// ackInterval is the time between two calls to VMs that have not acknowledged a fence.
+const ackInterval = 25 * time.Millisecond
+
 // notice names the group whose primary is replaced.
 type notice struct {
 	Group ids.GroupID `cbor:"group"`
--- /dev/null
+++ b/io/promoter/replace.go
@@ -0,0 +1,217 @@
+package promoter
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/handover"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/monitor"
+)
+
+const (
+	// orderTimeout bounds one order to promote.
+	orderTimeout = 700 * time.Millisecond
+	// takeoverTimeout is how long a promoted server may take to act as primary; 600 ms are usual.
+	takeoverTimeout = 3 * time.Second
+	// takeoverPoll is the time between two questions whether it does.
+	takeoverPoll = 60 * time.Millisecond
+	// orderPause is the pause after an order that failed.
+	orderPause = 150 * time.Millisecond
+)
+
+// replace carries out one attempt to replace the group's primary.
+func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, reason handover.Reason) {
+	members := describe(group)
+	servers := group.Servers()
+	old := find(servers, handover.Primary(members))
+	term := nextTerm(members)
+	promoter.decisions.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
+	fence := promoter.fence(group, servers, old, term)
+	successor, ok := fence.Successor()
+	if !ok {
+		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
+			"answered", len(fence.Others), "silent", fence.Silent)
+		promoter.resume(group, term)
+		sleep(ctx, orderPause)
+		return
+	}
+	promoter.awaitFence(ctx, group)
+	if joined(servers, group.Servers()) {
+		// A server that joined meanwhile may receive from the old primary and let it acknowledge writes.
+		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "server_joined")
+		promoter.resume(group, term)
+		return
+	}
+	// From here on pauses stay: they end when the server hears of the primary of the new term, and until then an old
+	// primary that it can still reach gets no acknowledgement from it.
+	if !promoter.order(ctx, group, successor) {
+		return
+	}
+	if old != nil && !fence.SteppedDown && old.ID() != successor.ID {
+		go promoter.stepDown(group, old, term, &handover.Fence{})
+	}
+	promoter.announce(group)
+}
+
+// find returns the server of the member, nil for none.
+func find(servers []*monitor.Server, member *handover.Member) *monitor.Server {
+	for _, server := range servers {
+		if member != nil && server.ID() == member.ID {
+			return server
+		}
+	}
+	return nil
+}
+
+// joined states whether there are servers now that there were not before.
+func joined(before, now []*monitor.Server) bool {
+	for _, server := range now {
+		if !slices.Contains(before, server) {
+			return true
+		}
+	}
+	return false
+}
+
+func idOf(server *monitor.Server) ids.BackendServerID {
+	if server == nil {
+		return ""
+	}
+	return server.ID()
+}
+
+// nextTerm returns the term after the newest one. A server that is paused for it receives again from its primary.
+func nextTerm(members []handover.Member) ids.Term {
+	var term ids.Term
+	for _, member := range members {
+		term = max(term, member.Term)
+	}
+	return term + 1
+}
+
+// fence keeps the old primary from acknowledging writes: it steps down, or no other server receives from it any more. A
+// primary that is silent is asked all the same, since it may only be hard to reach.
+func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term) handover.Fence {
+	var fence handover.Fence
+	var stepped sync.WaitGroup
+	if old != nil {
+		stepped.Go(func() { promoter.stepDown(group, old, term, &fence) })
+		if old.SilentFor() == 0 {
+			// One that answers can make pauses needless.
+			stepped.Wait()
+		}
+	}
+	call := dbpool.Call{Kind: statement.Pause, Term: term}
+	if fence.SteppedDown {
+		call = dbpool.Call{Kind: statement.Status}
+	}
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for _, server := range servers {
+		if server == old {
+			continue
+		}
+		calls.Go(func() {
+			status, err := promoter.groups.Ask(server, call)
+			mutex.Lock()
+			defer mutex.Unlock()
+			if err != nil || call.Kind == statement.Pause && status.Paused < term {
+				fence.Silent++
+				promoter.decisions.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
+				return
+			}
+			fence.Others = append(fence.Others, memberOf(server, leader.Observation{Status: status}, true))
+		})
+	}
+	calls.Wait()
+	stepped.Wait()
+	return fence
+}
+
+// stepDown asks the old primary to act as a replica.
+func (promoter *Promoter) stepDown(group *monitor.Group, old *monitor.Server, term ids.Term, fence *handover.Fence) {
+	status, err := promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term})
+	fence.SteppedDown = err == nil && status.Role == catalog.Replica
+	fence.Final = status.Received
+	promoter.decisions.Event("primary_asked_to_step_down", "group", group.ID(), "server", old.ID(), "term", term,
+		"stepped_down", fence.SteppedDown, "position", status.Received.Log, "err", err)
+}
+
+// order promotes the server and waits until it acts as primary.
+func (promoter *Promoter) order(ctx context.Context, group *monitor.Group, successor handover.Member) bool {
+	for ctx.Err() == nil {
+		token, left := promoter.duty.held()
+		if left <= 0 {
+			promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "duty_lost")
+			return false
+		}
+		call, cancel := context.WithTimeout(ctx, min(left, orderTimeout))
+		err := promoter.platform.Promote(call, group.ID(), successor.ID, token)
+		cancel()
+		promoter.decisions.Event("promotion_ordered", "group", group.ID(), "server", successor.ID, "token", token,
+			"position", successor.Received.Log, "err", err)
+		if promoter.acts(ctx, group, successor.ID, err) {
+			return true
+		}
+		if !reachable(group, successor.ID) {
+			return false
+		}
+		sleep(ctx, orderPause)
+	}
+	return false
+}
+
+func reachable(group *monitor.Group, id ids.BackendServerID) bool {
+	for _, server := range group.Servers() {
+		if server.ID() == id {
+			return server.Reachable()
+		}
+	}
+	return false
+}
+
+// acts waits until the server acts as primary. After an order that failed it looks only for a moment.
+func (promoter *Promoter) acts(ctx context.Context, group *monitor.Group, id ids.BackendServerID, orderErr error) bool {
+	end := clock.Now() + takeoverTimeout
+	if orderErr != nil {
+		end = clock.Now() + takeoverPoll
+	}
+	for clock.Now() < end && ctx.Err() == nil {
+		for _, server := range group.Servers() {
+			if server.ID() != id {
+				continue
+			}
+			status, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Status})
+			if err == nil && status.Role == catalog.Leader {
+				promoter.decisions.Event("promotion_done", "group", group.ID(), "server", id, "term", status.Term, "position", status.Received.Log)
+				return true
+			}
+		}
+		sleep(ctx, takeoverPoll)
+	}
+	return false
+}
+
+// resume lets servers receive again that were paused for the term, which got no primary.
+func (promoter *Promoter) resume(group *monitor.Group, term ids.Term) {
+	var calls sync.WaitGroup
+	for _, server := range group.Servers() {
+		observed, known := group.Observed(server.ID())
+		if !known || observed.Paused == 0 || observed.Paused > term {
+			continue
+		}
+		calls.Go(func() {
+			_, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Resume})
+			promoter.decisions.Event("server_resumed", "group", group.ID(), "server", server.ID(), "paused", observed.Paused, "err", err)
+		})
+	}
+	calls.Wait()
+}
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -64,14 +64,7 @@
 	if !operation.writes {
 		deadline = earlier(deadline, time.Now().Add(patience(target.server)))
 	}
-	err := target.conn.Send(deadline, append(prefix, call)...)
-	if err == nil {
-		err = target.conn.Settle(deadline, len(prefix))
-	}
-	var reply statement.Reply
-	if err == nil {
-		reply, err = target.conn.Receive(deadline)
-	}
+	reply, err := target.conn.Run(deadline, prefix, call)
 	if err != nil {
 		return session.lost(request, operation, attempts, target, sentAt, err)
 	}
--- /dev/null
+++ b/io/proxy/inside.go
@@ -0,0 +1,202 @@
+package proxy
+
+import (
+	"time"
+
+	"dotterelgw/core/refusal"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/monitor"
+)
+
+// runInside runs a statement of the open transaction.
+func (session *session) runInside(request statement.Request, arrived time.Duration) statement.Reply {
+	transaction := session.transaction
+	transaction.touched = arrived
+	if transaction.ended != "" {
+		return session.abort(request, refuse(transaction.ended, retrySoon, "the transaction had been rolled back"))
+	}
+	writes, known := session.writes(request.Statement)
+	if !known {
+		return session.abort(request, refuse(refusal.ProtocolError, 0, "no such prepared statement"))
+	}
+	if refused := session.stillAllowed(); refused != nil {
+		return session.abort(request, refused)
+	}
+	attempts := &attempts{deadline: time.Now().Add(transaction.timeout())}
+	reply, refused := session.statement(request, attempts)
+	transaction.touched = clock.Now()
+	if refused != nil {
+		return session.abort(request, refused)
+	}
+	if reply.Code != statement.Complete {
+		return session.abort(request, refuse(refusal.BackendLost, retrySoon, reply.Code.String()+" "+reply.Message))
+	}
+	transaction.answered = true
+	transaction.wrote = transaction.wrote || writes
+	reply.State = statement.Open
+	return reply
+}
+
+// stillAllowed checks that the key was not withdrawn since the transaction began; a change of the route applies to the next.
+func (session *session) stillAllowed() *refused {
+	_, _, refused := session.authorise()
+	if refused == nil || refused.Reason != refusal.KeyUnknown {
+		return nil
+	}
+	return refuse(refusal.KeyWithdrawn, 0, refused.Note)
+}
+
+// statement runs a statement or the commit of the transaction, opening it on a server first if needed. Until the caller
+// got an answer, a transaction that a server lost begins anew elsewhere: without its commit nothing of it is kept.
+func (session *session) statement(request statement.Request, attempts *attempts) (statement.Reply, *refused) {
+	transaction := session.transaction
+	for {
+		if transaction.conn == nil {
+			if refused := session.open(request, attempts); refused != nil {
+				return statement.Reply{}, refused
+			}
+		}
+		reply, err := session.exchange(request, attempts)
+		switch {
+		case err == nil && reply.Code == statement.Busy && reply.State == statement.Open && attempts.count < maxAttempts:
+			attempts.count++
+			time.Sleep(busyPause)
+			continue
+		case err == nil && reply.Code == statement.UnknownStatement && reply.State == statement.Open && attempts.count < maxAttempts:
+			transaction.conn.ForgetPrepared()
+			attempts.count++
+			continue
+		case err == nil && !reply.Code.NotRun():
+			return reply, nil
+		case err != nil && request.Statement.Kind == statement.Commit:
+			return statement.Reply{}, session.commitLost(err)
+		}
+		lost := transaction.server
+		session.abandon()
+		if transaction.answered || attempts.count >= maxAttempts || !time.Now().Before(attempts.deadline) {
+			return reply, refuse(refusal.BackendLost, retrySoon, describe(lost, reply, err))
+		}
+		attempts.count++
+		session.server.retries.Inc(1)
+		attempts.exclude(lost)
+	}
+}
+
+func describe(server *monitor.Server, reply statement.Reply, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return string(server.ID()) + ": " + reply.Code.String() + " " + reply.Message
+}
+
+// commitLost returns the refusal for a commit without answer: without a write nothing can have been kept.
+func (session *session) commitLost(err error) *refused {
+	if session.transaction.wrote {
+		return refuse(refusal.OutcomeUnknown, 0, err.Error())
+	}
+	return refuse(refusal.BackendLost, retrySoon, err.Error())
+}
+
+// open begins the transaction on a server.
+func (session *session) open(request statement.Request, attempts *attempts) *refused {
+	transaction := session.transaction
+	for {
+		target, refused := session.acquire(&transaction.operation, attempts)
+		if refused != nil {
+			return refused
+		}
+		call := dbpool.Call{ID: transaction.begun, Kind: statement.Begin, After: target.after}
+		if transaction.readOnly {
+			call.Kind = statement.BeginReadOnly
+		}
+		prefix := target.conn.Align(session.values, "", statement.Shape{})
+		sentAt := target.server.Begin()
+		reply, err := target.conn.Run(attempts.deadline, prefix, call)
+		if err == nil && reply.Code == statement.Complete {
+			target.server.Answered(sentAt, reply, false)
+			transaction.conn, transaction.server, transaction.after = target.conn, target.server, target.after
+			return nil
+		}
+		if err != nil {
+			target.server.Failed(sentAt)
+			target.conn.Release(statement.Failed)
+			attempts.exclude(target.server)
+		} else {
+			target.server.Answered(sentAt, reply, false)
+			target.conn.Release(reply.State)
+			session.turnedAway(request, attempts, target, reply)
+		}
+		session.server.retries.Inc(1)
+		if attempts.count++; attempts.count > maxAttempts {
+			return refuse(refusal.BackendLost, retrySoon, describe(target.server, reply, err))
+		}
+	}
+}
+
+// exchange sends one statement of the transaction to its server.
+func (session *session) exchange(request statement.Request, attempts *attempts) (statement.Reply, error) {
+	transaction := session.transaction
+	call, name, shape := session.call(request)
+	session.routed = routed{server: transaction.server.ID(), required: transaction.after, attempts: attempts.count + 1}
+	prefix := transaction.conn.Align(session.values, name, shape)
+	sentAt := transaction.server.Begin()
+	deadline := attempts.deadline
+	if request.Statement.Kind != statement.Commit {
+		// Without its commit nothing of a transaction is kept, so it can be begun anew.
+		deadline = earlier(deadline, time.Now().Add(patience(transaction.server)))
+	}
+	reply, err := transaction.conn.Run(deadline, prefix, call)
+	if err != nil {
+		transaction.server.Failed(sentAt)
+		session.server.Decisions.Request("answer_lost", "request", request.ID, "server", transaction.server.ID(),
+			"organisation", session.organisation, "waited_ms", (clock.Now() - sentAt).Milliseconds(), "kind", request.Statement.Kind,
+			"wrote", transaction.wrote, "err", err)
+		return reply, err
+	}
+	transaction.server.Answered(sentAt, reply, reply.Code == statement.Complete)
+	return reply, nil
+}
+
+// commit ends the transaction and keeps what it did.
+func (session *session) commit(request statement.Request, arrived time.Duration) statement.Reply {
+	transaction := session.transaction
+	if transaction == nil {
+		return session.malformed(request, "no transaction is open")
+	}
+	defer session.close()
+	if transaction.ended != "" {
+		return session.endAborted(request, refuse(transaction.ended, retrySoon, "the transaction had been rolled back"))
+	}
+	if refused := session.stillAllowed(); refused != nil {
+		return session.endAborted(request, refused)
+	}
+	transaction.touched = arrived
+	attempts := &attempts{deadline: time.Now().Add(transaction.timeout())}
+	reply, refused := session.statement(request, attempts)
+	if refused != nil {
+		if refused.Reason != refusal.OutcomeUnknown {
+			return session.endAborted(request, refused)
+		}
+		session.abandon()
+		return session.answer(request, refused, statement.Idle)
+	}
+	if reply.State != statement.Idle {
+		transaction.conn.Break()
+	}
+	transaction.conn.Release(reply.State)
+	transaction.conn = nil
+	if reply.Code == statement.Complete && transaction.wrote {
+		session.written, session.writtenAt = reply.Position, clock.Now()
+	}
+	reply.State = statement.Idle
+	return reply
+}
+
+// endAborted answers a commit whose transaction was rolled back.
+func (session *session) endAborted(request statement.Request, refused *refused) statement.Reply {
+	reply := session.abort(request, refused)
+	reply.State = statement.Idle
+	return reply
+}
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -184,7 +184,10 @@
 	}
 	if !ok {
 		// Only the primary is known to hold enough.
-		leader, _, _ := group.Leader()
+		leader, _, known := group.Leader()
+		if !known {
+			return target{}, refuse(refusal.NoPrimary, retryPrimary, "the primary has just gone")
+		}
 		return target{server: leader}, nil
 	}
 	server := group.ChooseRead(request)
