Promote only what holds the last write that any VM acknowledged; registrations are read anew before an order

By reading, a server that joined and is not known yet can be the one replica that received it: registrations are gathered for 2.5 s, and the check for joined servers saw only those known. Ruled out: a server of the fence that did not answer (then nothing is promoted). The VMs' acknowledgements of the fence now carry the last write that each acknowledged.

--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -222,3 +222,16 @@
 	}
 	return best, true
 }
+
+// Unsafe returns why the successor must not be promoted, empty if it may. Acknowledged is the last write that any VM
+// acknowledged; joined states that a server registered after the fence, which may have received writes and let the old
+// primary acknowledge them.
+func Unsafe(successor Member, acknowledged position.Position, joined bool) string {
+	switch {
+	case joined:
+		return "server_joined"
+	case successor.Received.Less(acknowledged):
+		return "acknowledged_write_missing"
+	}
+	return ""
+}
--- a/core/handover/plan_test.go
+++ b/core/handover/plan_test.go
@@ -169,3 +169,22 @@
 		}
 	}
 }
+
+// Pattern: a server has joined that the VMs do not know yet, and it alone received the last write. Guards against promoting
+// one that lacks an acknowledged write. Found by a hunt (store_in_trouble, leiloes-retalhos, seed 127829578230).
+func TestUnsafe(t *testing.T) {
+	for name, test := range map[string]struct {
+		acknowledged position.Position
+		joined       bool
+		want         string
+	}{
+		"holds the last write": {at(5), false, ""},
+		"nothing acknowledged": {position.Position{}, false, ""},
+		"lacks the last write": {at(6), false, "acknowledged_write_missing"},
+		"a server joined":      {at(5), true, "server_joined"},
+	} {
+		if got := handover.Unsafe(follows("b", 5), test.acknowledged, test.joined); got != test.want {
+			t.Errorf("%s: %q, want %q", name, got, test.want)
+		}
+	}
+}
--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"sync"
@@ -208,6 +209,16 @@
 	}
 }
 
+// Refresh reads the registrations of backend servers now, since watches gather changes for a while.
+func (directory *Directory) Refresh(ctx context.Context) error {
+	entries, revision, err := directory.store.List(ctx, directory.format.ServerPrefix)
+	if err != nil {
+		return fmt.Errorf("listing the backend servers: %w", err)
+	}
+	directory.applyServers(platform.WatchEvent{Entries: entries, Complete: true, Revision: revision})
+	return nil
+}
+
 // sweepInterval is the time between two looks at missing registrations.
 const sweepInterval = 250 * time.Millisecond
 
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -28,6 +28,8 @@
 	certain bool
 	// used is the time of the last request, asked that of the last question of another VM.
 	used, asked time.Duration
+	// acknowledged is the position of the last write that this VM acknowledged.
+	acknowledged position.Position
 	// fenced is the time at which the primary was last fenced.
 	fenced time.Duration
 }
@@ -174,6 +176,22 @@
 	return group.tracker.Lag(applied, at)
 }
 
+// Acknowledged notes that a write at the position was acknowledged to a caller.
+func (group *Group) Acknowledged(at position.Position) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if group.acknowledged.Less(at) {
+		group.acknowledged = at
+	}
+}
+
+// LastAcknowledged returns the position of the last write that this VM acknowledged.
+func (group *Group) LastAcknowledged() position.Position {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.acknowledged
+}
+
 // Revoke ends the certainty about the primary, at the wish of the VM that replaces it.
 func (group *Group) Revoke() {
 	group.mutex.Lock()
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -103,6 +103,9 @@
 	}
 }
 
+// Acknowledged notes that a write at the position is acknowledged to its caller.
+func (server *Server) Acknowledged(at position.Position) { server.group.Acknowledged(at) }
+
 // Failed notes that a statement got no answer.
 func (server *Server) Failed(sentAt time.Duration) {
 	server.inFlight.Add(-1)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -87,7 +87,7 @@
 		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
-	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, platform.Promotion, network, decisions)
+	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, node.directory, platform.Promotion, network, decisions)
 	node.monitor.SetDuty(node.promoter.OnDuty)
 	node.monitor.Share(network, settings.VM, node.observers)
 	node.proxy = proxy.New(proxy.Dependencies{
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -6,6 +6,7 @@
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/position"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/mesh"
 	"dotterelgw/io/monitor"
@@ -31,15 +32,24 @@
 	Number uint64 `cbor:"number"`
 }
 
+// agreement acknowledges a notice.
+type agreement struct {
+	// Number is that of the notice.
+	Number uint64 `cbor:"number"`
+	// Term and Log are the position of the last write that the VM acknowledged to a caller.
+	Term ids.Term        `cbor:"term"`
+	Log  ids.LogPosition `cbor:"log"`
+}
+
 // awaitFence returns once no VM relies on the old primary any more: each has acknowledged, or the lease of its last
-// observation before the fence has run out.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group) {
+// observation before the fence has run out. It returns the position of the last write that any of them acknowledged.
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group) position.Position {
 	began := clock.Now()
 	group.Revoke()
 	promoter.mutex.Lock()
 	promoter.number++
 	number := promoter.number
-	acks := make(map[ids.VMID]bool)
+	acks := make(map[ids.VMID]position.Position)
 	promoter.acks[number] = acks
 	promoter.mutex.Unlock()
 	missing := promoter.mesh.Peers()
@@ -50,10 +60,18 @@
 		sleep(ctx, ackInterval)
 		missing = promoter.unacknowledged(number)
 	}
+	acknowledged := group.LastAcknowledged()
 	promoter.mutex.Lock()
+	for _, at := range acks {
+		if acknowledged.Less(at) {
+			acknowledged = at
+		}
+	}
 	delete(promoter.acks, number)
 	promoter.mutex.Unlock()
-	promoter.decisions.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds())
+	promoter.decisions.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds(),
+		"acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
+	return acknowledged
 }
 
 func (promoter *Promoter) unacknowledged(number uint64) []ids.VMID {
@@ -62,7 +80,7 @@
 	promoter.mutex.Lock()
 	defer promoter.mutex.Unlock()
 	for _, peer := range peers {
-		if !promoter.acks[number][peer] {
+		if _, ok := promoter.acks[number][peer]; !ok {
 			missing = append(missing, peer)
 		}
 	}
@@ -71,17 +89,20 @@
 
 // fenced answers another VM that replaces a primary: from now on this VM confirms the primary anew before it relies on it.
 func (promoter *Promoter) fenced(sender ids.VMID, message notice) {
+	answer := agreement{Number: message.Number}
 	if group := promoter.group(message.Group); group != nil {
 		group.Revoke()
+		last := group.LastAcknowledged()
+		answer.Term, answer.Log = last.Term, last.Log
 	}
-	mesh.Send(promoter.mesh, sender, kindFenced, message)
+	mesh.Send(promoter.mesh, sender, kindFenced, answer)
 }
 
-func (promoter *Promoter) acknowledged(sender ids.VMID, message notice) {
+func (promoter *Promoter) acknowledged(sender ids.VMID, message agreement) {
 	promoter.mutex.Lock()
 	defer promoter.mutex.Unlock()
 	if acks, ok := promoter.acks[message.Number]; ok {
-		acks[sender] = true
+		acks[sender] = position.Position{Term: message.Term, Log: message.Log}
 	}
 }
 
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -8,6 +8,7 @@
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/position"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/fleet"
@@ -30,6 +31,12 @@
 	Promote(ctx context.Context, group ids.GroupID, server ids.BackendServerID, token Token) error
 }
 
+// Directory reads the registrations of backend servers.
+type Directory interface {
+	// Refresh reads them now.
+	Refresh(ctx context.Context) error
+}
+
 // Groups supplies the database groups.
 type Groups interface {
 	// Groups returns all groups.
@@ -42,13 +49,14 @@
 type Promoter struct {
 	duty      *duty
 	groups    Groups
+	directory Directory
 	platform  Platform
 	mesh      *mesh.Mesh
 	decisions *observe.Decisions
 
 	mutex   sync.Mutex
 	watches map[ids.GroupID]*watch
-	acks    map[uint64]map[ids.VMID]bool
+	acks    map[uint64]map[ids.VMID]position.Position
 	number  uint64
 }
 
@@ -62,10 +70,10 @@
 }
 
 // New returns a promoter that does nothing until Run.
-func New(self ids.VMID, store fleet.Store, groups Groups, platform Platform, network *mesh.Mesh, decisions *observe.Decisions) *Promoter {
+func New(self ids.VMID, store fleet.Store, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, decisions *observe.Decisions) *Promoter {
 	promoter := &Promoter{
-		duty: newDuty(self, store, decisions), groups: groups, platform: platform, mesh: network, decisions: decisions,
-		watches: make(map[ids.GroupID]*watch), acks: make(map[uint64]map[ids.VMID]bool),
+		duty: newDuty(self, store, decisions), groups: groups, directory: directory, platform: platform, mesh: network, decisions: decisions,
+		watches: make(map[ids.GroupID]*watch), acks: make(map[uint64]map[ids.VMID]position.Position),
 	}
 	mesh.Handle(network, kindFence, promoter.fenced)
 	mesh.Handle(network, kindFenced, promoter.acknowledged)
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -23,6 +23,8 @@
 	takeoverTimeout = 3 * time.Second
 	// takeoverPoll is the time between two questions whether it does.
 	takeoverPoll = 60 * time.Millisecond
+	// refreshTimeout bounds the reading of registrations during a replacement.
+	refreshTimeout = 300 * time.Millisecond
 	// orderPause is the pause after an order that failed.
 	orderPause = 150 * time.Millisecond
 )
@@ -43,11 +45,13 @@
 		sleep(ctx, orderPause)
 		return
 	}
-	promoter.awaitFence(ctx, group)
-	if joined(servers, group.Servers()) {
-		// A server that joined meanwhile may receive from the old primary and let it acknowledge writes.
-		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", "server_joined")
+	acknowledged := promoter.awaitFence(ctx, group)
+	promoter.refresh(ctx)
+	if cause := handover.Unsafe(successor, acknowledged, joined(servers, group.Servers())); cause != "" {
+		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
+			"position", successor.Received.Log, "acknowledged", acknowledged.Log)
 		promoter.resume(group, term)
+		sleep(ctx, orderPause)
 		return
 	}
 	// From here on pauses stay: they end when the server hears of the primary of the new term, and until then an old
@@ -61,6 +65,15 @@
 	promoter.announce(group)
 }
 
+// refresh reads the registrations anew: a server that has just joined counts too.
+func (promoter *Promoter) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	if err := promoter.directory.Refresh(ctx); err != nil {
+		promoter.decisions.Event("registrations_unknown", "err", err)
+	}
+}
+
 // find returns the server of the member, nil for none.
 func find(servers []*monitor.Server, member *handover.Member) *monitor.Server {
 	for _, server := range servers {
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -76,7 +76,7 @@
 	switch {
 	case reply.Code == statement.Complete:
 		if operation.writes {
-			session.written, session.writtenAt = reply.Position, clock.Now()
+			session.acknowledge(target.server, reply.Position)
 		}
 		return reply, false, nil
 	case reply.Code.NotRun():
--- a/io/proxy/inside.go
+++ b/io/proxy/inside.go
@@ -188,7 +188,7 @@
 	transaction.conn.Release(reply.State)
 	transaction.conn = nil
 	if reply.Code == statement.Complete && transaction.wrote {
-		session.written, session.writtenAt = reply.Position, clock.Now()
+		session.acknowledge(transaction.server, reply.Position)
 	}
 	reply.State = statement.Idle
 	return reply
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -5,8 +5,11 @@
 	"time"
 
 	"dotterelgw/core/catalog"
+	"dotterelgw/core/position"
 	"dotterelgw/core/refusal"
 	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/monitor"
 )
 
 // serve runs one request and returns the answer.
@@ -80,6 +83,13 @@
 	fenced bool
 }
 
+// acknowledge notes a write before its success goes to the caller: for the session's own reads, and for whoever replaces the
+// primary.
+func (session *session) acknowledge(server *monitor.Server, at position.Position) {
+	session.written, session.writtenAt = at, clock.Now()
+	server.Acknowledged(at)
+}
+
 // admit checks route, key and rate at the begin of an operation.
 func (session *session) admit(arrived time.Duration) (operation, *refused) {
 	route, organisation, refused := session.authorise()
