--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -143,6 +143,9 @@
 	if certain == 0 {
 		return fmt.Sprintf("term %d, not confirmed", term)
 	}
+	if left := certain - clock.Now(); left > 0 {
+		return fmt.Sprintf("term %d, silent, confirmed for another %v", term, left.Round(time.Millisecond))
+	}
 	return fmt.Sprintf("term %d, confirmed until %v ago", term, (clock.Now() - certain).Round(time.Millisecond))
 }
 
