Until the successor leads, VMs rely on no earlier primary and pass on none of its successes

Its log: replica e39 is down since 4.8 s and gone from the registrations; the primary b71, which some VMs do not reach, counts as lost at 11.45 s; the only other replica is paused, all VMs agree, the order goes out at 11.75 s. At 11.8 s e39 comes back, is not paused, receives from b71 and lets it acknowledge commits 154 and later. VMs that reach b71 pass the successes on, and count b71 as certain again with e39 as the witness. The successor leads at 12.34 s without these commits.

Ruled out: a pause that was undone (the paused replica stays at 153), a silent server of the fence, a second holder.

Change: the agreement of a VM is a promise for 4 s: no primary of an earlier term is relied on, and a success of one waits until the VM knows where the successor's log begins, that nobody was promoted, or that its time is up. What the successor lacks, or may lack, is answered as of unknown outcome. Read with it and closed: an order without the registrations being read, an order to receive that overtakes the pause of the next attempt or comes from a VM that lost the duty, a pause that a restart ended. A primary that comes back under another identifier in its term counts as the primary at once; before, the one that is gone was taken for it now and then until its registration lapsed. A server whose address is another's is not waited for.

Tests: handover.TestPromise, leader.TestBind, monitor.TestAcknowledge, TestPrimaryUnderAnotherIdentifier (two).

--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -90,15 +90,16 @@
 	return ""
 }
 
-// Primary returns the primary of the highest term that was observed. If none was, it is the one server that registered as
-// primary and does not answer. It returns nil if there is none.
+// Primary returns the primary of the highest term that was observed; of two of one term, which one server under an old and a
+// new identifier is, the one that was observed last. If none was, it is the one server that registered as primary and does
+// not answer. It returns nil if there is none.
 func Primary(members []Member) *Member {
 	var observed, registered *Member
 	for index := range members {
 		member := &members[index]
 		switch {
 		case member.Observed && member.Role == catalog.Leader:
-			if observed == nil || member.Term > observed.Term {
+			if observed == nil || member.leadsAfter(observed) {
 				observed = member
 			}
 		case !member.Observed && member.Registered == catalog.Leader && member.SilentFor > 0:
@@ -111,6 +112,11 @@
 	return registered
 }
 
+// leadsAfter states whether the member leads in a later term than the other, or was observed later in the same.
+func (member *Member) leadsAfter(other *Member) bool {
+	return member.Term > other.Term || member.Term == other.Term && member.ObservedAt > other.ObservedAt
+}
+
 // LeftPaused returns the highest term for which a server is paused although it has no primary, and whether there is one.
 // A pause for the term of the primary is none of these: it ends when the server hears of that primary, and until then
 // keeps the primary before it from getting acknowledgements.
@@ -223,14 +229,29 @@
 	return best, true
 }
 
-// Unsafe returns why the successor must not be promoted, empty if it may. Acknowledged is the last write that any VM
-// acknowledged; joined states that a server registered after the fence, which may have received writes and let the old
-// primary acknowledge them.
-func Unsafe(successor Member, acknowledged position.Position, joined bool) string {
+// Findings is what was found between the fence and the order to promote.
+type Findings struct {
+	// Acknowledged is the last write that any VM acknowledged.
+	Acknowledged position.Position
+	// Listed states that the registrations were read after the fence.
+	Listed bool
+	// Joined states that a server registered after the fence, which may have received writes and let the old primary
+	// acknowledge them.
+	Joined bool
+	// Unfenced states that a server that was paused receives again.
+	Unfenced bool
+}
+
+// Unsafe returns why the successor must not be promoted, empty if it may.
+func Unsafe(successor Member, findings Findings) string {
 	switch {
-	case joined:
+	case !findings.Listed:
+		return "registrations_unknown"
+	case findings.Joined:
 		return "server_joined"
-	case successor.Received.Less(acknowledged):
+	case findings.Unfenced:
+		return "server_receives_again"
+	case successor.Received.Less(findings.Acknowledged):
 		return "acknowledged_write_missing"
 	}
 	return ""
--- a/core/handover/plan_test.go
+++ b/core/handover/plan_test.go
@@ -174,17 +174,31 @@
 // one that lacks an acknowledged write. Found by a hunt (store_in_trouble, leiloes-retalhos, seed 127829578230).
 func TestUnsafe(t *testing.T) {
 	for name, test := range map[string]struct {
-		acknowledged position.Position
-		joined       bool
-		want         string
+		findings handover.Findings
+		want     string
 	}{
-		"holds the last write": {at(5), false, ""},
-		"nothing acknowledged": {position.Position{}, false, ""},
-		"lacks the last write": {at(6), false, "acknowledged_write_missing"},
-		"a server joined":      {at(5), true, "server_joined"},
+		"holds the last write":         {handover.Findings{Acknowledged: at(5), Listed: true}, ""},
+		"nothing acknowledged":         {handover.Findings{Listed: true}, ""},
+		"lacks the last write":         {handover.Findings{Acknowledged: at(6), Listed: true}, "acknowledged_write_missing"},
+		"a server joined":              {handover.Findings{Acknowledged: at(5), Listed: true, Joined: true}, "server_joined"},
+		"who joined cannot be read":    {handover.Findings{Acknowledged: at(5)}, "registrations_unknown"},
+		"a pause ended with a restart": {handover.Findings{Acknowledged: at(5), Listed: true, Unfenced: true}, "server_receives_again"},
 	} {
-		if got := handover.Unsafe(follows("b", 5), test.acknowledged, test.joined); got != test.want {
+		if got := handover.Unsafe(follows("b", 5), test.findings); got != test.want {
 			t.Errorf("%s: %q, want %q", name, got, test.want)
 		}
 	}
 }
+
+// Pattern: a primary crashes and comes back at its address under another identifier, in the term that it had. Guards against
+// replacing it for the silence of the identifier that it had before.
+func TestPrimaryUnderAnotherIdentifier(t *testing.T) {
+	before, after := silent(leads("a", 5), second), leads("b", 5)
+	before.ObservedAt, after.ObservedAt = 2*second, 9*second
+	for _, members := range [][]handover.Member{{before, after, follows("c", 5)}, {after, before, follows("c", 5)}} {
+		var watch handover.Watch
+		if got := watch.Judge(10*second, members); got != "" {
+			t.Errorf("reason %q, want none", got)
+		}
+	}
+}
--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -17,9 +17,12 @@
 	members map[ids.BackendServerID]*member
 	// revoked is the time up to which observations confirm nothing, as another VM fences the primary.
 	revoked time.Duration
-	history History
-	leader  ids.BackendServerID
-	term    ids.Term
+	// bound is the term before which no primary is relied on for observations sent before boundUntil; 0 means none.
+	bound      ids.Term
+	boundUntil time.Duration
+	history    History
+	leader     ids.BackendServerID
+	term       ids.Term
 }
 
 // member is what is known of one registered server.
@@ -67,15 +70,27 @@
 // VM that is about to replace the primary.
 func (tracker *Tracker) Revoke(now time.Duration) { tracker.revoked = max(tracker.revoked, now) }
 
-// elect takes the primary with the highest term as the leader.
+// Bind has the tracker rely on no primary of a term before this one until the time, as another VM replaces the primary.
+// Term 0 ends this.
+func (tracker *Tracker) Bind(term ids.Term, until time.Duration) {
+	tracker.bound, tracker.boundUntil = term, until
+}
+
+// elect takes the primary with the highest term as the leader. A primary that crashed may come back under another identifier
+// in the same term: the one that answered last is the one that lives.
 func (tracker *Tracker) elect() {
 	var leader ids.BackendServerID
-	var term ids.Term
+	var newest Observation
 	for id, member := range tracker.members {
-		if member.known && member.observed.Role == catalog.Leader && (leader == "" || member.observed.Term > term) {
-			leader, term = id, member.observed.Term
+		if !member.known || member.observed.Role != catalog.Leader {
+			continue
+		}
+		later := member.observed.Term == newest.Term && member.observed.SentAt > newest.SentAt
+		if leader == "" || member.observed.Term > newest.Term || later {
+			leader, newest = id, member.observed
 		}
 	}
+	term := newest.Term
 	if leader != tracker.leader || term != tracker.term {
 		tracker.history.Clear()
 	}
@@ -95,8 +110,12 @@
 // more server must have been asked: a replacement fences the primary or all others before it promotes, so one of
 // the two would have told.
 func (tracker *Tracker) CertainUntil() time.Duration {
+	revoked := tracker.revoked
+	if tracker.term < tracker.bound {
+		revoked = max(revoked, tracker.boundUntil)
+	}
 	primary, ok := tracker.members[tracker.leader]
-	if !ok || primary.observed.SentAt < tracker.revoked {
+	if !ok || primary.observed.SentAt < revoked {
 		return 0
 	}
 	if len(tracker.members) == 1 {
@@ -112,7 +131,7 @@
 		}
 	}
 	confirmed := min(primary.observed.SentAt, witness)
-	if witness < 0 || confirmed < tracker.revoked {
+	if witness < 0 || confirmed < revoked {
 		return 0
 	}
 	return confirmed + LeaseDuration
--- a/core/leader/tracker_test.go
+++ b/core/leader/tracker_test.go
@@ -172,3 +172,55 @@
 		t.Errorf("a replica at 4 lags %v, want 500 ms", lag)
 	}
 }
+
+// Pattern: a replica that had crashed comes back, unpaused, while the primary is replaced. Guards against an old primary that
+// counts as certain again, through that replica, before its successor leads. Found by a hunt (leiloes-retalhos, mix --seed
+// 1016332041897: LOST).
+func TestBind(t *testing.T) {
+	const bound = 6 * second
+	confirm := func(tracker *leader.Tracker, term ids.Term, at time.Duration) {
+		tracker.Observe("a", primary(term, 5, at))
+		tracker.Observe("b", replica(term, 0, at))
+	}
+	for name, test := range map[string]struct {
+		act  func(tracker *leader.Tracker)
+		want time.Duration
+	}{
+		"the old primary, confirmed anew": {func(tracker *leader.Tracker) { confirm(tracker, 1, 3*second) }, 0},
+		"nobody was promoted": {func(tracker *leader.Tracker) {
+			tracker.Bind(0, 0)
+			confirm(tracker, 1, 3*second)
+		}, 3*second + leader.LeaseDuration},
+		"the successor":               {func(tracker *leader.Tracker) { confirm(tracker, 2, 3*second) }, 3*second + leader.LeaseDuration},
+		"the replacement never ended": {func(tracker *leader.Tracker) { confirm(tracker, 1, bound) }, bound + leader.LeaseDuration},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := leader.NewTracker()
+			tracker.SetServers(servers("a", "b", "c"))
+			confirm(tracker, 1, second)
+			tracker.Bind(2, bound)
+			test.act(tracker)
+			if got := tracker.CertainUntil(); got != test.want {
+				t.Errorf("certain until %v, want %v", got, test.want)
+			}
+			if _, known := tracker.Floor(3 * second); known != (test.want > 0) {
+				t.Errorf("a position of the primary is known: %t, want %t", known, test.want > 0)
+			}
+		})
+	}
+}
+
+// Pattern: a primary crashes and comes back under another identifier in the same term. Guards against taking the one that is
+// gone for the primary, now and then, until its registration lapses.
+func TestPrimaryUnderAnotherIdentifier(t *testing.T) {
+	for range 20 {
+		tracker := leader.NewTracker()
+		tracker.SetServers(servers("a", "b", "c"))
+		tracker.Observe("a", primary(1, 5, second))
+		tracker.Observe("b", primary(1, 5, 4*second))
+		tracker.Observe("c", replica(1, 0, 4*second))
+		if server, _, ok := tracker.Leader(); !ok || server.ID != "b" {
+			t.Fatalf("primary %q, want b", server.ID)
+		}
+	}
+}
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -32,6 +32,8 @@
 	acknowledged position.Position
 	// fenced is the time at which the primary was last fenced.
 	fenced time.Duration
+	// promise is what this VM promised to the one that replaces the primary.
+	promise handover.Promise
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
@@ -176,28 +178,69 @@
 	return group.tracker.Lag(applied, at)
 }
 
-// Acknowledged notes that a write at the position was acknowledged to a caller.
-func (group *Group) Acknowledged(at position.Position) {
+// Acknowledge states whether the success of a write at the position may go to its caller, and notes that it does. While the
+// primary is replaced it waits, until the deadline at most, for whether the successor holds the write.
+func (group *Group) Acknowledge(deadline time.Time, at position.Position) bool {
+	verdict, changed := group.judge(at, false)
+	for verdict == handover.Undecided {
+		timer := time.NewTimer(min(time.Until(deadline), undecidedRecheck))
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		verdict, changed = group.judge(at, true)
+		if !time.Now().Before(deadline) && verdict == handover.Undecided {
+			verdict = handover.Doubtful
+		}
+	}
+	return verdict == handover.Kept
+}
+
+// undecidedRecheck is the longest time between two looks at a write that waits for the end of a replacement.
+const undecidedRecheck = 100 * time.Millisecond
+
+// judge returns what is known of the write and a channel that is closed at the next change. A write that is kept counts as
+// acknowledged from now on.
+func (group *Group) judge(at position.Position, waited bool) (handover.Verdict, <-chan struct{}) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	if group.acknowledged.Less(at) {
+	verdict := group.promise.Judge(clock.Now(), at, waited)
+	if verdict == handover.Kept && group.acknowledged.Less(at) {
 		group.acknowledged = at
 	}
+	return verdict, group.changed
 }
 
-// LastAcknowledged returns the position of the last write that this VM acknowledged.
-func (group *Group) LastAcknowledged() position.Position {
+// Fence promises to the VM that replaces the primary to rely on none of a term before this one. It returns the position of the
+// last write that this VM acknowledged.
+func (group *Group) Fence(term ids.Term) position.Position {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
+	group.fenced = clock.Now()
+	group.promise.Make(group.fenced, term)
+	group.tracker.Revoke(group.fenced)
+	group.tracker.Bind(group.promise.InForce())
 	return group.acknowledged
 }
 
-// Revoke ends the certainty about the primary, at the wish of the VM that replaces it.
-func (group *Group) Revoke() {
+// Release ends the promise for the term, as nobody was promoted.
+func (group *Group) Release(term ids.Term) {
+	group.resolve(func() { group.promise.Release(term) })
+}
+
+// Lead notes that a primary of the term begins with the log up to start.
+func (group *Group) Lead(term ids.Term, start position.Position) {
+	group.resolve(func() { group.promise.Lead(term, start) })
+}
+
+// resolve changes the promise and tells those who wait for its end.
+func (group *Group) resolve(change func()) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	group.fenced = clock.Now()
-	group.tracker.Revoke(group.fenced)
+	change()
+	group.tracker.Bind(group.promise.InForce())
+	group.wake()
 }
 
 // Servers returns the group's servers.
--- /dev/null
+++ b/io/monitor/group_test.go
@@ -0,0 +1,54 @@
+package monitor
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+	"dotterelgw/io/observe"
+)
+
+// Pattern: a write is done at a primary that is being replaced. Guards against acknowledging what the successor lacks, against
+// doubt about what it holds, and against a caller that waits beyond the time of its statement.
+func TestAcknowledge(t *testing.T) {
+	const term ids.Term = 2
+	at := func(log ids.LogPosition) position.Position { return position.Position{Term: 1, Log: log} }
+	for name, test := range map[string]struct {
+		end  func(group *Group)
+		wait time.Duration
+		want bool
+	}{
+		"the successor holds it": {func(group *Group) { group.Lead(term, at(5)) }, 5 * time.Second, true},
+		"the successor lacks it": {func(group *Group) { group.Lead(term, at(4)) }, 5 * time.Second, false},
+		"nobody was promoted":    {func(group *Group) { group.Release(term) }, 5 * time.Second, true},
+		"no news in time":        {func(*Group) {}, 30 * time.Millisecond, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			decisions := observe.NewDecisions(io.Discard, "vm1")
+			defer decisions.Close(time.Second)
+			group := newGroup("g", New(t.Context(), nil, "z", decisions))
+			if !group.Acknowledge(time.Now().Add(time.Second), at(3)) {
+				t.Fatal("without a replacement: not acknowledged")
+			}
+			if last := group.Fence(term); last != at(3) {
+				t.Errorf("last acknowledged %v, want %v", last, at(3))
+			}
+			result := make(chan bool, 1)
+			go func() { result <- group.Acknowledge(time.Now().Add(test.wait), at(5)) }()
+			select {
+			case <-result:
+				t.Fatal("decided while the replacement goes on")
+			case <-time.After(10 * time.Millisecond):
+			}
+			test.end(group)
+			if got := <-result; got != test.want {
+				t.Errorf("acknowledged %t, want %t", got, test.want)
+			}
+			if last := group.Fence(term + 1); (last == at(5)) != test.want {
+				t.Errorf("last acknowledged %v", last)
+			}
+		})
+	}
+}
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -103,8 +103,10 @@
 	}
 }
 
-// Acknowledged notes that a write at the position is acknowledged to its caller.
-func (server *Server) Acknowledged(at position.Position) { server.group.Acknowledged(at) }
+// Acknowledge states whether the success of a write at the position may go to its caller, see Group.Acknowledge.
+func (server *Server) Acknowledge(deadline time.Time, at position.Position) bool {
+	return server.group.Acknowledge(deadline, at)
+}
 
 // Failed notes that a statement got no answer.
 func (server *Server) Failed(sentAt time.Duration) {
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -18,6 +18,8 @@
 	kindFence mesh.Kind = "fence"
 	// kindFenced acknowledges kindFence.
 	kindFenced mesh.Kind = "fenced"
+	// kindReleased tells that nobody was promoted after a fence.
+	kindReleased mesh.Kind = "released"
 	// kindLeader tells that a primary was replaced.
 	kindLeader mesh.Kind = "leader"
 )
@@ -30,6 +32,11 @@
 	Group ids.GroupID `cbor:"group"`
 	// Number tells the acknowledgements of several notices apart.
 	Number uint64 `cbor:"number"`
+	// Term is the term of the successor.
+	Term ids.Term `cbor:"term"`
+	// StartTerm and StartLog are the end of the log that the successor begins with; they belong to kindLeader.
+	StartTerm ids.Term        `cbor:"start_term"`
+	StartLog  ids.LogPosition `cbor:"start_log"`
 }
 
 // agreement acknowledges a notice.
@@ -43,9 +50,9 @@
 
 // awaitFence returns once no VM relies on the old primary any more: each has acknowledged, or the lease of its last
 // observation before the fence has run out. It returns the position of the last write that any of them acknowledged.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group) position.Position {
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) position.Position {
 	began := clock.Now()
-	group.Revoke()
+	acknowledged := group.Fence(term)
 	promoter.mutex.Lock()
 	promoter.number++
 	number := promoter.number
@@ -55,12 +62,11 @@
 	missing := promoter.mesh.Peers()
 	for clock.Now() < began+leader.LeaseDuration && len(missing) > 0 && ctx.Err() == nil {
 		for _, peer := range missing {
-			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number})
+			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term})
 		}
 		sleep(ctx, ackInterval)
 		missing = promoter.unacknowledged(number)
 	}
-	acknowledged := group.LastAcknowledged()
 	promoter.mutex.Lock()
 	for _, at := range acks {
 		if acknowledged.Less(at) {
@@ -87,12 +93,11 @@
 	return missing
 }
 
-// fenced answers another VM that replaces a primary: from now on this VM confirms the primary anew before it relies on it.
+// fenced answers another VM that replaces a primary: until the replacement has ended this VM relies on no earlier primary.
 func (promoter *Promoter) fenced(sender ids.VMID, message notice) {
 	answer := agreement{Number: message.Number}
 	if group := promoter.group(message.Group); group != nil {
-		group.Revoke()
-		last := group.LastAcknowledged()
+		last := group.Fence(message.Term)
 		answer.Term, answer.Log = last.Term, last.Log
 	}
 	mesh.Send(promoter.mesh, sender, kindFenced, answer)
@@ -106,21 +111,46 @@
 	}
 }
 
-// announce tells the other VMs that the group has a new primary.
-func (promoter *Promoter) announce(group *monitor.Group) {
+// announce tells all VMs that the group has a new primary, which begins with the log up to start.
+func (promoter *Promoter) announce(ctx context.Context, group *monitor.Group, term ids.Term, start position.Position) {
+	group.Lead(term, start)
 	group.Hurry()
-	for _, peer := range promoter.mesh.Peers() {
-		mesh.Send(promoter.mesh, peer, kindLeader, notice{Group: group.ID()})
+	promoter.broadcast(ctx, kindLeader, notice{Group: group.ID(), Term: term, StartTerm: start.Term, StartLog: start.Log})
+}
+
+// release tells all VMs that nobody was promoted after the fence.
+func (promoter *Promoter) release(ctx context.Context, group *monitor.Group, term ids.Term) {
+	group.Release(term)
+	promoter.broadcast(ctx, kindReleased, notice{Group: group.ID(), Term: term})
+}
+
+// broadcasts is the number of times that a notice is sent, as datagrams may be lost; a VM that gets none waits for the end of
+// its promise.
+const broadcasts = 3
+
+func (promoter *Promoter) broadcast(ctx context.Context, kind mesh.Kind, message notice) {
+	for range broadcasts {
+		for _, peer := range promoter.mesh.Peers() {
+			mesh.Send(promoter.mesh, peer, kind, message)
+		}
+		sleep(ctx, ackInterval)
 	}
 }
 
 // replaced has the state of the group's servers asked for at once.
 func (promoter *Promoter) replaced(_ ids.VMID, message notice) {
 	if group := promoter.group(message.Group); group != nil {
+		group.Lead(message.Term, position.Position{Term: message.StartTerm, Log: message.StartLog})
 		group.Hurry()
 	}
 }
 
+func (promoter *Promoter) released(_ ids.VMID, message notice) {
+	if group := promoter.group(message.Group); group != nil {
+		group.Release(message.Term)
+	}
+}
+
 func (promoter *Promoter) group(id ids.GroupID) *monitor.Group {
 	for _, group := range promoter.groups.Groups() {
 		if group.ID() == id {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -63,7 +63,7 @@
 // watch is the state of one group.
 type watch struct {
 	handover.Watch
-	// running states that a replacement is under way.
+	// running states that a replacement or its cleaning up is under way.
 	running bool
 	// pausedSince is the time since which a replica was seen paused without a replacement; 0 while none is.
 	pausedSince time.Duration
@@ -77,6 +77,7 @@
 	}
 	mesh.Handle(network, kindFence, promoter.fenced)
 	mesh.Handle(network, kindFenced, promoter.acknowledged)
+	mesh.Handle(network, kindReleased, promoter.released)
 	mesh.Handle(network, kindLeader, promoter.replaced)
 	return promoter
 }
@@ -126,9 +127,16 @@
 		promoter.cleanUp(now, watched, group, members)
 		return
 	}
-	watched.running, watched.pausedSince = true, 0
+	watched.pausedSince = 0
+	promoter.start(watched, func() { promoter.replace(ctx, group, reason) })
+}
+
+// start runs the work on the group beside the judging; only one runs at a time, since an order to receive again must not
+// overtake a pause. The mutex is held.
+func (promoter *Promoter) start(watched *watch, work func()) {
+	watched.running = true
 	go func() {
-		promoter.replace(ctx, group, reason)
+		work()
 		promoter.mutex.Lock()
 		defer promoter.mutex.Unlock()
 		watched.running = false
@@ -145,7 +153,7 @@
 		watched.pausedSince = now
 	case now-watched.pausedSince > settleTime:
 		watched.pausedSince = now
-		go promoter.resume(group, term)
+		promoter.start(watched, func() { promoter.resume(group, term) })
 	}
 }
 
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -23,20 +24,23 @@
 	takeoverTimeout = 3 * time.Second
 	// takeoverPoll is the time between two questions whether it does.
 	takeoverPoll = 60 * time.Millisecond
-	// refreshTimeout bounds the reading of registrations during a replacement.
-	refreshTimeout = 300 * time.Millisecond
+	// refreshTimeout bounds the reading of registrations during a replacement; a store that is slow by a factor of 60 answers
+	// within 240 ms.
+	refreshTimeout = 600 * time.Millisecond
 	// orderPause is the pause after an order that failed.
 	orderPause = 150 * time.Millisecond
 )
 
 // replace carries out one attempt to replace the group's primary.
 func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, reason handover.Reason) {
+	// Who registers later than now counts as joined.
+	listed := promoter.refresh(ctx)
 	members := describe(group)
 	servers := group.Servers()
 	old := find(servers, handover.Primary(members))
 	term := nextTerm(members)
 	promoter.decisions.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
-	fence := promoter.fence(group, servers, old, term)
+	fence := promoter.fence(group, servers, old, term, listed)
 	successor, ok := fence.Successor()
 	if !ok {
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
@@ -45,11 +49,14 @@
 		sleep(ctx, orderPause)
 		return
 	}
-	acknowledged := promoter.awaitFence(ctx, group)
-	promoter.refresh(ctx)
-	if cause := handover.Unsafe(successor, acknowledged, joined(servers, group.Servers())); cause != "" {
+	findings := handover.Findings{Acknowledged: promoter.awaitFence(ctx, group, term)}
+	findings.Listed = promoter.refresh(ctx)
+	findings.Joined = joined(servers, group.Servers())
+	findings.Unfenced = !fence.SteppedDown && !promoter.stillFenced(servers, fence.Others, term)
+	if cause := handover.Unsafe(successor, findings); cause != "" {
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
-			"position", successor.Received.Log, "acknowledged", acknowledged.Log)
+			"position", successor.Received.Log, "acknowledged", findings.Acknowledged.Log)
+		promoter.release(ctx, group, term)
 		promoter.resume(group, term)
 		sleep(ctx, orderPause)
 		return
@@ -62,16 +69,37 @@
 	if old != nil && !fence.SteppedDown && old.ID() != successor.ID {
 		go promoter.stepDown(group, old, term, &handover.Fence{})
 	}
-	promoter.announce(group)
+	promoter.announce(ctx, group, term, successor.Received)
 }
 
-// refresh reads the registrations anew: a server that has just joined counts too.
-func (promoter *Promoter) refresh(ctx context.Context) {
+// stillFenced states whether the servers that were paused still are: one that restarted receives again, and so does one that
+// an order of an earlier attempt reached late.
+func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
+	fenced := true
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for index := range paused {
+		server := find(servers, &paused[index])
+		calls.Go(func() {
+			status, err := promoter.groups.Ask(server, dbpool.Call{Kind: statement.Status})
+			mutex.Lock()
+			defer mutex.Unlock()
+			fenced = fenced && err == nil && status.Paused >= term
+		})
+	}
+	calls.Wait()
+	return fenced
+}
+
+// refresh reads the registrations anew: a server that has just joined counts too. It returns whether that succeeded.
+func (promoter *Promoter) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	if err := promoter.directory.Refresh(ctx); err != nil {
 		promoter.decisions.Event("registrations_unknown", "err", err)
+		return false
 	}
+	return true
 }
 
 // find returns the server of the member, nil for none.
@@ -111,8 +139,9 @@
 }
 
 // fence keeps the old primary from acknowledging writes: it steps down, or no other server receives from it any more. A
-// primary that is silent is asked all the same, since it may only be hard to reach.
-func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term) handover.Fence {
+// primary that is silent is asked all the same, since it may only be hard to reach. Listed states that all registrations are
+// known: a server whose address has become another's then counts as gone before its registration lapses.
+func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term, listed bool) handover.Fence {
 	var fence handover.Fence
 	var stepped sync.WaitGroup
 	if old != nil {
@@ -137,7 +166,9 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil || call.Kind == statement.Pause && status.Paused < term {
-				fence.Silent++
+				if !listed || !replacedAtAddress(err) {
+					fence.Silent++
+				}
 				promoter.decisions.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
 				return
 			}
@@ -149,6 +180,12 @@
 	return fence
 }
 
+// replacedAtAddress states whether the error tells that another server has the address.
+func replacedAtAddress(err error) bool {
+	var refused *dbpool.RefusedError
+	return errors.As(err, &refused) && refused.Code == statement.Misrouted
+}
+
 // stepDown asks the old primary to act as a replica.
 func (promoter *Promoter) stepDown(group *monitor.Group, old *monitor.Server, term ids.Term, fence *handover.Fence) {
 	status, err := promoter.groups.Ask(old, dbpool.Call{Kind: statement.StepDown, Term: term})
@@ -213,8 +250,12 @@
 	return false
 }
 
-// resume lets servers receive again that were paused for the term, which got no primary.
+// resume lets servers receive again that were paused for the term, which got no primary. Without the duty it does nothing:
+// the next holder may have paused them anew.
 func (promoter *Promoter) resume(group *monitor.Group, term ids.Term) {
+	if !promoter.OnDuty() {
+		return
+	}
 	var calls sync.WaitGroup
 	for _, server := range group.Servers() {
 		observed, known := group.Observed(server.ID())
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -76,7 +76,7 @@
 	switch {
 	case reply.Code == statement.Complete:
 		if operation.writes {
-			session.acknowledge(target.server, reply.Position)
+			return reply, false, session.acknowledge(target.server, attempts.deadline, reply.Position)
 		}
 		return reply, false, nil
 	case reply.Code.NotRun():
--- a/io/proxy/inside.go
+++ b/io/proxy/inside.go
@@ -188,7 +188,9 @@
 	transaction.conn.Release(reply.State)
 	transaction.conn = nil
 	if reply.Code == statement.Complete && transaction.wrote {
-		session.acknowledge(transaction.server, reply.Position)
+		if refused := session.acknowledge(transaction.server, attempts.deadline, reply.Position); refused != nil {
+			return session.answer(request, refused, statement.Idle)
+		}
 	}
 	reply.State = statement.Idle
 	return reply
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -84,10 +84,13 @@
 }
 
 // acknowledge notes a write before its success goes to the caller: for the session's own reads, and for whoever replaces the
-// primary.
-func (session *session) acknowledge(server *monitor.Server, at position.Position) {
+// primary. A write that a replacement may have dropped is refused with an open outcome.
+func (session *session) acknowledge(server *monitor.Server, deadline time.Time, at position.Position) *refused {
+	if !server.Acknowledge(deadline, at) {
+		return refuse(refusal.OutcomeUnknown, 0, fmt.Sprintf("the primary was replaced; its successor may lack %d.%d", at.Term, at.Log))
+	}
 	session.written, session.writtenAt = at, clock.Now()
-	server.Acknowledged(at)
+	return nil
 }
 
 // admit checks route, key and rate at the begin of an operation.
