Few VMs watch the store for the others and pass its records on

Cause: every VM held four watches of the store. A VM that the store turned away learnt of no change.

Ruled out: longer waits (a configuration is to be in force within 3 s); one watch of all prefixes (each heartbeat of a server would end it).

Change: two VMs, one more for each 200, are relays by rendezvous hash of the registered VMs. They watch the store; the others ask two of them in turn every 400 ms for what changed after a revision, by datagram. Ages count from the relay's own question to the store. A VM whose records were not confirmed for a time per prefix reads the store itself, and so does one whose relay lacks the history or has a change that does not fit into a datagram. A relay that the store turns away asks the others. Heartbeats of servers are no change. Directory, fleet and duty see a platform.Store as before.

--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -33,6 +33,16 @@
 	DecodeServer func(key string, value []byte) (catalog.Server, error)
 }
 
+// SameServer states whether two registrations under a key tell the same; each heartbeat writes a new one.
+func (format Format) SameServer(key string, one, other []byte) bool {
+	first, err := format.DecodeServer(key, one)
+	if err != nil {
+		return false
+	}
+	second, err := format.DecodeServer(key, other)
+	return err == nil && first == second
+}
+
 // Directory holds the configuration in force and the registered servers.
 type Directory struct {
 	store     platform.Store
@@ -128,7 +138,14 @@
 		}
 	}
 	if !event.Asked.IsZero() {
-		directory.confirmed.Store(int64(clock.Now() - time.Since(event.Asked)))
+		directory.confirm(clock.Now() - time.Since(event.Asked))
+	}
+}
+
+// confirm notes a time at which the configuration was the newest; answers of several relays come in any order.
+func (directory *Directory) confirm(at time.Duration) {
+	if int64(at) > directory.confirmed.Load() {
+		directory.confirmed.Store(int64(at))
 	}
 }
 
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -15,6 +15,7 @@
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/member"
+	corerelay "dotterelgw/core/relay"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/directory"
@@ -25,6 +26,7 @@
 	"dotterelgw/io/promoter"
 	"dotterelgw/io/proxy"
 	"dotterelgw/io/quota"
+	"dotterelgw/io/relay"
 )
 
 // Platform is what the node needs of the platform that it runs on.
@@ -62,8 +64,11 @@
 	mesh      *mesh.Mesh
 	quota     *quota.Limiter
 	promoter  *promoter.Promoter
-	draining  atomic.Bool
-	ready     atomic.Bool
+	records   *relay.Store
+	// role is this VM's part in passing on records.
+	role     atomic.Pointer[corerelay.Role]
+	draining atomic.Bool
+	ready    atomic.Bool
 }
 
 // memoryFraction is the part of the process's memory at which the garbage collector becomes eager.
@@ -81,13 +86,14 @@
 	node := &Node{
 		background: background, stop: stop,
 		settings: settings, platform: platform, decisions: decisions, metrics: registry,
-		directory: directory.New(platform.Store, platform.Format, decisions),
-		fleet: fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone},
-			platform.Store, decisions),
 		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
-	node.promoter = promoter.New(settings.VM, platform.Store, node.monitor, node.directory, platform.Promotion, network, decisions)
+	node.role.Store(&corerelay.Role{Relay: true})
+	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format), decisions)
+	node.directory = directory.New(node.records, platform.Format, decisions)
+	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, decisions)
+	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, decisions)
 	node.monitor.SetDuty(node.promoter.OnDuty)
 	node.monitor.Share(network, settings.VM, node.observers)
 	node.proxy = proxy.New(proxy.Dependencies{
@@ -106,6 +112,8 @@
 	for _, vm := range vms {
 		identifiers = append(identifiers, vm.ID)
 	}
+	role := corerelay.Choose(node.current().VM, identifiers)
+	node.role.Store(&role)
 	node.mesh.SetVMs(vms)
 	node.quota.SetVMs(identifiers)
 	node.monitor.SetVMs(identifiers)
@@ -179,6 +187,7 @@
 	group.Go(func() { node.directory.Run(background) })
 	group.Go(func() { node.fleet.Run(background) })
 	group.Go(func() { node.mesh.Run(background) })
+	group.Go(func() { node.records.Run(background) })
 	group.Go(func() { node.quota.Run(background) })
 	group.Go(func() { node.monitor.Run(background) })
 	group.Go(func() { node.promoter.Run(background) })
--- /dev/null
+++ b/io/node/topics.go
@@ -0,0 +1,33 @@
+package node
+
+import (
+	"time"
+
+	"dotterelgw/io/directory"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/promoter"
+	"dotterelgw/io/relay"
+)
+
+// A relay's watch confirms its records as of the time at which it asked, so that they are up to two waits old when the next
+// confirmation comes; a lost question adds to that.
+const (
+	// catalogStale leaves 0.8 s of the 3 s in which a configuration is to be in force for reading it from the store.
+	catalogStale = 2200 * time.Millisecond
+	// serversStale is well below the 7 s after which a server that leaves gets no new work.
+	serversStale = 4500 * time.Millisecond
+	// dutyStale bounds how long a VM takes to learn that the duty of replacing primaries is vacant.
+	dutyStale = 3 * time.Second
+	// fleetStale bounds how long a VM that was added is not known; one that is gone counts for longer anyway.
+	fleetStale = 22 * time.Second
+)
+
+// topics returns the records that VMs pass on to each other.
+func topics(format directory.Format) []relay.Topic {
+	return []relay.Topic{
+		{Prefix: format.CatalogKey, StaleAfter: catalogStale},
+		{Prefix: format.ServerPrefix, Same: format.SameServer, StaleAfter: serversStale},
+		{Prefix: promoter.Prefix, StaleAfter: dutyStale},
+		{Prefix: fleet.Prefix, StaleAfter: fleetStale},
+	}
+}
--- /dev/null
+++ b/io/relay/ask.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/relay"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/platform"
+)
+
+// The kinds of datagrams.
+const (
+	kindAsk  mesh.Kind = "ask_records"
+	kindTell mesh.Kind = "tell_records"
+)
+
+// maxTold bounds the keys and values of one answer in bytes, so that it fits into a datagram.
+const maxTold = 6 << 10
+
+// question asks for what changed.
+type question struct {
+	// AskedUS is the time of the question in microseconds on the clock of the VM that asks; the answer repeats it.
+	AskedUS int64   `cbor:"asked_us"`
+	Topics  []since `cbor:"topics"`
+}
+
+// since asks for the changes of one prefix.
+type since struct {
+	Prefix string       `cbor:"prefix"`
+	After  ids.Revision `cbor:"after"`
+}
+
+// tidings answers a question.
+type tidings struct {
+	AskedUS int64     `cbor:"asked_us"`
+	Topics  []changes `cbor:"topics"`
+}
+
+// changes is what changed of one prefix.
+type changes struct {
+	Prefix string `cbor:"prefix"`
+	// Known states that the relay knows every change after the revision of the question.
+	Known bool `cbor:"known"`
+	// UpTo is the revision up to which Entries holds every change.
+	UpTo    ids.Revision `cbor:"up_to"`
+	Entries []record     `cbor:"entries"`
+	// Whole states that no known change was left out.
+	Whole bool `cbor:"whole"`
+	// AgeUS is the time in microseconds since the service had no further change.
+	AgeUS int64 `cbor:"age_us"`
+}
+
+// record is one entry.
+type record struct {
+	Key      string       `cbor:"key"`
+	Value    []byte       `cbor:"value"`
+	Revision ids.Revision `cbor:"revision"`
+}
+
+// answered is the answer of a relay on one topic.
+type answered struct {
+	known, whole bool
+	event        platform.WatchEvent
+}
+
+// Run asks relays until the context ends.
+func (store *Store) Run(ctx context.Context) {
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			store.ask()
+		}
+	}
+}
+
+// ask asks the next relay. A relay itself asks only for what the service does not tell it.
+func (store *Store) ask() {
+	role := store.role()
+	if len(role.Sources) == 0 {
+		return
+	}
+	question := question{AskedUS: clock.Now().Microseconds()}
+	for _, topic := range store.topics {
+		if role.Relay && !topic.stale() {
+			continue
+		}
+		topic.mutex.Lock()
+		question.Topics = append(question.Topics, since{Prefix: topic.Prefix, After: topic.reported})
+		topic.mutex.Unlock()
+	}
+	if len(question.Topics) == 0 {
+		return
+	}
+	store.mutex.Lock()
+	store.turn++
+	source := role.Sources[store.turn%len(role.Sources)]
+	store.mutex.Unlock()
+	mesh.Send(store.mesh, source, kindAsk, question)
+}
+
+// answer tells another VM what changed, and makes this VM watch the service for a while.
+func (store *Store) answer(sender ids.VMID, asked question) {
+	reply := tidings{AskedUS: asked.AskedUS}
+	room := maxTold
+	for _, wanted := range asked.Topics {
+		topic, ok := store.topics[wanted.Prefix]
+		if !ok {
+			continue
+		}
+		told, size := topic.since(wanted.After, room)
+		room -= size
+		reply.Topics = append(reply.Topics, told)
+	}
+	mesh.Send(store.mesh, sender, kindTell, reply)
+}
+
+// since returns what changed after the revision in at most room bytes, and its size.
+func (topic *topic) since(after ids.Revision, room int) (told changes, size int) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	now := clock.Now()
+	topic.asked = now
+	told = changes{Prefix: topic.Prefix, AgeUS: (now - topic.journal.Confirmed()).Microseconds()}
+	all, known := topic.journal.Since(after)
+	if !known {
+		return told, 0
+	}
+	told.Known = true
+	part, upTo, whole := relay.Cut(all, topic.journal.Revision(), room)
+	told.UpTo, told.Whole = upTo, whole
+	for _, entry := range part {
+		told.Entries = append(told.Entries, record(entry))
+		size += len(entry.Key) + len(entry.Value)
+	}
+	return told, size
+}
+
+// receive takes the answer of a relay. Its age counts from the sending of the question, so that a late answer makes the
+// records older, never newer.
+func (store *Store) receive(_ ids.VMID, reply tidings) {
+	since := clock.Now() - time.Duration(reply.AskedUS)*time.Microsecond
+	if since < 0 {
+		return
+	}
+	for _, told := range reply.Topics {
+		topic, ok := store.topics[told.Prefix]
+		if !ok {
+			continue
+		}
+		age := since + time.Duration(max(told.AgeUS, 0))*time.Microsecond
+		event := platform.WatchEvent{Revision: told.UpTo}
+		if told.Whole {
+			event.Asked = time.Now().Add(-age)
+		}
+		for _, record := range told.Entries {
+			event.Entries = append(event.Entries, config.Entry(record))
+		}
+		topic.hand(answered{known: told.Known, whole: told.Whole, event: event})
+	}
+}
+
+// hand leaves the answer for the watch; an older one that was not taken is replaced.
+func (topic *topic) hand(answer answered) {
+	for {
+		select {
+		case topic.answers <- answer:
+			return
+		default:
+		}
+		select {
+		case <-topic.answers:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/io/relay/store.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/relay"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+const (
+	// askInterval is the time between two questions to the relays; a configuration is to be in force within 3 s.
+	askInterval = 400 * time.Millisecond
+	// askedMemory is the time after a question in which a VM watches the service for others.
+	askedMemory = 3 * time.Second
+)
+
+// Topic is a prefix whose records the VMs pass on to each other.
+type Topic struct {
+	// Prefix is the prefix of the keys.
+	Prefix string
+	// Same tells changes from heartbeats; nil counts every write as a change.
+	Same relay.Same
+	// StaleAfter is the age of the last confirmation from which on a VM reads the service itself. It is longer than a relay's
+	// watch waits, since that confirms the records, and leaves time for a question that is lost.
+	StaleAfter time.Duration
+}
+
+// Store is the key-value service with lists and watches that go through relays. All other calls go to the service.
+type Store struct {
+	fleet.Store
+	mesh      *mesh.Mesh
+	role      func() relay.Role
+	decisions *observe.Decisions
+	topics    map[string]*topic
+
+	mutex sync.Mutex
+	// turn chooses the relay that is asked next.
+	turn int
+}
+
+// topic is what this VM knows of one prefix.
+type topic struct {
+	Topic
+
+	mutex   sync.Mutex
+	journal *relay.Journal
+	// reported is the revision up to which the watch has reported every change.
+	reported ids.Revision
+	// asked is the time of the last question of another VM.
+	asked time.Duration
+	// answers hands the answers of relays to the watch.
+	answers chan answered
+}
+
+// New returns a store that passes on the topics. The role is that of this VM at the time of the call.
+func New(service fleet.Store, network *mesh.Mesh, role func() relay.Role, topics []Topic, decisions *observe.Decisions) *Store {
+	store := &Store{Store: service, mesh: network, role: role, decisions: decisions, topics: make(map[string]*topic)}
+	for _, passed := range topics {
+		store.topics[passed.Prefix] = &topic{Topic: passed, journal: relay.NewJournal(passed.Same), answers: make(chan answered, 1)}
+	}
+	mesh.Handle(network, kindAsk, store.answer)
+	mesh.Handle(network, kindTell, store.receive)
+	return store
+}
+
+// List implements platform.Store.List.
+func (store *Store) List(ctx context.Context, prefix string) ([]config.Entry, ids.Revision, error) {
+	asked := clock.Now()
+	entries, revision, err := store.Store.List(ctx, prefix)
+	if err != nil {
+		return nil, 0, fmt.Errorf("from the service: %w", err)
+	}
+	if topic, ok := store.topics[prefix]; ok {
+		topic.mutex.Lock()
+		defer topic.mutex.Unlock()
+		topic.journal.List(entries, revision, asked)
+	}
+	return entries, revision, nil
+}
+
+// Watch implements platform.Store.Watch.
+func (store *Store) Watch(ctx context.Context, prefix string, from ids.Revision) (<-chan platform.WatchEvent, error) {
+	topic, ok := store.topics[prefix]
+	if !ok || from == 0 {
+		events, err := store.Store.Watch(ctx, prefix, from)
+		if err != nil {
+			return nil, fmt.Errorf("from the service: %w", err)
+		}
+		return events, nil
+	}
+	watch := &watch{store: store, topic: topic, after: from - 1, events: make(chan platform.WatchEvent)}
+	go watch.run(ctx)
+	return watch.events, nil
+}
+
+// apply notes an event of the service. One without a time confirms nothing.
+func (topic *topic) apply(event platform.WatchEvent) {
+	var confirmed time.Duration
+	if !event.Asked.IsZero() {
+		confirmed = clock.Now() - time.Since(event.Asked)
+	}
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.journal.Apply(event.Entries, event.Revision, confirmed)
+}
+
+// report notes up to which revision the watch has reported every change.
+func (topic *topic) report(revision ids.Revision) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.reported = revision
+}
+
+// age returns the time since the records were those of the service.
+func (topic *topic) age() time.Duration {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return clock.Now() - topic.journal.Confirmed()
+}
+
+// stale states whether the records were not confirmed for too long.
+func (topic *topic) stale() bool { return topic.age() > topic.StaleAfter }
+
+// servesOthers states whether another VM asked lately.
+func (topic *topic) servesOthers() bool {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return topic.asked > 0 && clock.Now()-topic.asked < askedMemory
+}
