Rates of small organisations: whole burst, parts of three operations, fractions spent early

Cause: before 87 VMs an organisation with 6 operations a second and a burst of 6 had two parts of 2.55, each of which holds two whole operations at most; what a full part earns is lost, and several parts with a fraction each lend nothing. Ruled out: the 20 ms of waiting for a loan (a round trip and the next VM fit in 12 ms).

Change: the burst is divided whole (the tolerance of the rule covers what is lent and spent later), a part has three operations at least, and a part may spend three quarters of an operation before it is earned.

Test: quota.TestSmallOrganisationBeforeLargeFleet, which failed for 12 and 6 a second.

--- a/core/limit/share.go
+++ b/core/limit/share.go
@@ -25,6 +25,8 @@
 	Rate float64
 	// Burst is the largest number of tokens that the part collects.
 	Burst float64
+	// Overdraft is the number of tokens, below one, that may be drawn before they are there.
+	Overdraft float64
 	// Validity is the time for which a grant may be spent, counted from the request for it.
 	Validity time.Duration
 }
--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -10,8 +10,9 @@
 // this time, by which the use of an organisation may exceed its rate in a window.
 const LoanValidity = 600 * time.Millisecond
 
-// leastPart is the smallest burst of one part in operations; a part below one operation would never admit any.
-const leastPart = 2
+// leastPart is the smallest burst of one part in operations. What a full part earns is lost, which happens the more often the
+// smaller the parts are; with fewer parts the loss of their VMs costs more of the rate.
+const leastPart = 3
 
 // Account is one organisation's rate on one VM: the VM's own part and what other VMs lent. It is not safe for concurrent use.
 type Account struct {
@@ -27,15 +28,23 @@
 
 // Parts returns into how many parts a budget is divided over the VMs.
 func Parts(budget limit.Budget, vms int) int {
-	whole := limit.Divide(budget.Rate, budget.Burst, 1).Burst
-	return max(1, min(vms, int(whole/leastPart)))
+	return max(1, min(vms, int(budget.Burst/leastPart)))
 }
 
+// divide returns one of the parts of a budget.
+func divide(budget limit.Budget, parts int) limit.Share {
+	return limit.Share{Rate: budget.Rate / float64(parts), Burst: budget.Burst / float64(parts), Overdraft: overdraft}
+}
+
+// overdraft is the part of an operation that a part may spend before it is earned, so that several parts which each hold a
+// fraction can spend their sum. What is spent early is missing later.
+const overdraft = 0.75
+
 // Resize sets the budget, the number of its parts and whether this VM owns one. A part begins empty, so that a VM that
 // started anew admits nothing that its previous process admitted already.
 func (account *Account) Resize(now time.Duration, budget limit.Budget, parts int, owns bool) {
 	account.budget = budget
-	account.share = limit.Divide(budget.Rate, budget.Burst, parts)
+	account.share = divide(budget, parts)
 	switch {
 	case owns && account.owns:
 		account.bucket.Resize(now, account.share)
