Watch the store once the relays are known; answer VMs whose registration is not known yet

A relay that listed the records later than the VM that asks tells the changes if the number of keys shows that none was deleted.

Tests: mesh.TestAnswerToUnknownVM, relay.TestSince (two cases).

--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -17,6 +17,8 @@
 
 // Role is the part of a VM in passing on records.
 type Role struct {
+	// Known states that the VM knows the fleet, so that the fields below hold.
+	Known bool
 	// Relay states that the VM watches the service for others.
 	Relay bool
 	// Sources holds the relays that the VM asks; a relay asks others only while the service does not answer it.
@@ -31,7 +33,7 @@
 	}
 	relays := member.Top("relay", sources+len(vms)/vmsPerRelay, members)
 	others := slices.DeleteFunc(slices.Clone(relays), func(relay member.Member) bool { return relay.ID == self })
-	role := Role{Relay: len(others) < len(relays)}
+	role := Role{Known: true, Relay: len(others) < len(relays)}
 	for _, relay := range member.Top("relay of "+string(self), sources, others) {
 		role.Sources = append(role.Sources, relay.ID)
 	}
--- a/core/relay/journal.go
+++ b/core/relay/journal.go
@@ -115,18 +115,23 @@
 	maps.DeleteFunc(journal.removed, func(_ string, revision ids.Revision) bool { return revision <= journal.base })
 }
 
-// Since returns what changed after the revision, oldest first; a deleted entry has a nil value. It returns false if not
-// every change after the revision is known.
-func (journal *Journal) Since(after ids.Revision) ([]config.Entry, bool) {
-	if journal.base == 0 || after < journal.base {
-		return nil, false
-	}
+// Keys returns the number of keys.
+func (journal *Journal) Keys() int { return len(journal.entries) }
+
+// Since returns what changed after the revision, at which there was the number of keys, oldest first; a deleted entry has a nil
+// value. It returns false if not every change after the revision is known. A revision before the first listing suffices if
+// as many keys are left unchanged as there were, so that none was deleted.
+func (journal *Journal) Since(after ids.Revision, keys int) ([]config.Entry, bool) {
 	var changes []config.Entry
 	for _, entry := range journal.entries {
 		if entry.Revision > after {
 			changes = append(changes, entry)
 		}
 	}
+	unchanged := len(journal.entries) - len(changes)
+	if journal.base == 0 || after < journal.base && unchanged != keys {
+		return nil, false
+	}
 	for key, revision := range journal.removed {
 		if revision > after {
 			changes = append(changes, config.Entry{Key: key, Revision: revision})
--- a/core/relay/journal_test.go
+++ b/core/relay/journal_test.go
@@ -39,6 +39,7 @@
 	for name, test := range map[string]struct {
 		apply func(journal *relay.Journal)
 		after ids.Revision
+		keys  int
 		want  []string
 		whole bool
 	}{
@@ -49,6 +50,12 @@
 		"older than the first listing": {apply: func(journal *relay.Journal) {
 			journal.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
 		}, after: 6},
+		"older than the first listing, one key since": {apply: func(journal *relay.Journal) {
+			journal.List([]config.Entry{entry("a", "1-1", 3), entry("b", "1-1", 6)}, 7, 0)
+		}, after: 4, keys: 1, want: []string{"b=1-1@6"}, whole: true},
+		"older than the first listing, one key gone": {apply: func(journal *relay.Journal) {
+			journal.List([]config.Entry{entry("a", "1-1", 3), entry("b", "1-1", 6)}, 7, 0)
+		}, after: 4, keys: 2},
 		"changes after the listing": {apply: func(journal *relay.Journal) {
 			journal.List([]config.Entry{entry("a", "1-1", 3), entry("b", "1-1", 4)}, 7, 0)
 			journal.Apply([]config.Entry{entry("b", "2-1", 9), gone("a", 8)}, 9, 0)
@@ -79,7 +86,7 @@
 		t.Run(name, func(t *testing.T) {
 			journal := relay.NewJournal(sameBeforeDash)
 			test.apply(journal)
-			changes, whole := journal.Since(test.after)
+			changes, whole := journal.Since(test.after, test.keys)
 			if got := describe(changes); whole != test.whole || !slices.Equal(got, test.want) {
 				t.Errorf("changes %v, whole %t, want %v, %t", got, whole, test.want, test.whole)
 			}
@@ -90,17 +97,17 @@
 // Guards against a memory of deletions without bound, and against a VM that is told of some of them only.
 func TestManyDeletions(t *testing.T) {
 	journal := relay.NewJournal(nil)
-	journal.List(nil, 1, 0)
+	journal.List([]config.Entry{entry("kept", "1", 1)}, 1, 0)
 	const deletions = 5000
 	for index := range deletions {
 		key, revision := fmt.Sprint("key", index), ids.Revision(2*index+2)
 		journal.Apply([]config.Entry{entry(key, "1", revision), gone(key, revision+1)}, revision+1, 0)
 	}
-	if _, whole := journal.Since(1); whole {
+	if _, whole := journal.Since(1, 0); whole {
 		t.Error("deletions that were dropped count as known")
 	}
 	last := ids.Revision(2*deletions + 1)
-	if changes, whole := journal.Since(last - 2); !whole || len(changes) != 1 {
+	if changes, whole := journal.Since(last-2, 0); !whole || len(changes) != 1 {
 		t.Errorf("%d changes, whole %t, want the last deletion", len(changes), whole)
 	}
 }
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -30,6 +30,8 @@
 	macBytes = 16
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 8 << 10
+	// maxGuests bounds the VMs that are remembered before their registration is known.
+	maxGuests = 4096
 	// secretRetry is the pause after a failed attempt to read the secret.
 	secretRetry = 300 * time.Millisecond
 )
@@ -52,8 +54,10 @@
 	decisions *observe.Decisions
 	secret    atomic.Pointer[[]byte]
 
-	mutex    sync.Mutex
-	peers    map[ids.VMID]netip.AddrPort
+	mutex sync.Mutex
+	peers map[ids.VMID]netip.AddrPort
+	// guests holds the addresses of VMs that sent an authenticated datagram before their registration was known here.
+	guests   map[ids.VMID]netip.AddrPort
 	handlers map[Kind]func(sender ids.VMID, message []byte)
 }
 
@@ -69,7 +73,7 @@
 	}
 	return &Mesh{
 		self: self, conn: conn, store: store, decisions: decisions,
-		peers: make(map[ids.VMID]netip.AddrPort), handlers: make(map[Kind]func(ids.VMID, []byte)),
+		peers: make(map[ids.VMID]netip.AddrPort), guests: make(map[ids.VMID]netip.AddrPort), handlers: make(map[Kind]func(ids.VMID, []byte)),
 	}, nil
 }
 
@@ -93,6 +97,9 @@
 	secret := mesh.secret.Load()
 	mesh.mutex.Lock()
 	address, known := mesh.peers[receiver]
+	if !known {
+		address, known = mesh.guests[receiver]
+	}
 	mesh.mutex.Unlock()
 	if secret == nil || !known {
 		return
@@ -133,6 +140,7 @@
 	mesh.mutex.Lock()
 	defer mesh.mutex.Unlock()
 	mesh.peers = peers
+	clear(mesh.guests)
 }
 
 // Peers returns the other VMs.
@@ -153,7 +161,7 @@
 	defer stop()
 	var buffer [maxDatagram]byte
 	for {
-		size, _, err := mesh.conn.ReadFromUDPAddrPort(buffer[:])
+		size, from, err := mesh.conn.ReadFromUDPAddrPort(buffer[:])
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -161,11 +169,11 @@
 			// A port that is closed on the other side shows here; the datagram is lost.
 			continue
 		}
-		mesh.receive(buffer[:size])
+		mesh.receive(buffer[:size], from)
 	}
 }
 
-func (mesh *Mesh) receive(datagram []byte) {
+func (mesh *Mesh) receive(datagram []byte, from netip.AddrPort) {
 	secret := mesh.secret.Load()
 	if secret == nil || len(datagram) <= macBytes {
 		return
@@ -182,11 +190,21 @@
 		mesh.decisions.Request("datagram_faulty", "err", err)
 		return
 	}
+	mesh.greet(received.Sender, from)
 	if handle, ok := mesh.handlers[received.Kind]; ok {
 		handle(received.Sender, received.Message)
 	}
 }
 
+// greet remembers where an unknown sender is, so that it gets answers: of VMs that start together one knows the other first.
+func (mesh *Mesh) greet(sender ids.VMID, from netip.AddrPort) {
+	mesh.mutex.Lock()
+	defer mesh.mutex.Unlock()
+	if _, known := mesh.peers[sender]; !known && sender != mesh.self && len(mesh.guests) < maxGuests {
+		mesh.guests[sender] = from
+	}
+}
+
 // learnSecret reads the shared secret; the first VM creates it.
 func (mesh *Mesh) learnSecret(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -89,3 +89,26 @@
 		}
 	}
 }
+
+// Pattern: all VMs start at once, and one knows another before it is known to it. Guards against questions without answer
+// until the registration of the one that asks is known.
+func TestAnswerToUnknownVM(t *testing.T) {
+	one, vmOne, _ := start(t, "vm1", "secret")
+	two, _, received := start(t, "vm2", "secret")
+	two.SetVMs([]fleet.VM{vmOne})
+	end := time.After(testWait)
+	for {
+		mesh.Send(two, "vm1", kind, greeting{Text: "question"})
+		mesh.Send(one, "vm2", kind, greeting{Text: "answer"})
+		select {
+		case got := <-received:
+			if got != "vm1:answer" {
+				t.Fatalf("received %q", got)
+			}
+			return
+		case <-end:
+			t.Fatal("no answer arrived")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -66,7 +66,9 @@
 	promoter  *promoter.Promoter
 	records   *relay.Store
 	// role is this VM's part in passing on records.
-	role     atomic.Pointer[corerelay.Role]
+	role atomic.Pointer[corerelay.Role]
+	// settled states that the VMs that started with this one have registered.
+	settled  atomic.Bool
 	draining atomic.Bool
 	ready    atomic.Bool
 }
@@ -74,6 +76,9 @@
 // memoryFraction is the part of the process's memory at which the garbage collector becomes eager.
 const memoryFraction = 0.7
 
+// settleTime is the time after the start in which other VMs that start as well register, which takes a few calls to the store.
+const settleTime = 500 * time.Millisecond
+
 // New returns a node that does nothing until Run.
 func New(settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryFraction * (1 << 20)))
@@ -89,7 +94,7 @@
 		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
-	node.role.Store(&corerelay.Role{Relay: true})
+	node.role.Store(&corerelay.Role{})
 	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format), decisions)
 	node.directory = directory.New(node.records, platform.Format, decisions)
 	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, decisions)
@@ -112,13 +117,37 @@
 	for _, vm := range vms {
 		identifiers = append(identifiers, vm.ID)
 	}
-	role := corerelay.Choose(node.current().VM, identifiers)
-	node.role.Store(&role)
+	if node.settled.Load() {
+		node.chooseRole(identifiers)
+	}
 	node.mesh.SetVMs(vms)
 	node.quota.SetVMs(identifiers)
 	node.monitor.SetVMs(identifiers)
 }
 
+// settle chooses this VM's part in passing on records once the VMs that start with it have registered.
+func (node *Node) settle(ctx context.Context) {
+	timer := time.NewTimer(settleTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	node.settled.Store(true)
+	var identifiers []ids.VMID
+	for _, vm := range node.fleet.VMs() {
+		identifiers = append(identifiers, vm.ID)
+	}
+	node.chooseRole(identifiers)
+}
+
+func (node *Node) chooseRole(vms []ids.VMID) {
+	role := corerelay.Choose(node.current().VM, vms)
+	if held := node.role.Swap(&role); !held.Known || held.Relay != role.Relay {
+		node.decisions.Event("relay_role", "relay", role.Relay, "sources", len(role.Sources), "vms", len(vms))
+	}
+}
+
 // observers returns the VMs that observe the backend servers for the others: the one that replaces primaries, which asks
 // them anyway, then one that all VMs agree on.
 func (node *Node) observers() []ids.VMID {
@@ -188,6 +217,7 @@
 	group.Go(func() { node.fleet.Run(background) })
 	group.Go(func() { node.mesh.Run(background) })
 	group.Go(func() { node.records.Run(background) })
+	group.Go(func() { node.settle(background) })
 	group.Go(func() { node.quota.Run(background) })
 	group.Go(func() { node.monitor.Run(background) })
 	group.Go(func() { node.promoter.Run(background) })
--- a/io/node/topics.go
+++ b/io/node/topics.go
@@ -25,9 +25,9 @@
 // topics returns the records that VMs pass on to each other.
 func topics(format directory.Format) []relay.Topic {
 	return []relay.Topic{
-		{Prefix: format.CatalogKey, StaleAfter: catalogStale},
+		{Prefix: format.CatalogKey, FromStart: true, StaleAfter: catalogStale},
 		{Prefix: format.ServerPrefix, Same: format.SameServer, StaleAfter: serversStale},
 		{Prefix: promoter.Prefix, StaleAfter: dutyStale},
-		{Prefix: fleet.Prefix, StaleAfter: fleetStale},
+		{Prefix: fleet.Prefix, FromStart: true, StaleAfter: fleetStale},
 	}
 }
--- a/io/relay/ask.go
+++ b/io/relay/ask.go
@@ -32,6 +32,8 @@
 type since struct {
 	Prefix string       `cbor:"prefix"`
 	After  ids.Revision `cbor:"after"`
+	// Keys is the number of keys at that revision.
+	Keys int `cbor:"keys"`
 }
 
 // tidings answers a question.
@@ -93,7 +95,7 @@
 			continue
 		}
 		topic.mutex.Lock()
-		question.Topics = append(question.Topics, since{Prefix: topic.Prefix, After: topic.reported})
+		question.Topics = append(question.Topics, since{Prefix: topic.Prefix, After: topic.reported, Keys: topic.journal.Keys()})
 		topic.mutex.Unlock()
 	}
 	if len(question.Topics) == 0 {
@@ -115,21 +117,21 @@
 		if !ok {
 			continue
 		}
-		told, size := topic.since(wanted.After, room)
+		told, size := topic.since(wanted, room)
 		room -= size
 		reply.Topics = append(reply.Topics, told)
 	}
 	mesh.Send(store.mesh, sender, kindTell, reply)
 }
 
-// since returns what changed after the revision in at most room bytes, and its size.
-func (topic *topic) since(after ids.Revision, room int) (told changes, size int) {
+// since returns what changed in at most room bytes, and its size.
+func (topic *topic) since(wanted since, room int) (told changes, size int) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	now := clock.Now()
 	topic.asked = now
 	told = changes{Prefix: topic.Prefix, AgeUS: (now - topic.journal.Confirmed()).Microseconds()}
-	all, known := topic.journal.Since(after)
+	all, known := topic.journal.Since(wanted.After, wanted.Keys)
 	if !known {
 		return told, 0
 	}
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -138,7 +138,7 @@
 			t.Fatal(err)
 		}
 		registered = append(registered, fleet.VM{ID: ids.VMID(fmt.Sprint("vm", index)), Peer: network.Address()})
-		role := relay.Role{Relay: index == 0, Sources: []ids.VMID{"vm0"}}
+		role := relay.Role{Known: true, Relay: index == 0, Sources: []ids.VMID{"vm0"}}
 		if index == 0 {
 			role.Sources = nil
 		}
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -29,6 +29,9 @@
 	Prefix string
 	// Same tells changes from heartbeats; nil counts every write as a change.
 	Same relay.Same
+	// FromStart states that the records are watched before the relays are known; others are listed then, and watched once the
+	// relays are known.
+	FromStart bool
 	// StaleAfter is the age of the last confirmation from which on a VM reads the service itself. It is longer than a relay's
 	// watch waits, since that confirms the records, and leaves time for a question that is lost.
 	StaleAfter time.Duration
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -95,6 +95,10 @@
 func (watch *watch) wanted() (wanted source, reason string) {
 	role := watch.store.role()
 	switch {
+	case !role.Known && watch.topic.FromStart:
+		return fromService, "start"
+	case !role.Known && !watch.topic.stale():
+		return fromRelays, ""
 	case role.Relay:
 		return fromService, "relay"
 	case len(role.Sources) == 0:
