--- a/core/refusal/reason.go
+++ b/core/refusal/reason.go
@@ -33,6 +33,7 @@
 	Stopping             Reason = "stopping"
 	BackendLost          Reason = "backend_lost"
 	OutcomeUnknown       Reason = "outcome_unknown"
+	PrimaryReplaced      Reason = "primary_replaced"
 	Unsupported          Reason = "unsupported"
 	ProtocolError        Reason = "protocol_error"
 	MessageTooLarge      Reason = "message_too_large"
@@ -72,6 +73,7 @@
 	Stopping:             {Stopping, "57P01", "service", NotRun, "this VM is shutting down", "reconnect; the balancer chooses another VM"},
 	BackendLost:          {BackendLost, "08006", "service", NotRun, "the connection to the database was lost", "retry the request, or the whole transaction if it was rolled back"},
 	OutcomeUnknown:       {OutcomeUnknown, "08007", "service", Unknown, "it is not known whether the request took effect", "check whether it took effect before repeating it"},
+	PrimaryReplaced:      {PrimaryReplaced, "08007", "service", Unknown, "the primary was replaced, and its successor may lack the write", "check whether it took effect before repeating it"},
 	Unsupported:          {Unsupported, "0A000", "service", NotRun, "the statement or message is not supported", "COPY, LISTEN and replication are not offered"},
 	ProtocolError:        {ProtocolError, "08P01", "service", NotRun, "the message violates the protocol", "check the client library"},
 	MessageTooLarge:      {MessageTooLarge, "54000", "service", NotRun, "the message is larger than allowed", "send smaller statements"},
--- a/io/proxy/refuse.go
+++ b/io/proxy/refuse.go
@@ -14,7 +14,7 @@
 	refusal.RouteUnknown: statement.DatabaseUnknown, refusal.RateExceeded: statement.Busy,
 	refusal.QueueFull: statement.Busy, refusal.QueueTimeout: statement.Busy, refusal.NoPrimary: statement.Busy,
 	refusal.NotConfirmed: statement.Busy, refusal.Stopping: statement.Aborted, refusal.BackendLost: statement.Aborted,
-	refusal.StaleRoute: statement.Lagging, refusal.OutcomeUnknown: statement.InDoubt,
+	refusal.StaleRoute: statement.Lagging, refusal.OutcomeUnknown: statement.InDoubt, refusal.PrimaryReplaced: statement.InDoubt,
 	refusal.ProtocolError: statement.Malformed, refusal.TransactionLimit: statement.Aborted,
 }
 
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -87,7 +87,7 @@
 // primary. A write that a replacement may have dropped is refused with an open outcome.
 func (session *session) acknowledge(server *monitor.Server, deadline time.Time, at position.Position) *refused {
 	if !server.Acknowledge(deadline, at) {
-		return refuse(refusal.OutcomeUnknown, 0, fmt.Sprintf("the primary was replaced; its successor may lack %d.%d", at.Term, at.Log))
+		return refuse(refusal.PrimaryReplaced, 0, fmt.Sprintf("%s had written %d.%d", server.ID(), at.Term, at.Log))
 	}
 	session.written, session.writtenAt = at, clock.Now()
 	return nil
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -62,13 +62,14 @@
 var beliefs = map[string]bool{
 	"dependency_lost": true, "dependency_regained": true, "primary_changed": true, "primary_certainty": true,
 	"replacement_begun": true, "replacement_given_up": true, "promotion_ordered": true, "promotion_done": true,
-	"configuration_applied": true, "drain": true, "start": true, "server_gone": true, "duty_lost": true, "duty_taken": true,
+	"configuration_applied": true, "drain": true, "start": true, "records_source": true, "relay_role": true, "server_gone": true, "duty_lost": true, "duty_taken": true,
 }
 
 // causes holds a sentence for each reason of a refusal.
 var causes = map[refusal.Reason]string{
 	refusal.RateExceeded:     "the organisation had used its rate and burst over the whole fleet",
 	refusal.OutcomeUnknown:   "the write was sent and its answer did not come, so whether it took effect is not known",
+	refusal.PrimaryReplaced:  "the write was done at a primary that was being replaced, and its successor may lack it",
 	refusal.NoPrimary:        "no server was confirmed as the only primary while the request waited",
 	refusal.NotConfirmed:     "the VM had not reached the key-value service for longer than its configuration may be relied on",
 	refusal.StaleRoute:       "no server within reach held data as recent as the route or the session asks for",
