--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -45,6 +45,9 @@
 
 	mutex sync.Mutex
 	limit int
+	// keep is how long an idle connection is kept; 0 means for ever. sweeping states that a look at the idle ones is due.
+	keep     time.Duration
+	sweeping bool
 	// open counts the connections that exist or are being opened.
 	open int
 	// idle holds the connections that nobody uses, longest idle first.
@@ -90,6 +93,33 @@
 	pool.dispatch()
 }
 
+// SetKeep changes how long an idle connection is kept; 0 means for ever.
+func (pool *Pool) SetKeep(keep time.Duration) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.keep = keep
+	pool.sweepLater()
+}
+
+// sweepLater has connections closed that will have been idle for too long. The mutex is held.
+func (pool *Pool) sweepLater() {
+	if pool.keep > 0 && !pool.sweeping && len(pool.idle) > 0 {
+		pool.sweeping = true
+		time.AfterFunc(pool.keep-time.Since(pool.idle[0].idleAt), pool.sweep)
+	}
+}
+
+// sweep closes the connections that have been idle for too long.
+func (pool *Pool) sweep() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.sweeping = false
+	for pool.keep > 0 && len(pool.idle) > 0 && time.Since(pool.idle[0].idleAt) >= pool.keep {
+		pool.evict()
+	}
+	pool.sweepLater()
+}
+
 // State is what the choice of a server needs to know of a pool.
 type State struct {
 	// Busy is the number of connections in use.
@@ -238,6 +268,7 @@
 	} else {
 		conn.idleAt = time.Now()
 		pool.idle = append(pool.idle, conn)
+		pool.sweepLater()
 	}
 	pool.dispatch()
 }
--- a/io/dbpool/pool_test.go
+++ b/io/dbpool/pool_test.go
@@ -262,3 +262,38 @@
 		t.Errorf("%d of the first %d answers say crowded, after %v", crowded, waiting/2, took)
 	}
 }
+
+// Pattern: more VMs than a server has connections. Guards against an idle connection that keeps other VMs out, and against
+// closing one that is in use.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	const keep = 30 * time.Millisecond
+	backend := &server{limit: 5}
+	pool := dbpool.New(catalog.Server{ID: "a"}, backend, 5)
+	defer pool.Close()
+	pool.SetKeep(keep)
+	var held []*dbpool.Conn
+	for range 2 {
+		conn, err := pool.Acquire(t.Context(), dbpool.Request{Organisation: "o"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, conn)
+	}
+	held[0].Release(statement.Idle)
+	for end := time.Now().Add(5 * time.Second); backend.count() != 1; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections open, want the one in use", backend.count())
+		}
+	}
+	time.Sleep(2 * keep)
+	if open := backend.count(); open != 1 {
+		t.Errorf("%d connections open, want the one in use", open)
+	}
+	held[1].Release(statement.Idle)
+}
+
+func (server *server) count() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.open
+}
--- a/io/monitor/limits.go
+++ b/io/monitor/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"dotterelgw/core/allot"
 	"dotterelgw/core/catalog"
@@ -25,14 +26,16 @@
 	return int(float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)), monitor.vms
 }
 
-// limit returns the number of connections that this VM may have to the server, of which all VMs have the total.
-func (monitor *Monitor) limit(server catalog.Server, total int) int {
+// limit returns the number of connections that this VM may have to the server, of which all VMs have the total, and how long it
+// keeps idle ones; 0 means for ever.
+func (monitor *Monitor) limit(server catalog.Server, total int) (limit int, keep time.Duration) {
 	monitor.mutex.Lock()
 	usable, vms := monitor.usable(server.Group)
 	monitor.mutex.Unlock()
 	ranked := member.Top("connections/"+string(server.ID), len(vms), vms)
 	rank := slices.IndexFunc(ranked, func(vm member.Member) bool { return vm.ID == monitor.self })
-	return allot.Demand(max(1, allot.Divide(usable, max(1, len(vms)), max(0, rank))), usable, total)
+	part := max(1, allot.Divide(usable, max(1, len(vms)), max(0, rank)))
+	return allot.Demand(part, usable, total), allot.Keep(usable, len(vms))
 }
 
 func (monitor *Monitor) setLimits() {
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -201,7 +201,9 @@
 	server.mutex.Lock()
 	total := server.connections
 	server.mutex.Unlock()
-	server.Pool.SetLimit(server.group.monitor.limit(server.Info(), total))
+	limit, keep := server.group.monitor.limit(server.Info(), total)
+	server.Pool.SetLimit(limit)
+	server.Pool.SetKeep(keep)
 }
 
 // candidate describes the server to the choice of a server for a read.
