--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -66,6 +66,8 @@
 // run takes the duty whenever it is free and keeps it.
 func (duty *duty) run(ctx context.Context) {
 	go duty.follow(ctx)
+	// The first listing tells whether the duty is free.
+	duty.wait(ctx)
 	for ctx.Err() == nil {
 		lease, err := duty.take(ctx)
 		switch {
