--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -241,18 +241,11 @@
 
 // sweep drops servers whose registration has been missing for goneDelay while the service answered.
 func (directory *Directory) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, sweepInterval, func() {
 		if directory.drop(clock.Now()) {
 			directory.publish()
 		}
-	}
+	})
 }
 
 func (directory *Directory) drop(now time.Duration) bool {
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -99,7 +99,7 @@
 			fleet.decisions.Request("registration_failed", "lease", lease, "err", err)
 			pause = retryInterval
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -131,15 +131,6 @@
 // errChanged states that another writer changed the registration meanwhile.
 var errChanged = errors.New("the registration changed meanwhile")
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (fleet *Fleet) follow(ctx context.Context) {
 	for event := range platform.Follow(ctx, fleet.store, Prefix, 0) {
 		if event.Err == nil && (event.Complete || len(event.Entries) > 0) {
@@ -200,12 +191,11 @@
 
 // sweep drops VMs that have been gone for absentDelay.
 func (fleet *Fleet) sweep(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, sweepInterval)
+	clock.Every(ctx, sweepInterval, func() {
 		if fleet.drop(clock.Now()) {
 			fleet.publish()
 		}
-	}
+	})
 }
 
 func (fleet *Fleet) drop(now time.Duration) bool {
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -16,6 +16,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/observe"
 	"dotterelgw/io/platform"
@@ -220,12 +221,7 @@
 		}
 		if err != nil {
 			mesh.decisions.Request("peer_secret_unknown", "err", err)
-			timer := time.NewTimer(secretRetry)
-			select {
-			case <-timer.C:
-			case <-ctx.Done():
-				timer.Stop()
-			}
+			clock.Sleep(ctx, secretRetry)
 		}
 	}
 }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -127,12 +127,7 @@
 
 // settle chooses this VM's part in passing on records once the VMs that start with it have registered.
 func (node *Node) settle(ctx context.Context) {
-	timer := time.NewTimer(settleTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	clock.Sleep(ctx, settleTime)
 	node.settled.Store(true)
 	var identifiers []ids.VMID
 	for _, vm := range node.fleet.VMs() {
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -73,7 +73,7 @@
 		switch {
 		case err != nil:
 			duty.decisions.Request("duty_unavailable", "err", err)
-			sleep(ctx, dutyRetry)
+			clock.Sleep(ctx, dutyRetry)
 		case lease == 0:
 			duty.wait(ctx)
 		default:
@@ -142,7 +142,7 @@
 // keep renews the lease until it ends.
 func (duty *duty) keep(ctx context.Context, lease platform.Lease) {
 	for ctx.Err() == nil {
-		sleep(ctx, dutyKeep)
+		clock.Sleep(ctx, dutyKeep)
 		sent := clock.Now()
 		ttl, err := duty.store.KeepAlive(ctx, lease)
 		if err == nil {
@@ -165,12 +165,3 @@
 		duty.decisions.Request("lease_not_revoked", "lease", lease, "err", err)
 	}
 }
-
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -64,7 +64,7 @@
 		for _, peer := range missing {
 			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term})
 		}
-		sleep(ctx, ackInterval)
+		clock.Sleep(ctx, ackInterval)
 		missing = promoter.unacknowledged(number)
 	}
 	promoter.mutex.Lock()
@@ -133,7 +133,7 @@
 		for _, peer := range promoter.mesh.Peers() {
 			mesh.Send(promoter.mesh, peer, kind, message)
 		}
-		sleep(ctx, ackInterval)
+		clock.Sleep(ctx, ackInterval)
 	}
 }
 
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -97,7 +97,7 @@
 	group.Go(func() { promoter.duty.run(ctx) })
 	group.Go(func() {
 		for ctx.Err() == nil {
-			sleep(ctx, judgeInterval)
+			clock.Sleep(ctx, judgeInterval)
 			if promoter.OnDuty() {
 				for _, group := range promoter.groups.Groups() {
 					promoter.judge(ctx, group)
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -46,7 +46,7 @@
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fence.SteppedDown,
 			"answered", len(fence.Others), "silent", fence.Silent)
 		promoter.resume(group, term)
-		sleep(ctx, orderPause)
+		clock.Sleep(ctx, orderPause)
 		return
 	}
 	findings := handover.Findings{Acknowledged: promoter.awaitFence(ctx, group, term)}
@@ -58,7 +58,7 @@
 			"position", successor.Received.Log, "acknowledged", findings.Acknowledged.Log)
 		promoter.release(ctx, group, term)
 		promoter.resume(group, term)
-		sleep(ctx, orderPause)
+		clock.Sleep(ctx, orderPause)
 		return
 	}
 	// From here on pauses stay: they end when the server hears of the primary of the new term, and until then an old
@@ -214,7 +214,7 @@
 		if !reachable(group, successor.ID) {
 			return false
 		}
-		sleep(ctx, orderPause)
+		clock.Sleep(ctx, orderPause)
 	}
 	return false
 }
@@ -245,7 +245,7 @@
 				return true
 			}
 		}
-		sleep(ctx, takeoverPoll)
+		clock.Sleep(ctx, takeoverPoll)
 	}
 	return false
 }
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -103,18 +103,11 @@
 
 // Run borrows ahead of demand until the context ends.
 func (limiter *Limiter) Run(ctx context.Context) {
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	clock.Every(ctx, planInterval, func() {
 		limiter.mutex.Lock()
+		defer limiter.mutex.Unlock()
 		limiter.borrow(clock.Now())
-		limiter.mutex.Unlock()
-	}
+	})
 }
 
 // borrow asks other VMs for what the organisations lack. The mutex is held.
--- a/io/relay/ask.go
+++ b/io/relay/ask.go
@@ -71,16 +71,7 @@
 
 // Run asks relays until the context ends.
 func (store *Store) Run(ctx context.Context) {
-	ticker := time.NewTicker(askInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			store.ask()
-		}
-	}
+	clock.Every(ctx, askInterval, store.ask)
 }
 
 // ask asks the next relay. A relay itself asks only for what the service does not tell it.
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -213,54 +214,37 @@
 	}
 }
 
-// Pattern: the store turns some VMs away and serves the others. Guards against a VM that learns of no change although relays
-// know it, such as a key that was withdrawn.
-func TestVMTurnedAwayLearnsFromRelay(t *testing.T) {
-	shared := &records{}
+// startPair starts a relay and a VM that follows its records, which holds the first listing. The result turns a VM away from the
+// service.
+func startPair(t *testing.T) (shared *records, follower *vm, turnAway func(index int)) {
+	t.Helper()
+	shared = &records{}
 	shared.put(prefix+"a", "1")
-	var mutex sync.Mutex
-	away := false
-	vms := start(t, shared, 2, func(index int) bool {
-		mutex.Lock()
-		defer mutex.Unlock()
-		return away && index == 1
-	})
+	var away atomic.Int32
+	away.Store(-1)
+	vms := start(t, shared, 2, func(index int) bool { return int32(index) == away.Load() })
 	drain(vms[:1])
-	follower := vms[1]
+	follower = vms[1]
 	follower.await(t, "the first listing", func(event platform.WatchEvent) bool { return event.Complete })
-	mutex.Lock()
-	away = true
-	mutex.Unlock()
-	shared.put(prefix+"a", "2")
-	follower.await(t, "the change", func(platform.WatchEvent) bool { return follower.held[prefix+"a"] == "2" })
+	return shared, follower, func(index int) { away.Store(int32(index)) }
 }
 
-// Guards against records that no longer change for a VM because the relay that it asks is cut off from the service, or has
-// changes that do not fit into a datagram.
-func TestServiceIsReadWithoutRelay(t *testing.T) {
+// Pattern: the store turns some VMs away and serves the others. Guards against a VM that learns of no change although relays
+// know it, such as a key that was withdrawn, and against records that no longer change for a VM because the relay that it asks
+// is cut off from the service or has changes that do not fit into a datagram.
+func TestChangeArrives(t *testing.T) {
+	const nobody, theRelay, theFollower = -1, 0, 1
 	for name, test := range map[string]struct {
-		away  bool
+		away  int
 		value string
 	}{
-		"relay cut off":    {away: true, value: "2"},
-		"change too large": {value: string(make([]byte, 2*maxTold))},
+		"the VM is turned away":    {theFollower, "2"},
+		"the relay is turned away": {theRelay, "2"},
+		"the change is too large":  {nobody, string(make([]byte, 2*maxTold))},
 	} {
 		t.Run(name, func(t *testing.T) {
-			shared := &records{}
-			shared.put(prefix+"a", "1")
-			var mutex sync.Mutex
-			away := false
-			vms := start(t, shared, 2, func(index int) bool {
-				mutex.Lock()
-				defer mutex.Unlock()
-				return away && index == 0
-			})
-			drain(vms[:1])
-			follower := vms[1]
-			follower.await(t, "the first listing", func(event platform.WatchEvent) bool { return event.Complete })
-			mutex.Lock()
-			away = test.away
-			mutex.Unlock()
+			shared, follower, turnAway := startPair(t)
+			turnAway(test.away)
 			shared.put(prefix+"a", test.value)
 			follower.await(t, "the change", func(platform.WatchEvent) bool { return follower.held[prefix+"a"] == test.value })
 		})
