Refuse at once while nobody can order a replacement, and by how long it is overdue

Ruled out: a queue for connections (primary of one group only). Change: handover.ExpectedBack knows the age of the store's last answer and grows with the time by which a replacement is overdue.

--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -154,7 +154,9 @@
 	}
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	return handover.ExpectedBack(silent, clock.Now()-group.fenced)
+	return handover.ExpectedBack(handover.Signs{
+		SilentFor: silent, SinceFence: clock.Now() - group.fenced, ServiceAge: group.monitor.serviceAge(),
+	})
 }
 
 // CertainUntil returns the time up to which the primary is the only server that can have acknowledged writes.
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -48,7 +48,9 @@
 	groups  map[ids.GroupID]*Group
 	catalog *catalog.Catalog
 	onDuty  func() bool
-	vms     []member.Member
+	// serviceAge returns the time since the key-value service last answered.
+	serviceAge func() time.Duration
+	vms        []member.Member
 
 	mesh      *mesh.Mesh
 	self      ids.VMID
@@ -60,7 +62,10 @@
 
 // New returns a monitor for a VM in the zone that stops asking when the context ends.
 func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, decisions *observe.Decisions) *Monitor {
-	return &Monitor{ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), hurry: make(chan struct{}, 1)}
+	return &Monitor{
+		ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), hurry: make(chan struct{}, 1),
+		serviceAge: func() time.Duration { return 0 },
+	}
 }
 
 // Group returns the group, nil if no server of it is registered.
@@ -103,6 +108,10 @@
 // SetDuty sets the function that tells whether this VM replaces primaries. It is called before the first servers are known.
 func (monitor *Monitor) SetDuty(onDuty func() bool) { monitor.onDuty = onDuty }
 
+// SetServiceAge sets the function that tells how long ago the key-value service last answered, as far as this VM knows. It is
+// called before the first servers are known.
+func (monitor *Monitor) SetServiceAge(age func() time.Duration) { monitor.serviceAge = age }
+
 // SetServers takes the registered servers.
 func (monitor *Monitor) SetServers(registered []catalog.Server) {
 	byGroup := make(map[ids.GroupID][]catalog.Server)
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -100,6 +100,7 @@
 	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, decisions)
 	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, decisions)
 	node.monitor.SetDuty(node.promoter.OnDuty)
+	node.monitor.SetServiceAge(node.directory.CatalogAge)
 	node.monitor.Share(network, settings.VM, node.observers)
 	node.proxy = proxy.New(proxy.Dependencies{
 		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
