VMs whose relays answer try an absent store every 3 s

Ruled out: longer bounds for all prefixes (a configuration is to be in force within 3 s of a change while only the relays are cut off: the first try comes at once).

--- a/io/node/topics.go
+++ b/io/node/topics.go
@@ -15,9 +15,9 @@
 	// catalogStale leaves 0.8 s of the 3 s in which a configuration is to be in force for reading it from the store.
 	catalogStale = 2200 * time.Millisecond
 	// serversStale is well below the 7 s after which a server that leaves gets no new work.
-	serversStale = 4500 * time.Millisecond
+	serversStale = 5 * time.Second
 	// dutyStale bounds how long a VM takes to learn that the duty of replacing primaries is vacant.
-	dutyStale = 3 * time.Second
+	dutyStale = 4 * time.Second
 	// fleetStale bounds how long a VM that was added is not known; one that is gone counts for longer anyway.
 	fleetStale = 22 * time.Second
 )
--- a/io/relay/ask.go
+++ b/io/relay/ask.go
@@ -162,6 +162,9 @@
 
 // hand leaves the answer for the watch; an older one that was not taken is replaced.
 func (topic *topic) hand(answer answered) {
+	topic.mutex.Lock()
+	topic.answered = clock.Now()
+	topic.mutex.Unlock()
 	for {
 		select {
 		case topic.answers <- answer:
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -193,6 +193,17 @@
 	}
 }
 
+// pass takes events for the time.
+func (vm *vm) pass(length time.Duration) {
+	for end := time.After(length); ; {
+		select {
+		case <-vm.events:
+		case <-end:
+			return
+		}
+	}
+}
+
 // Pattern: many VMs follow records that change rarely. Guards against every VM watching the service, and against changes and
 // deletions that do not reach a VM through a relay.
 func TestRelayPassesOnChanges(t *testing.T) {
@@ -250,3 +261,27 @@
 		})
 	}
 }
+
+// Pattern: the store is away for all VMs. Guards against every VM trying it again and again, although the relays do so for them,
+// and against VMs that do not notice its return.
+func TestStoreAwayForAll(t *testing.T) {
+	const watched = 2500 * time.Millisecond
+	shared := &records{}
+	shared.put(prefix+"a", "1")
+	var away atomic.Bool
+	vms := start(t, shared, 2, func(int) bool { return away.Load() })
+	drain(vms[:1])
+	follower := vms[1]
+	follower.await(t, "the first listing", func(event platform.WatchEvent) bool { return event.Complete })
+	follower.await(t, "a confirmation", func(event platform.WatchEvent) bool { return !event.Asked.IsZero() })
+	away.Store(true)
+	follower.await(t, "the loss", func(event platform.WatchEvent) bool { return event.Err != nil })
+	before := follower.service.watched()
+	follower.pass(watched)
+	if tries := follower.service.watched() - before; tries > 1 {
+		t.Errorf("%d tries in %v, want one at most", tries, watched)
+	}
+	away.Store(false)
+	shared.put(prefix+"a", "2")
+	follower.await(t, "the change", func(platform.WatchEvent) bool { return follower.held[prefix+"a"] == "2" })
+}
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -58,8 +58,10 @@
 	journal *relay.Journal
 	// reported is the revision up to which the watch has reported every change.
 	reported ids.Revision
-	// asked is the time of the last question of another VM.
-	asked time.Duration
+	// asked is the time of the last question of another VM, answered that of the last answer of a relay.
+	asked, answered time.Duration
+	// retryAt is the time up to which the service is not watched again after an error.
+	retryAt time.Duration
 	// answers hands the answers of relays to the watch.
 	answers chan answered
 }
@@ -133,6 +135,24 @@
 // stale states whether the records were not confirmed for too long.
 func (topic *topic) stale() bool { return topic.age() > topic.StaleAfter }
 
+// failed notes that the service could not be watched by this VM, which may be a relay.
+func (topic *topic) failed(isRelay bool) {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	now := clock.Now()
+	topic.retryAt = now + retryPause
+	if !isRelay && topic.answered > 0 && now-topic.answered < answerMemory {
+		topic.retryAt = now + relayedPause
+	}
+}
+
+// mayTry states whether the service may be watched again.
+func (topic *topic) mayTry() bool {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	return clock.Now() >= topic.retryAt
+}
+
 // servesOthers states whether another VM asked lately.
 func (topic *topic) servesOthers() bool {
 	topic.mutex.Lock()
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -12,8 +12,12 @@
 const (
 	// sourceCheck is the time between two looks at where the records come from.
 	sourceCheck = 200 * time.Millisecond
-	// retryPause is the pause after a failed watch of the service while relays answer.
+	// retryPause is the pause of a VM without relays that answer after a failed watch of the service.
 	retryPause = time.Second
+	// relayedPause is that pause while relays answer, which try the service themselves and tell when it is back.
+	relayedPause = 3 * time.Second
+	// answerMemory is the time after an answer in which the relays count as alive: two questions and some delay.
+	answerMemory = 3 * askInterval
 )
 
 // source is where the records of a topic come from.
@@ -37,8 +41,6 @@
 	stop   context.CancelFunc
 	// behind states that the relays cannot tell all changes, so that the service is to be asked once.
 	behind bool
-	// retryAt is the time up to which the service is not asked again after an error.
-	retryAt time.Time
 }
 
 // run reports changes until the context ends or an error ends the watch.
@@ -79,7 +81,7 @@
 	switch {
 	case wanted == fromRelays:
 		watch.end()
-	case watch.direct == nil && !time.Now().Before(watch.retryAt):
+	case watch.direct == nil && watch.topic.mayTry():
 		watching, stop := context.WithCancel(ctx)
 		direct, err := watch.store.Store.Watch(watching, watch.topic.Prefix, watch.after+1)
 		if err != nil {
@@ -132,7 +134,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	watch.retryAt = time.Now().Add(retryPause)
+	watch.topic.failed(watch.store.role().Relay)
 	if watch.topic.stale() || errors.Is(event.Err, platform.ErrCompacted) {
 		watch.emit(ctx, event)
 		return false
