--- /dev/null
+++ b/io/monitor/promise.go
@@ -0,0 +1,84 @@
+package monitor
+
+import (
+	"time"
+
+	"dotterelgw/core/handover"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+	"dotterelgw/io/clock"
+)
+
+// Acknowledge states whether the success of a write at the position may go to its caller, and notes that it does. While the
+// primary is replaced it waits, until the deadline at most, for whether the successor holds the write.
+func (group *Group) Acknowledge(deadline time.Time, at position.Position) bool {
+	verdict, changed := group.judge(at, false)
+	for verdict == handover.Undecided {
+		timer := time.NewTimer(min(time.Until(deadline), undecidedRecheck))
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+		verdict, changed = group.judge(at, true)
+		if !time.Now().Before(deadline) && verdict == handover.Undecided {
+			verdict = handover.Doubtful
+		}
+	}
+	return verdict == handover.Kept
+}
+
+// undecidedRecheck is the longest time between two looks at a write that waits for the end of a replacement.
+const undecidedRecheck = 100 * time.Millisecond
+
+// judge returns what is known of the write and a channel that is closed at the next change. A write that is kept counts as
+// acknowledged from now on.
+func (group *Group) judge(at position.Position, waited bool) (handover.Verdict, <-chan struct{}) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	verdict := group.promise.Judge(clock.Now(), at, waited)
+	if verdict == handover.Kept && group.acknowledged.Less(at) {
+		group.acknowledged = at
+	}
+	return verdict, group.changed
+}
+
+// Fence promises to the VM that replaces the primary to rely on none of a term before this one. It returns the position of the
+// last write that this VM acknowledged.
+func (group *Group) Fence(term ids.Term) position.Position {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.fenced = clock.Now()
+	if held, _ := group.promise.InForce(); held < term {
+		group.monitor.decisions.Event("primary_fenced", "group", group.id, "term", term, "primary", group.leader,
+			"acknowledged_term", group.acknowledged.Term, "acknowledged", group.acknowledged.Log)
+	}
+	group.promise.Make(group.fenced, term)
+	group.tracker.Revoke(group.fenced)
+	group.tracker.Bind(group.promise.InForce())
+	return group.acknowledged
+}
+
+// Release ends the promise for the term, as nobody was promoted.
+func (group *Group) Release(term ids.Term) {
+	group.resolve("nobody_promoted", term, func() { group.promise.Release(term) })
+}
+
+// Lead notes that a primary of the term begins with the log up to start.
+func (group *Group) Lead(term ids.Term, start position.Position) {
+	group.resolve("successor_leads", term, func() { group.promise.Lead(term, start) })
+}
+
+// resolve changes the promise and tells those who wait for its end.
+func (group *Group) resolve(outcome string, term ids.Term, change func()) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	before, _ := group.promise.InForce()
+	change()
+	if after, _ := group.promise.InForce(); before != 0 && after == 0 {
+		group.monitor.decisions.Event("fence_ended", "group", group.id, "term", term, "outcome", outcome,
+			"held_ms", (clock.Now() - group.fenced).Milliseconds())
+	}
+	group.tracker.Bind(group.promise.InForce())
+	group.wake()
+}
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -62,7 +62,7 @@
 var beliefs = map[string]bool{
 	"dependency_lost": true, "dependency_regained": true, "primary_changed": true, "primary_certainty": true,
 	"replacement_begun": true, "replacement_given_up": true, "promotion_ordered": true, "promotion_done": true,
-	"configuration_applied": true, "drain": true, "start": true, "records_source": true, "relay_role": true, "server_gone": true, "duty_lost": true, "duty_taken": true,
+	"configuration_applied": true, "drain": true, "start": true, "primary_fenced": true, "fence_ended": true, "records_source": true, "relay_role": true, "server_gone": true, "duty_lost": true, "duty_taken": true,
 }
 
 // causes holds a sentence for each reason of a refusal.
