--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 REVIVE := $(GO) run github.com/mgechev/revive@v1.10.0
 STATICCHECK := $(GO) run honnef.co/go/tools/cmd/staticcheck@v0.8.2
 
-.PHONY: build test lint demo fleet bench
+.PHONY: build test lint demo fleet bench soak
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -29,6 +29,11 @@
 fleet: build
 	@exec $(BIN)/dotterel-demo fleet
 
+# Fifty seeds of the soak, from SEED on; make test plays two.
+SEED ?= 1
+soak:
+	$(GO) test -count=1 -timeout 60m -v -run TestSeeds ./platform/soak -soak.seed $(SEED) -soak.seeds 50 -soak.length 8s
+
 bench: build
 	$(GO) test -run '^$$' -bench . -benchtime 200ms ./bench ./core/route ./core/limit ./core/member ./core/config \
 		./io/limiter ./io/control ./io/peer ./io/session ./io/group
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,8 +13,6 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"dotterelgw/core/ids"
-	"dotterelgw/core/member"
 	corerelay "dotterelgw/core/relay"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -76,9 +74,6 @@
 // memoryFraction is the part of the process's memory at which the garbage collector becomes eager.
 const memoryFraction = 0.7
 
-// settleTime is the time after the start in which other VMs that start as well register, which takes a few calls to the store.
-const settleTime = 500 * time.Millisecond
-
 // New returns a node that does nothing until Run.
 func New(settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryFraction * (1 << 20)))
@@ -114,10 +109,7 @@
 }
 
 func (node *Node) setVMs(vms []fleet.VM) {
-	identifiers := make([]ids.VMID, 0, len(vms))
-	for _, vm := range vms {
-		identifiers = append(identifiers, vm.ID)
-	}
+	identifiers := identify(vms)
 	if node.settled.Load() {
 		node.chooseRole(identifiers)
 	}
@@ -126,41 +118,6 @@
 	node.monitor.SetVMs(identifiers)
 }
 
-// settle chooses this VM's part in passing on records once the VMs that start with it have registered.
-func (node *Node) settle(ctx context.Context) {
-	clock.Sleep(ctx, settleTime)
-	node.settled.Store(true)
-	var identifiers []ids.VMID
-	for _, vm := range node.fleet.VMs() {
-		identifiers = append(identifiers, vm.ID)
-	}
-	node.chooseRole(identifiers)
-}
-
-func (node *Node) chooseRole(vms []ids.VMID) {
-	role := corerelay.Choose(node.current().VM, vms)
-	if held := node.role.Swap(&role); !held.Known || held.Relay != role.Relay {
-		node.decisions.Event("relay_role", "relay", role.Relay, "sources", len(role.Sources), "vms", len(vms))
-	}
-}
-
-// observers returns the VMs that observe the backend servers for the others: the one that replaces primaries, which asks
-// them anyway, then one that all VMs agree on.
-func (node *Node) observers() []ids.VMID {
-	var observers []ids.VMID
-	if holder := node.promoter.Holder(); holder != "" {
-		observers = append(observers, holder)
-	}
-	var members []member.Member
-	for _, vm := range node.fleet.VMs() {
-		members = append(members, member.Member{ID: vm.ID})
-	}
-	for _, second := range member.Top("observer", 1, members) {
-		observers = append(observers, second.ID)
-	}
-	return observers
-}
-
 // Reload applies a settings file that changed. Addresses on which the process listens hold until the next start; settings
 // with faults change nothing.
 func (node *Node) Reload(file, cause string) {
