--- a/io/monitor/share.go
+++ b/io/monitor/share.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"dotterelgw/core/ids"
-	"dotterelgw/core/leader"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/mesh"
 )
@@ -42,15 +41,6 @@
 	Servers []sharedObserved `cbor:"servers"`
 }
 
-// sharedObserved is an observation of one life of a server.
-type sharedObserved struct {
-	Server ids.BackendServerID `cbor:"server"`
-	Born   int64               `cbor:"born"`
-	Status leader.Status       `cbor:"status"`
-	// AgeUS is the time in microseconds from the sending of the status request to the sending of this message.
-	AgeUS int64 `cbor:"age_us"`
-}
-
 // Observers returns the VMs to ask for observations, best first; this VM may be among them.
 type Observers func() []ids.VMID
 
@@ -133,9 +123,7 @@
 			if !known || now-observed.SentAt > staleObservation {
 				continue
 			}
-			reply.Servers = append(reply.Servers, sharedObserved{
-				Server: server.ID(), Born: server.Info().Born, Status: observed.Status, AgeUS: (now - observed.SentAt).Microseconds(),
-			})
+			reply.Servers = append(reply.Servers, share(server, observed, now))
 		}
 	}
 	mesh.Send(monitor.mesh, sender, kindShare, reply)
@@ -157,8 +145,7 @@
 		if server == nil || server.Info().Born != shared.Born {
 			continue
 		}
-		age := time.Duration(max(shared.AgeUS, 0)) * time.Microsecond
-		server.learn(leader.Observation{Status: shared.Status, SentAt: asked.sentAt - age})
+		server.learn(shared.observation(asked.sentAt))
 	}
 	close(asked.answered)
 }
--- /dev/null
+++ b/io/monitor/shared_test.go
@@ -0,0 +1,44 @@
+package monitor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/position"
+)
+
+// Guards against a field of an observation that is lost on the way to another VM, against one that gets newer on the way, and
+// against datagrams that grow: 24 servers are to fit into one.
+func TestSharedObservation(t *testing.T) {
+	const maxBytes = 200
+	server := &Server{}
+	server.info.Store(&catalog.Server{ID: "i-7f3a91c2d4", Born: 1789535857757})
+	sent := leader.Observation{SentAt: 3 * time.Second, Status: leader.Status{
+		Role: catalog.Leader, Term: 7, Received: position.Position{Term: 7, Log: 120933}, Paused: 8, Lag: 20 * time.Millisecond, Busy: 4,
+		Connections: 31, Applied: position.Position{Term: 6, Log: 120901},
+	}}
+	encoded, err := cbor.Marshal(share(server, sent, 5*time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(encoded) > maxBytes {
+		t.Errorf("%d bytes, want %d at most", len(encoded), maxBytes)
+	}
+	var received sharedObserved
+	if err := cbor.Unmarshal(encoded, &received); err != nil {
+		t.Fatal(err)
+	}
+	want := sent
+	want.SentAt = 8 * time.Second
+	if got := received.observation(10 * time.Second); got != want {
+		t.Errorf("received %+v, want %+v", got, want)
+	}
+	received.AgeUS = -1
+	if got := received.observation(10 * time.Second); got.SentAt > 10*time.Second {
+		t.Errorf("an observation of %v, newer than the question", got.SentAt)
+	}
+}
