--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -211,7 +211,7 @@
 	Final position.Position
 	// Others holds the other registered servers as they answered after the fence.
 	Others []Member
-	// Silent is the number of other registered servers that did not answer.
+	// Silent is the number of other registered servers that did not answer, but for those whose address is another server's by now.
 	Silent int
 }
 
