--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"dotterelgw/core/ids"
@@ -70,7 +71,7 @@
 	}
 }
 
-// choose begins or ends the watch of the service.
+// choose begins or ends the watch of the service, as the records are wanted from it or from relays.
 func (watch *watch) choose(ctx context.Context) error {
 	wanted, reason := watch.wanted()
 	if wanted != watch.source {
@@ -86,7 +87,7 @@
 		direct, err := watch.store.Store.Watch(watching, watch.topic.Prefix, watch.after+1)
 		if err != nil {
 			stop()
-			return err
+			return fmt.Errorf("watching the service: %w", err)
 		}
 		watch.direct, watch.stop = direct, stop
 	}
