--- a/core/relay/choose.go
+++ b/core/relay/choose.go
@@ -10,8 +10,8 @@
 const (
 	// sources is the number of relays that a VM asks in turn, so that the loss of one is made up for by the next question.
 	sources = 2
-	// vmsPerRelay is the number of VMs for which there is one relay more: with 2.5 questions a second each, a relay answers
-	// 250 a second for about 1 % of a core.
+	// vmsPerRelay is the number of VMs for which there is one relay more: with 2.5 questions a second of each VM, a relay answers
+	// at most 500 a second.
 	vmsPerRelay = 200
 )
 
