Observers by group and collectors by availability zone: no VM is asked by the whole fleet, and the fleet no longer asks the servers

Cause: in a fleet of 295 VMs one VM, the holder of the duty, was asked by all others 2.5 times a second for the state of 60 servers. When it is late, the observations of all VMs become stale and each asks all servers itself: 295 connections to servers that take 216, which pushes statements out. Every observation also ranked all VMs by hash for each server, and every registration of a VM divided all rates and connections anew.

Change: core/observer divides the observing (an observer and a successor for each group, two collectors and more in each availability zone of large fleets) and paces what a VM asks a server itself by the size of the fleet. The part of connections is kept until VMs or configuration change. Candidates for the duty come one after the other. Registrations that come together are published together; a pause that does not depend on the size of the fleet let two VMs that start together each have the whole rate (platform.TestRateHoldsOverAllVMs failed), so it grows with it.

Tests: observer.TestLoadOfPlan, TestAllVMsAsk, handover.TestCandidacy.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -61,12 +61,15 @@
 	absent   map[ids.VMID]time.Duration
 	listed   bool
 	onChange []func([]VM)
+	// changed gets a value when the VMs have changed since they were last published.
+	changed chan struct{}
 }
 
 // New returns a fleet of this VM alone.
 func New(self VM, store Store, decisions *observe.Decisions) *Fleet {
 	return &Fleet{
 		self: self, store: store, decisions: decisions, vms: map[ids.VMID]VM{self.ID: self}, absent: make(map[ids.VMID]time.Duration),
+		changed: make(chan struct{}, 1),
 	}
 }
 
@@ -79,6 +82,7 @@
 	group.Go(func() { fleet.register(ctx) })
 	group.Go(func() { fleet.follow(ctx) })
 	group.Go(func() { fleet.sweep(ctx) })
+	group.Go(func() { fleet.publish(ctx) })
 	group.Wait()
 }
 
@@ -141,11 +145,12 @@
 
 func (fleet *Fleet) apply(event platform.WatchEvent) {
 	fleet.mutex.Lock()
+	changed := event.Complete && !fleet.listed
 	present := make(map[ids.VMID]bool)
 	for _, entry := range event.Entries {
-		if id, ok := fleet.applyEntry(entry); ok {
-			present[id] = true
-		}
+		id, ok, different := fleet.applyEntry(entry)
+		present[id] = ok
+		changed = changed || different
 	}
 	if event.Complete {
 		fleet.listed = true
@@ -156,27 +161,32 @@
 		}
 	}
 	fleet.mutex.Unlock()
-	fleet.publish()
+	if changed {
+		fleet.change()
+	}
 }
 
-// applyEntry applies one registration; false if it names no VM. The mutex is held.
-func (fleet *Fleet) applyEntry(entry config.Entry) (ids.VMID, bool) {
-	id := ids.VMID(strings.TrimPrefix(entry.Key, Prefix))
+// applyEntry applies one registration; named is false if it names no VM, and changed states whether the VMs are different now. The
+// mutex is held.
+func (fleet *Fleet) applyEntry(entry config.Entry) (id ids.VMID, named, changed bool) {
+	id = ids.VMID(strings.TrimPrefix(entry.Key, Prefix))
 	if entry.Value == nil {
 		fleet.miss(id)
-		return id, false
+		return id, false, false
 	}
 	var vm VM
 	if err := json.Unmarshal(entry.Value, &vm); err != nil || vm.ID != id {
 		fleet.decisions.Event("registration_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
-		return id, false
+		return id, false, false
 	}
-	if held, known := fleet.vms[id]; !known || held != vm {
+	held, known := fleet.vms[id]
+	changed = !known || held != vm
+	if changed {
 		fleet.decisions.Event("vm_registered", "peer_vm", id, "peer", vm.Peer, "revision", entry.Revision)
 	}
 	fleet.vms[id] = vm
 	delete(fleet.absent, id)
-	return id, true
+	return id, true, changed
 }
 
 // miss notes that a VM has no registration. The mutex is held.
@@ -193,7 +203,7 @@
 func (fleet *Fleet) sweep(ctx context.Context) {
 	clock.Every(ctx, sweepInterval, func() {
 		if fleet.drop(clock.Now()) {
-			fleet.publish()
+			fleet.change()
 		}
 	})
 }
@@ -227,9 +237,30 @@
 	return fleet.listed
 }
 
-func (fleet *Fleet) publish() {
-	vms := fleet.VMs()
-	for _, call := range fleet.onChange {
-		call(vms)
+// change has the VMs published.
+func (fleet *Fleet) change() {
+	select {
+	case fleet.changed <- struct{}{}:
+	default:
+	}
+}
+
+// publishPause is the pause for each VM after a publication, which divides rates and connections anew. It joins the registrations
+// of many VMs that start together; a small fleet, where each VM has a large part, learns of a further one at once.
+const publishPause = time.Millisecond
+
+// publish calls the functions that want to know the VMs after changes until the context ends.
+func (fleet *Fleet) publish(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-fleet.changed:
+		}
+		vms := fleet.VMs()
+		for _, call := range fleet.onChange {
+			call(vms)
+		}
+		clock.Sleep(ctx, publishPause*time.Duration(len(vms)))
 	}
 }
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -26,8 +26,10 @@
 	leader  ids.BackendServerID
 	term    ids.Term
 	certain bool
-	// used is the time of the last request, asked that of the last question of another VM.
-	used, asked time.Duration
+	// used is the time of the last request, usedSince that of the first one after a rest.
+	used, usedSince time.Duration
+	// observedFor and collectedFor are the times of the last questions of other VMs, see Plan.
+	observedFor, collectedFor time.Duration
 	// acknowledged is the position of the last write that this VM acknowledged.
 	acknowledged position.Position
 	// fenced is the time at which the primary was last fenced.
@@ -50,8 +52,11 @@
 func (group *Group) Use() {
 	group.mutex.Lock()
 	now := clock.Now()
-	resting := now-group.used > useMemory
+	resting := group.used == 0 || now-group.used > useMemory
 	group.used = now
+	if resting {
+		group.usedSince = now
+	}
 	group.mutex.Unlock()
 	if resting {
 		group.Hurry()
@@ -64,37 +69,60 @@
 	return group.used > 0 && clock.Now()-group.used <= useMemory
 }
 
-// observeForOthers notes that other VMs ask for the state of the group.
+// observeForOthers notes that other VMs rely on this one to ask the servers of the group.
 func (group *Group) observeForOthers() {
 	group.mutex.Lock()
 	now := clock.Now()
-	resting := now-group.asked > observerMemory
-	group.asked = now
+	resting := group.observedFor == 0 || now-group.observedFor > othersMemory
+	group.observedFor = now
 	group.mutex.Unlock()
 	if resting {
 		group.poll()
 	}
 }
 
-// interval returns the time between two status requests to the servers, and the age of an observation that makes one
-// needless; 0 and 0 state that nobody wants to know.
-func (group *Group) interval() (every, unlessYounger time.Duration) {
+// observes states whether other VMs rely on this one to ask the servers of the group.
+func (group *Group) observes() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.observedFor > 0 && clock.Now()-group.observedFor <= othersMemory
+}
+
+// collectForOthers notes that other VMs ask this one for the state of the group.
+func (group *Group) collectForOthers() {
 	group.mutex.Lock()
-	observes := group.asked > 0 && clock.Now()-group.asked <= observerMemory
+	now := clock.Now()
+	resting := group.collectedFor == 0 || now-group.collectedFor > othersMemory
+	group.collectedFor = now
 	group.mutex.Unlock()
-	switch {
-	case observes:
-		return observeInterval, 0
-	case group.inUse():
-		return shareInterval, staleObservation
-	case group.monitor.onDuty != nil && group.monitor.onDuty():
-		return unusedInterval, 0
+	if resting {
+		group.Hurry()
 	}
-	return 0, 0
 }
 
-// Hurry has the state of all servers asked for at once, by the VM that observes the group or by this one.
+// collected states whether other VMs ask this one for the state of the group.
+func (group *Group) collected() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.collectedFor > 0 && clock.Now()-group.collectedFor <= othersMemory
+}
+
+// unknown states whether the group has come into use a moment ago and nothing is known of its primary.
+func (group *Group) unknown() bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	_, _, known := group.tracker.Leader()
+	return !known && clock.Now()-group.usedSince < unknownPatience
+}
+
+// unknownPatience is the time after its first use in which the state of a group is asked for in short intervals.
+const unknownPatience = time.Second
+
+// Hurry has the state of all servers asked for soon, by the VM that observes the group or by this one.
 func (group *Group) Hurry() {
+	if group.observes() {
+		group.poll()
+	}
 	select {
 	case group.monitor.hurry <- struct{}{}:
 	default:
--- a/io/monitor/limits.go
+++ b/io/monitor/limits.go
@@ -1,12 +1,10 @@
 package monitor
 
 import (
-	"slices"
 	"time"
 
 	"dotterelgw/core/allot"
 	"dotterelgw/core/catalog"
-	"dotterelgw/core/ids"
 	"dotterelgw/core/member"
 )
 
@@ -18,30 +16,49 @@
 	defaultConnections = 2
 )
 
-// usable returns the number of connections to each server of the group for all VMs together, and the VMs. The mutex is held.
-func (monitor *Monitor) usable(group ids.GroupID) (connections int, vms []member.Member) {
-	if monitor.catalog == nil || monitor.catalog.Groups[group] == nil || monitor.catalog.Groups[group].Connections == 0 {
-		return defaultConnections * len(monitor.vms), monitor.vms
-	}
-	return int(float64(monitor.catalog.Groups[group].Connections) * (1 - reservedPart)), monitor.vms
+// part is what this VM may use of a server's connections, and what all VMs may.
+type part struct {
+	own, usable int
+	keep        time.Duration
 }
 
-// limit returns the number of connections that this VM may have to the server, of which all VMs have the total, and how long it
-// keeps idle ones; 0 means for ever.
-func (monitor *Monitor) limit(server catalog.Server, total int) (limit int, keep time.Duration) {
+// partOf returns this VM's part of the connections to the server.
+func (monitor *Monitor) partOf(server catalog.Server) part {
 	monitor.mutex.Lock()
-	usable, vms := monitor.usable(server.Group)
+	current, vms := monitor.catalog, monitor.vms
 	monitor.mutex.Unlock()
-	ranked := member.Top("connections/"+string(server.ID), len(vms), vms)
-	rank := slices.IndexFunc(ranked, func(vm member.Member) bool { return vm.ID == monitor.self })
-	part := max(1, allot.Divide(usable, max(1, len(vms)), max(0, rank)))
-	return allot.Demand(part, usable, total), allot.Keep(usable, len(vms))
+	usable := defaultConnections * len(vms)
+	if current != nil && current.Groups[server.Group] != nil && current.Groups[server.Group].Connections > 0 {
+		usable = int(float64(current.Groups[server.Group].Connections) * (1 - reservedPart))
+	}
+	rank, _ := member.Rank("connections/"+string(server.ID), monitor.sharing.Self, vms)
+	return part{
+		own: max(1, allot.Divide(usable, max(1, len(vms)), rank)), usable: usable, keep: allot.Keep(usable, len(vms)),
+	}
+}
+
+// setPart takes this VM's part of the server's connections from the configuration and the VMs.
+func (server *Server) setPart() {
+	part := server.group.monitor.partOf(server.Info())
+	server.mutex.Lock()
+	server.part = part
+	server.mutex.Unlock()
+	server.Pool.SetKeep(part.keep)
+	server.setLimit()
+}
+
+// setLimit bounds the connections of this VM by its part and by what the other VMs leave unused.
+func (server *Server) setLimit() {
+	server.mutex.Lock()
+	limit := allot.Demand(server.part.own, server.part.usable, server.connections)
+	server.mutex.Unlock()
+	server.Pool.SetLimit(limit)
 }
 
 func (monitor *Monitor) setLimits() {
 	for _, group := range monitor.Groups() {
 		for _, server := range group.Servers() {
-			server.setLimit()
+			server.setPart()
 		}
 	}
 }
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -8,31 +8,23 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
 	"dotterelgw/core/member"
+	"dotterelgw/core/observer"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
-	"dotterelgw/io/mesh"
 	"dotterelgw/io/observe"
 )
 
 const (
-	// unusedInterval is the time between two status requests of the VM that replaces primaries to a server of a group
-	// that this VM has no requests for.
-	unusedInterval = time.Second
 	// useMemory is the time after a request in which the state of its group is kept up to date.
 	useMemory = 5 * time.Second
-	// idleCheck is the time after which a VM that asks nothing looks again whether it should.
-	idleCheck = time.Second
-	// pollAgain is the time after which a server that did not answer is asked again.
-	pollAgain = 100 * time.Millisecond
-	// pollSlack is the time by which a look comes after an observation has become stale.
-	pollSlack = 20 * time.Millisecond
 	// pollTimeout bounds a status request, which waits behind statements on a busy server.
 	pollTimeout = 500 * time.Millisecond
 )
@@ -50,22 +42,26 @@
 	onDuty  func() bool
 	// serviceAge returns the time since the key-value service last answered.
 	serviceAge func() time.Duration
-	vms        []member.Member
-
-	mesh      *mesh.Mesh
-	self      ids.VMID
-	observers Observers
-	asked     asked
-	number    uint64
-	hurry     chan struct{}
+	// vms holds the VMs that share the connections.
+	vms []member.Member
+
+	sharing Sharing
+	// plan divides the observing among the VMs.
+	plan  atomic.Pointer[observer.Plan]
+	asked questions
+	// turn chooses the collector that is asked next. Only Run uses it.
+	turn  int
+	hurry chan struct{}
 }
 
 // New returns a monitor for a VM in the zone that stops asking when the context ends.
 func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, decisions *observe.Decisions) *Monitor {
-	return &Monitor{
+	monitor := &Monitor{
 		ctx: ctx, dialer: dialer, zone: zone, decisions: decisions, groups: make(map[ids.GroupID]*Group), hurry: make(chan struct{}, 1),
 		serviceAge: func() time.Duration { return 0 },
 	}
+	monitor.plan.Store(&observer.Plan{})
+	return monitor
 }
 
 // Group returns the group, nil if no server of it is registered.
@@ -94,13 +90,12 @@
 	monitor.setLimits()
 }
 
-// SetVMs sets the VMs that share the connections to each server.
-func (monitor *Monitor) SetVMs(vms []ids.VMID) {
+// SetVMs sets the VMs that share the connections to each server and the observing of the groups.
+func (monitor *Monitor) SetVMs(vms []member.Member) {
+	self := member.Member{ID: monitor.sharing.Self, Zone: monitor.zone}
+	monitor.plan.Store(observer.NewPlan(self, vms))
 	monitor.mutex.Lock()
-	monitor.vms = nil
-	for _, vm := range vms {
-		monitor.vms = append(monitor.vms, member.Member{ID: vm})
-	}
+	monitor.vms = vms
 	monitor.mutex.Unlock()
 	monitor.setLimits()
 }
@@ -129,7 +124,7 @@
 	for _, group := range groups {
 		added, removed := group.setServers(byGroup[group.id])
 		for _, server := range added {
-			server.setLimit()
+			server.setPart()
 			go monitor.watch(server)
 		}
 		for _, server := range removed {
@@ -140,7 +135,11 @@
 }
 
 func (monitor *Monitor) newServer(group *Group, info catalog.Server) *Server {
-	server := &Server{group: group, connections: math.MaxInt32, stop: make(chan struct{}), hurry: make(chan struct{}, 1), Pool: dbpool.New(info, monitor.dialer, defaultConnections)}
+	server := &Server{
+		group: group, connections: math.MaxInt32, stop: make(chan struct{}), hurry: make(chan struct{}, 1),
+		Pool: dbpool.New(info, monitor.dialer, defaultConnections),
+	}
+	server.askedAt.Store(int64(clock.Now()))
 	server.register(info)
 	return server
 }
@@ -166,23 +165,20 @@
 
 // next asks the server for its state if that is due, and returns the time until the next look.
 func (monitor *Monitor) next(server *Server, hurried bool) time.Duration {
-	every, unlessYounger := server.group.interval()
-	silent := server.SilentFor() > 0
-	switch {
-	case hurried || silent && every > 0:
-	case every == 0:
-		return idleCheck
-	case unlessYounger > 0:
-		if observed, known := server.group.Observed(server.ID()); known && clock.Now()-observed.SentAt < unlessYounger {
-			return unlessYounger - (clock.Now() - observed.SentAt) + pollSlack
-		}
-	}
-	if _, err := monitor.Ask(server, dbpool.Call{Kind: statement.Status}); err != nil {
-		return pollAgain
+	wait, ask := server.situation().Due()
+	if !hurried && (!ask || wait > 0) {
+		return wait
 	}
-	return max(every, pollAgain)
+	server.askedAt.Store(int64(clock.Now()))
+	// Ask logs and counts a failure.
+	_, _ = monitor.Ask(server, dbpool.Call{Kind: statement.Status})
+	wait, _ = server.situation().Due()
+	return max(wait, leastPause)
 }
 
+// leastPause is the least time between two looks at a server.
+const leastPause = 20 * time.Millisecond
+
 // errBusy states that the server is alive and had no room for a status request.
 var errBusy = errors.New("the server is busy")
 
@@ -201,6 +197,8 @@
 		conn.Break()
 		conn.Release(statement.Failed)
 		server.Failed(sentAt)
+		monitor.decisions.Request("status_unanswered", "server", server.ID(), "group", server.group.id,
+			"waited_ms", (clock.Now() - sentAt).Milliseconds(), "err", err)
 		return leader.Status{}, fmt.Errorf("asking %s: %w", server.ID(), err)
 	}
 	conn.Release(statement.Idle)
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -1,6 +1,7 @@
 package monitor
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/observer"
 	"dotterelgw/core/position"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
@@ -38,6 +40,8 @@
 	hurry chan struct{}
 	// leavingSince is the boot time in nanoseconds since which the server is known to leave; 0 while it stays.
 	leavingSince atomic.Int64
+	// askedAt is the boot time in nanoseconds at which this VM last asked for the server's state.
+	askedAt atomic.Int64
 
 	mutex   sync.Mutex
 	latency balance.Latency
@@ -48,6 +52,10 @@
 	failures    int
 	// failingSince is the time of the first failure after the last answer.
 	failingSince time.Duration
+	// failedAt is the time of the last failure.
+	failedAt time.Duration
+	// part is this VM's part of the connections.
+	part part
 	// refused states that a connection could not be opened since the last answer.
 	refused bool
 }
@@ -131,10 +139,14 @@
 	was := server.failures
 	server.failures += count
 	now := server.failures
+	server.failedAt = clock.Now()
 	if server.failingSince == 0 {
-		server.failingSince = clock.Now()
+		server.failingSince = server.failedAt
 	}
 	server.mutex.Unlock()
+	if was == 0 && server.group.observes() {
+		server.group.monitor.suspect(server.group)
+	}
 	if was < failuresDown && now >= failuresDown {
 		server.group.monitor.decisions.Event("dependency_lost", "dependency", "backend_server", "server", server.ID(),
 			"group", server.group.id, "failures", now)
@@ -196,14 +208,21 @@
 	server.group.observe(server.ID(), observation)
 }
 
-// setLimit bounds the connections of this VM by its part and by what the other VMs leave unused.
-func (server *Server) setLimit() {
+// situation returns what decides when this VM asks for the server's state.
+func (server *Server) situation() observer.Situation {
+	group, monitor, now := server.group, server.group.monitor, clock.Now()
+	observed, known := group.Observed(server.ID())
+	age := time.Duration(math.MaxInt64)
+	if known {
+		age = now - observed.SentAt
+	}
 	server.mutex.Lock()
-	total := server.connections
+	silent, failedAt := server.silent(), server.failedAt
 	server.mutex.Unlock()
-	limit, keep := server.group.monitor.limit(server.Info(), total)
-	server.Pool.SetLimit(limit)
-	server.Pool.SetKeep(keep)
+	return observer.Situation{
+		VMs: monitor.plan.Load().VMs(), Observes: group.observes(), Used: group.inUse(), OnDuty: monitor.onDuty != nil && monitor.onDuty(),
+		Silent: silent, Age: age, Regained: known && observed.SentAt > failedAt, SinceAsked: now - time.Duration(server.askedAt.Load()),
+	}
 }
 
 // candidate describes the server to the choice of a server for a read.
--- a/io/monitor/share.go
+++ b/io/monitor/share.go
@@ -2,160 +2,213 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"dotterelgw/core/ids"
+	"dotterelgw/core/observer"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/mesh"
 )
 
 const (
-	// shareInterval is the time between two questions to the VM that observes a group.
-	shareInterval = 400 * time.Millisecond
-	// shareTimeout is the time after which the next VM is asked.
-	shareTimeout = 60 * time.Millisecond
-	// observeInterval is the time between two status requests of a VM that others ask.
-	observeInterval = 300 * time.Millisecond
-	// observerMemory is the time after a question in which a VM observes a group for others.
-	observerMemory = 2 * time.Second
-	// staleObservation is the age from which on a VM asks a server itself.
-	staleObservation = 750 * time.Millisecond
+	// askInterval is the time between two questions of a VM for the state of the groups that it uses.
+	askInterval = 400 * time.Millisecond
+	// collectInterval is the time between two questions of a VM that passes the answers on.
+	collectInterval = 200 * time.Millisecond
+	// unknownInterval is the time between two questions while nothing is known of a group that is used.
+	unknownInterval = 30 * time.Millisecond
+	// answerTimeout is the time after which the next VM is asked; a late answer is still taken.
+	answerTimeout = 60 * time.Millisecond
+	// othersMemory is the time after a question of another VM in which its wish is remembered.
+	othersMemory = 2 * time.Second
+	// collectorDelay and askerDelay are the times after a change at which collectors and the others ask, so that each tier finds
+	// the news with the one before it.
+	collectorDelay = 20 * time.Millisecond
+	askerDelay     = 45 * time.Millisecond
 )
 
-// The kinds of datagrams.
-const (
-	kindAsk   mesh.Kind = "observe"
-	kindShare mesh.Kind = "observed"
-)
-
-// shareRequest asks a VM for what it observed of the groups.
-type shareRequest struct {
-	// Number tells the answers to several requests apart.
-	Number uint64        `cbor:"number"`
-	Groups []ids.GroupID `cbor:"groups"`
+// Sharing holds what sharing observations with other VMs needs.
+type Sharing struct {
+	// Mesh carries the datagrams.
+	Mesh *mesh.Mesh
+	// Self is this VM.
+	Self ids.VMID
+	// Holder returns the VM that replaces primaries, empty if none is known.
+	Holder func() ids.VMID
 }
 
-// shareReply holds what a VM observed.
-type shareReply struct {
-	Number  uint64           `cbor:"number"`
-	Servers []sharedObserved `cbor:"servers"`
-}
-
-// Observers returns the VMs to ask for observations, best first; this VM may be among them.
-type Observers func() []ids.VMID
-
 // Share lets VMs ask each other for observations, so that not every VM asks every server.
-func (monitor *Monitor) Share(network *mesh.Mesh, self ids.VMID, observers Observers) {
-	monitor.mesh, monitor.self, monitor.observers = network, self, observers
-	mesh.Handle(network, kindAsk, monitor.answerShare)
-	mesh.Handle(network, kindShare, monitor.receiveShare)
+func (monitor *Monitor) Share(sharing Sharing) {
+	monitor.sharing = sharing
+	mesh.Handle(sharing.Mesh, kindAsk, monitor.answer)
+	mesh.Handle(sharing.Mesh, kindShare, monitor.receive)
+	mesh.Handle(sharing.Mesh, kindSuspect, monitor.suspected)
 }
 
 // Run asks other VMs for observations of the groups in use until the context ends.
 func (monitor *Monitor) Run(ctx context.Context) {
-	timer := time.NewTimer(shareInterval)
+	timer := time.NewTimer(askInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-monitor.hurry:
+			clock.Sleep(ctx, monitor.hurryDelay())
 		case <-timer.C:
 		}
-		monitor.askOthers()
-		timer.Reset(shareInterval)
+		timer.Reset(monitor.askOthers())
 	}
 }
 
-// askOthers asks the best observer, and the next one if that does not answer. Without any answer the observations become
-// stale and this VM asks the servers itself.
-func (monitor *Monitor) askOthers() {
-	var groups []ids.GroupID
+// hurryDelay returns how long this VM waits after a change before it asks.
+func (monitor *Monitor) hurryDelay() time.Duration {
+	plan := monitor.plan.Load()
+	switch {
+	case plan.Collects():
+		return collectorDelay
+	case len(plan.Collectors()) > 0:
+		return askerDelay
+	}
+	return 0
+}
+
+// askOthers asks for the state of the groups that this VM wants, and returns the time until the next question. Without any answer
+// the observations become stale and this VM asks the servers itself.
+func (monitor *Monitor) askOthers() time.Duration {
+	interval := askInterval
+	var wanted []ids.GroupID
 	for _, group := range monitor.Groups() {
-		if group.inUse() {
-			groups = append(groups, group.id)
+		collected := group.collected()
+		if collected {
+			interval = collectInterval
+		}
+		if collected || group.inUse() {
+			wanted = append(wanted, group.id)
 		}
 	}
-	if len(groups) == 0 {
-		return
+	if len(wanted) == 0 {
+		return interval
 	}
-	for _, observer := range monitor.observers() {
-		if observer == monitor.self {
-			for _, id := range groups {
-				monitor.Group(id).observeForOthers()
-			}
-			return
+	plan := monitor.plan.Load()
+	if !monitor.askCollectors(plan, wanted) {
+		monitor.askObservers(plan, wanted)
+	}
+	if monitor.unknown(wanted) {
+		return unknownInterval
+	}
+	return interval
+}
+
+// unknown states whether one of the groups has just come into use and nothing is known of its primary.
+func (monitor *Monitor) unknown(wanted []ids.GroupID) bool {
+	return slices.ContainsFunc(wanted, func(id ids.GroupID) bool {
+		group := monitor.Group(id)
+		return group != nil && group.unknown()
+	})
+}
+
+// askCollectors asks the collectors of this VM's availability zone in turn; false if none answers or there are none.
+func (monitor *Monitor) askCollectors(plan *observer.Plan, wanted []ids.GroupID) bool {
+	collectors := plan.Collectors()
+	monitor.turn++
+	for index := range min(len(collectors), collectorTries) {
+		collector := collectors[(monitor.turn+index)%len(collectors)]
+		if len(monitor.ask(map[ids.VMID][]ids.GroupID{collector: wanted}, false)) == 0 {
+			return true
 		}
-		answered := make(chan struct{})
-		monitor.mutex.Lock()
-		monitor.number++
-		number := monitor.number
-		monitor.asked = asked{number: number, sentAt: clock.Now(), answered: answered}
-		monitor.mutex.Unlock()
-		mesh.Send(monitor.mesh, observer, kindAsk, shareRequest{Number: number, Groups: groups})
-		select {
-		case <-answered:
-			return
-		case <-time.After(shareTimeout):
+	}
+	return false
+}
+
+// collectorTries is the number of collectors that are asked before the observers are.
+const collectorTries = 2
+
+// askObservers asks the observers of each group, and the next ones of those groups for which there was no answer.
+func (monitor *Monitor) askObservers(plan *observer.Plan, wanted []ids.GroupID) {
+	holder := monitor.sharing.Holder()
+	for choice := 0; len(wanted) > 0; choice++ {
+		questions := make(map[ids.VMID][]ids.GroupID)
+		for _, id := range wanted {
+			observers := plan.Observers(id, holder)
+			switch {
+			case choice >= len(observers):
+			case observers[choice] == monitor.sharing.Self:
+				monitor.observe(id)
+			default:
+				questions[observers[choice]] = append(questions[observers[choice]], id)
+			}
 		}
+		wanted = monitor.ask(questions, true)
 	}
 }
 
-// asked is the question under way.
-type asked struct {
-	number   uint64
-	sentAt   time.Duration
-	answered chan struct{}
+// observe has this VM observe the group for others.
+func (monitor *Monitor) observe(id ids.GroupID) {
+	if group := monitor.Group(id); group != nil {
+		group.observeForOthers()
+	}
 }
 
-// answerShare tells another VM what this one observed, and goes on observing.
-func (monitor *Monitor) answerShare(sender ids.VMID, request shareRequest) {
-	reply := shareReply{Number: request.Number}
-	for _, id := range request.Groups {
+// answer tells another VM what this one knows, and goes on observing or collecting it.
+func (monitor *Monitor) answer(sender ids.VMID, question shareRequest) {
+	reply := shareReply{Number: question.Number}
+	for _, id := range question.Groups {
 		group := monitor.Group(id)
 		if group == nil {
 			continue
 		}
-		group.observeForOthers()
-		now := clock.Now()
-		for _, server := range group.Servers() {
-			observed, known := group.Observed(server.ID())
-			if !known || now-observed.SentAt > staleObservation {
-				continue
-			}
-			reply.Servers = append(reply.Servers, share(server, observed, now))
+		if question.Observe {
+			group.observeForOthers()
+		} else {
+			group.collectForOthers()
+		}
+		reply.Groups = append(reply.Groups, group.share(clock.Now()))
+		if len(reply.Groups) == groupsPerReply {
+			mesh.Send(monitor.sharing.Mesh, sender, kindShare, reply)
+			reply.Groups = nil
 		}
 	}
-	mesh.Send(monitor.mesh, sender, kindShare, reply)
+	reply.Last = true
+	mesh.Send(monitor.sharing.Mesh, sender, kindShare, reply)
 }
 
-// receiveShare takes the observations of another VM. Their age counts from the sending of the question, so that a late
-// answer makes them older, never newer.
-func (monitor *Monitor) receiveShare(_ ids.VMID, reply shareReply) {
-	monitor.mutex.Lock()
-	asked := monitor.asked
-	if asked.answered == nil || asked.number != reply.Number {
-		monitor.mutex.Unlock()
+// receive takes the observations of another VM. Their age counts from the sending of the question, so that a late answer makes
+// them older, never newer.
+func (monitor *Monitor) receive(_ ids.VMID, reply shareReply) {
+	asked, known := monitor.asked.sentAt(reply.Number)
+	if !known {
 		return
 	}
-	monitor.asked.answered = nil
-	monitor.mutex.Unlock()
-	for _, shared := range reply.Servers {
-		server := monitor.server(shared.Server)
-		if server == nil || server.Info().Born != shared.Born {
-			continue
+	for _, shared := range reply.Groups {
+		if group := monitor.Group(shared.Group); group != nil {
+			group.learn(shared, asked)
 		}
-		server.learn(shared.observation(asked.sentAt))
 	}
-	close(asked.answered)
+	if reply.Last {
+		monitor.asked.answered(reply.Number)
+	}
 }
 
-// server returns the server with the identifier, nil for none.
-func (monitor *Monitor) server(id ids.BackendServerID) *Server {
-	for _, group := range monitor.Groups() {
-		if server := group.server(id); server != nil {
-			return server
-		}
+// suspect tells the VM that replaces primaries that a server which this VM observes did not answer.
+func (monitor *Monitor) suspect(group *Group) {
+	if holder := monitor.holder(); holder != "" && holder != monitor.sharing.Self {
+		mesh.Send(monitor.sharing.Mesh, holder, kindSuspect, suspicion{Group: group.id})
+	}
+}
+
+// holder returns the VM that replaces primaries, empty if none is known.
+func (monitor *Monitor) holder() ids.VMID {
+	if monitor.sharing.Holder == nil {
+		return ""
+	}
+	return monitor.sharing.Holder()
+}
+
+// suspected has this VM look at a group itself.
+func (monitor *Monitor) suspected(_ ids.VMID, suspicion suspicion) {
+	if group := monitor.Group(suspicion.Group); group != nil {
+		group.poll()
 	}
-	return nil
 }
--- a/io/monitor/shared.go
+++ b/io/monitor/shared.go
@@ -7,8 +7,51 @@
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
 	"dotterelgw/core/position"
+	"dotterelgw/io/mesh"
 )
 
+// The kinds of datagrams.
+const (
+	kindAsk     mesh.Kind = "observe"
+	kindShare   mesh.Kind = "observed"
+	kindSuspect mesh.Kind = "suspect"
+)
+
+// groupsPerReply bounds the groups in one datagram: three servers of each take about 250 bytes.
+const groupsPerReply = 20
+
+// maxShared is the age from which on an observation is of no use to another VM.
+const maxShared = leader.LeaseDuration
+
+// shareRequest asks a VM for the state of groups.
+type shareRequest struct {
+	// Number tells the answers to several requests apart.
+	Number uint64        `cbor:"number"`
+	Groups []ids.GroupID `cbor:"groups"`
+	// Observe has the VM ask the servers itself; else it asks those that do.
+	Observe bool `cbor:"observe"`
+}
+
+// shareReply is a part of the answer.
+type shareReply struct {
+	Number uint64        `cbor:"number"`
+	Groups []sharedGroup `cbor:"groups"`
+	// Last states that this is the last part.
+	Last bool `cbor:"last"`
+}
+
+// suspicion tells that a server of the group did not answer the VM that observes it.
+type suspicion struct {
+	Group ids.GroupID `cbor:"group"`
+}
+
+// sharedGroup holds what a VM knows of a group.
+type sharedGroup struct {
+	_       struct{} `cbor:",toarray"`
+	Group   ids.GroupID
+	Servers []sharedObserved
+}
+
 // sharedObserved is an observation of one life of a server. It is encoded without the names of its fields, since every VM gets
 // those of all servers several times a second.
 type sharedObserved struct {
@@ -29,8 +72,7 @@
 }
 
 // share encodes an observation for another VM.
-func share(server *Server, observed leader.Observation, now time.Duration) sharedObserved {
-	info := server.Info()
+func share(info catalog.Server, observed leader.Observation, now time.Duration) sharedObserved {
 	return sharedObserved{
 		Server: info.ID, Born: info.Born, AgeUS: (now - observed.SentAt).Microseconds(),
 		Role: observed.Role, Term: observed.Term, Paused: observed.Paused,
@@ -52,3 +94,25 @@
 		},
 	}
 }
+
+// share returns what this VM knows of the group's servers.
+func (group *Group) share(now time.Duration) sharedGroup {
+	shared := sharedGroup{Group: group.id}
+	for _, server := range group.Servers() {
+		observed, known := group.Observed(server.ID())
+		if known && now-observed.SentAt <= maxShared {
+			shared.Servers = append(shared.Servers, share(server.Info(), observed, now))
+		}
+	}
+	return shared
+}
+
+// learn takes what another VM knows; askedAt is the time of the question.
+func (group *Group) learn(shared sharedGroup, askedAt time.Duration) {
+	for _, observed := range shared.Servers {
+		server := group.server(observed.Server)
+		if server != nil && server.Info().Born == observed.Born {
+			server.learn(observed.observation(askedAt))
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -96,7 +96,7 @@
 	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, decisions)
 	node.monitor.SetDuty(node.promoter.OnDuty)
 	node.monitor.SetServiceAge(node.directory.CatalogAge)
-	node.monitor.Share(network, settings.VM, node.observers)
+	node.monitor.Share(monitor.Sharing{Mesh: network, Self: settings.VM, Holder: node.promoter.Holder})
 	node.proxy = proxy.New(proxy.Dependencies{
 		Directory: node.directory, Groups: node.monitor, Limiter: node.quota, Decisions: decisions, Metrics: registry,
 		MaxCatalogAge: settings.Configuration.MaxAge(),
@@ -115,7 +115,7 @@
 	}
 	node.mesh.SetVMs(vms)
 	node.quota.SetVMs(identifiers)
-	node.monitor.SetVMs(identifiers)
+	node.monitor.SetVMs(members(vms))
 }
 
 // Reload applies a settings file that changed. Addresses on which the process listens hold until the next start; settings
--- a/io/node/role.go
+++ b/io/node/role.go
@@ -38,19 +38,11 @@
 	}
 }
 
-// observers returns the VMs that observe the backend servers for the others: the one that replaces primaries, which asks
-// them anyway, then one that all VMs agree on.
-func (node *Node) observers() []ids.VMID {
-	var observers []ids.VMID
-	if holder := node.promoter.Holder(); holder != "" {
-		observers = append(observers, holder)
-	}
-	var members []member.Member
-	for _, vm := range node.fleet.VMs() {
-		members = append(members, member.Member{ID: vm.ID})
-	}
-	for _, second := range member.Top("observer", 1, members) {
-		observers = append(observers, second.ID)
+// members describes the VMs for decisions that depend on their availability zones.
+func members(vms []fleet.VM) []member.Member {
+	members := make([]member.Member, 0, len(vms))
+	for _, vm := range vms {
+		members = append(members, member.Member{ID: vm.ID, Address: vm.Peer, Zone: vm.Zone})
 	}
-	return observers
+	return members
 }
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
@@ -26,8 +27,10 @@
 	dutyMargin = 300 * time.Millisecond
 	// dutyRetry is the pause after a failed call.
 	dutyRetry = 150 * time.Millisecond
-	// dutyRecheck is the longest time for which a VM that lacks the duty does not look at it.
+	// dutyRecheck is the longest time for which the first candidates for the duty do not look at it.
 	dutyRecheck = 15 * time.Second
+	// lateRecheck is that time for all other VMs.
+	lateRecheck = time.Minute
 )
 
 // Token is a number that rises with every holder of the duty.
@@ -45,10 +48,12 @@
 	holder atomic.Value
 	// vacant gets a value when the duty may be free.
 	vacant chan struct{}
+	// rank returns this VM's place among the candidates, 0 for the first.
+	rank func() int
 }
 
-func newDuty(self ids.VMID, store fleet.Store, decisions *observe.Decisions) *duty {
-	return &duty{self: self, store: store, decisions: decisions, vacant: make(chan struct{}, 1)}
+func newDuty(self ids.VMID, store fleet.Store, rank func() int, decisions *observe.Decisions) *duty {
+	return &duty{self: self, store: store, rank: rank, decisions: decisions, vacant: make(chan struct{}, 1)}
 }
 
 // held returns the token and the time left in which it may be used.
@@ -69,6 +74,12 @@
 	// The first listing tells whether the duty is free.
 	duty.wait(ctx)
 	for ctx.Err() == nil {
+		// The candidates come one after the other, so that not all VMs write to the store at once.
+		clock.Sleep(ctx, handover.Candidacy(duty.rank()))
+		if duty.seenHolder() != "" {
+			duty.wait(ctx)
+			continue
+		}
 		lease, err := duty.take(ctx)
 		switch {
 		case err != nil:
@@ -86,6 +97,9 @@
 func (duty *duty) follow(ctx context.Context) {
 	for event := range platform.Follow(ctx, duty.store, Prefix, 0) {
 		removed := event.Complete && len(event.Entries) == 0
+		if removed {
+			duty.holder.Store(ids.VMID(""))
+		}
 		for _, entry := range event.Entries {
 			duty.holder.Store(ids.VMID(entry.Value))
 			removed = removed || entry.Key == dutyKey && entry.Value == nil
@@ -99,16 +113,26 @@
 	}
 }
 
+// wait returns when the duty may be free.
 func (duty *duty) wait(ctx context.Context) {
-	timer := time.NewTimer(dutyRecheck)
+	recheck := lateRecheck
+	if duty.rank() < firstCandidates {
+		recheck = dutyRecheck
+	}
+	timer := time.NewTimer(recheck)
 	defer timer.Stop()
 	select {
 	case <-duty.vacant:
 	case <-timer.C:
+		// The store itself is asked, whatever was seen last.
+		duty.holder.Store(ids.VMID(""))
 	case <-ctx.Done():
 	}
 }
 
+// firstCandidates is the number of VMs that look at the duty often.
+const firstCandidates = 3
+
 // take tries to become the holder; it returns 0 if another VM is.
 func (duty *duty) take(ctx context.Context) (platform.Lease, error) {
 	_, found, err := duty.store.Get(ctx, dutyKey)
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -8,6 +8,7 @@
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/member"
 	"dotterelgw/core/position"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -71,8 +72,9 @@
 
 // New returns a promoter that does nothing until Run.
 func New(self ids.VMID, store fleet.Store, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, decisions *observe.Decisions) *Promoter {
+	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
-		duty: newDuty(self, store, decisions), groups: groups, directory: directory, platform: platform, mesh: network, decisions: decisions,
+		duty: newDuty(self, store, rank, decisions), groups: groups, directory: directory, platform: platform, mesh: network, decisions: decisions,
 		watches: make(map[ids.GroupID]*watch), acks: make(map[uint64]map[ids.VMID]position.Position),
 	}
 	mesh.Handle(network, kindFence, promoter.fenced)
@@ -82,6 +84,16 @@
 	return promoter
 }
 
+// rankOf returns the place of the VM among the candidates for the duty.
+func rankOf(self ids.VMID, peers []ids.VMID) int {
+	members := []member.Member{{ID: self}}
+	for _, peer := range peers {
+		members = append(members, member.Member{ID: peer})
+	}
+	rank, _ := member.Rank("duty", self, members)
+	return rank
+}
+
 // Holder returns the VM that was last seen to replace primaries, or an empty name.
 func (promoter *Promoter) Holder() ids.VMID { return promoter.duty.seenHolder() }
 
