Fewer calls to the store at a start, and configurations of any size between VMs

Change: long messages between VMs go in parts (io/mesh), long records are compressed once (io/relay), so that a VM that the store turns away learns of every configuration. A VM registers first and then lists the records of all VMs, the duty and the secret with one call (relay.WithFamily); it follows relays as soon as it knows another VM. Renewals come every 3 s instead of 2 s, failed ones at growing intervals. A fault in the handling of one message no longer ends the process.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -22,14 +22,14 @@
 	// Prefix is the prefix of the keys under which VMs register.
 	Prefix = "dotterelgw/vms/"
 	// registrationTTL is the time for which a registration outlives its VM.
-	registrationTTL = 6 * time.Second
+	registrationTTL = 9 * time.Second
 	// keepInterval is the time between two renewals.
-	keepInterval = 2 * time.Second
-	// retryInterval is the pause after a failed call.
+	keepInterval = 3 * time.Second
+	// retryInterval is the pause after the first failed call; it doubles with each further one, up to keepInterval.
 	retryInterval = 300 * time.Millisecond
-	// absentDelay is how long a VM whose registration is gone still counts. It is longer than a VM is cut off from the
-	// service, since one that is cut off goes on using its part of rates and connections.
-	absentDelay = 15 * time.Second
+	// absentDelay is how long a VM whose registration is gone still counts. With registrationTTL it is longer than a VM is cut
+	// off from the service, since one that is cut off goes on using its part of rates and connections.
+	absentDelay = 12 * time.Second
 	// sweepInterval is the time between two looks at VMs that are gone.
 	sweepInterval = time.Second
 )
@@ -56,10 +56,12 @@
 	store     Store
 	decisions *observe.Decisions
 
-	mutex    sync.Mutex
-	vms      map[ids.VMID]VM
-	absent   map[ids.VMID]time.Duration
-	listed   bool
+	mutex  sync.Mutex
+	vms    map[ids.VMID]VM
+	absent map[ids.VMID]time.Duration
+	listed bool
+	// lease holds the registration; 0 while there is none. Only Register and Run, which follow each other, use it.
+	lease    platform.Lease
 	onChange []func([]VM)
 	// changed gets a value when the VMs have changed since they were last published.
 	changed chan struct{}
@@ -76,35 +78,60 @@
 // OnChange registers a function that is called with all VMs after each change. It is not called before the first listing.
 func (fleet *Fleet) OnChange(call func([]VM)) { fleet.onChange = append(fleet.onChange, call) }
 
-// Run registers this VM and follows the others until the context ends.
+// Register tries once to register this VM. Run goes on trying.
+func (fleet *Fleet) Register(ctx context.Context) {
+	if err := fleet.renew(ctx); err != nil {
+		fleet.decisions.Request("registration_failed", "err", err)
+	}
+}
+
+// Run keeps this VM registered and follows the others until the context ends.
 func (fleet *Fleet) Run(ctx context.Context) {
 	var group sync.WaitGroup
-	group.Go(func() { fleet.register(ctx) })
+	group.Go(func() { fleet.keep(ctx) })
 	group.Go(func() { fleet.follow(ctx) })
 	group.Go(func() { fleet.sweep(ctx) })
 	group.Go(func() { fleet.publish(ctx) })
 	group.Wait()
 }
 
-// register keeps the registration alive.
-func (fleet *Fleet) register(ctx context.Context) {
-	var lease platform.Lease
-	for ctx.Err() == nil {
-		var err error
-		if lease == 0 {
-			lease, err = fleet.hold(ctx)
-		} else if _, err = fleet.store.KeepAlive(ctx, lease); errors.Is(err, platform.ErrLeaseEnded) {
-			fleet.decisions.Event("registration_lapsed", "lease", lease)
-			lease = 0
+// keep keeps the registration alive.
+func (fleet *Fleet) keep(ctx context.Context) {
+	pause := keepInterval
+	if fleet.lease == 0 {
+		pause = retryInterval
+	}
+	for failures := 0; ctx.Err() == nil; {
+		clock.Sleep(ctx, pause)
+		err := fleet.renew(ctx)
+		if err == nil {
+			failures, pause = 0, keepInterval
 			continue
 		}
-		pause := keepInterval
-		if err != nil {
-			fleet.decisions.Request("registration_failed", "lease", lease, "err", err)
-			pause = retryInterval
+		fleet.decisions.Request("registration_failed", "lease", fleet.lease, "err", err)
+		pause = min(retryInterval<<failures, keepInterval)
+		failures = min(failures+1, maxDoublings)
+	}
+}
+
+// maxDoublings bounds the exponent of the pause after failed calls.
+const maxDoublings = 8
+
+// renew renews the registration, or makes a new one if there is none or it has lapsed.
+func (fleet *Fleet) renew(ctx context.Context) error {
+	if fleet.lease != 0 {
+		_, err := fleet.store.KeepAlive(ctx, fleet.lease)
+		if !errors.Is(err, platform.ErrLeaseEnded) {
+			return err
 		}
-		clock.Sleep(ctx, pause)
+		fleet.decisions.Event("registration_lapsed", "lease", fleet.lease)
+		fleet.lease = 0
+	}
+	lease, err := fleet.hold(ctx)
+	if err == nil {
+		fleet.lease = lease
 	}
+	return err
 }
 
 // hold stores the registration under a new lease, also over one of this VM's previous process.
--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -9,17 +9,18 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/observe"
-	"dotterelgw/io/platform"
 )
 
 const (
@@ -47,11 +48,10 @@
 	Message cbor.RawMessage `cbor:"message"`
 }
 
-// Mesh sends and receives datagrams. Datagrams may be lost, doubled and reordered.
+// Mesh sends and receives messages as datagrams; a long message is sent in parts. Messages may be lost, doubled and reordered.
 type Mesh struct {
 	self      ids.VMID
 	conn      *net.UDPConn
-	store     platform.Store
 	decisions *observe.Decisions
 	secret    atomic.Pointer[[]byte]
 
@@ -60,10 +60,12 @@
 	// guests holds the addresses of VMs that sent an authenticated datagram before their registration was known here.
 	guests   map[ids.VMID]netip.AddrPort
 	handlers map[Kind]func(sender ids.VMID, message []byte)
+
+	assembly assembly
 }
 
 // New returns a mesh that listens on the address.
-func New(self ids.VMID, address string, store platform.Store, decisions *observe.Decisions) (*Mesh, error) {
+func New(self ids.VMID, address string, decisions *observe.Decisions) (*Mesh, error) {
 	local, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, fmt.Errorf("resolving the peer address: %w", err)
@@ -73,7 +75,7 @@
 		return nil, fmt.Errorf("listening for peers: %w", err)
 	}
 	return &Mesh{
-		self: self, conn: conn, store: store, decisions: decisions,
+		self: self, conn: conn, decisions: decisions,
 		peers: make(map[ids.VMID]netip.AddrPort), guests: make(map[ids.VMID]netip.AddrPort), handlers: make(map[Kind]func(ids.VMID, []byte)),
 	}, nil
 }
@@ -105,19 +107,46 @@
 	if secret == nil || !known {
 		return
 	}
-	encoded, err := cbor.Marshal(message)
-	if err == nil {
-		encoded, err = cbor.Marshal(frame{Kind: kind, Sender: mesh.self, Message: encoded})
+	encoded, err := encode(mesh, kind, message)
+	if err == nil && len(encoded) > maxParts*partBytes {
+		err = errTooLong
 	}
 	if err != nil {
-		mesh.decisions.Event("datagram_unsendable", "kind", kind, "err", err)
+		mesh.decisions.Event("datagram_unsendable", "kind", kind, "bytes", len(encoded), "err", err)
 		return
 	}
-	if _, err := mesh.conn.WriteToUDPAddrPort(sign(*secret, encoded), address); err != nil {
-		mesh.decisions.Request("datagram_unsent", "receiver", receiver, "kind", kind, "err", err)
+	datagrams := [][]byte{encoded}
+	if len(encoded) > partBytes {
+		datagrams = datagrams[:0]
+		for _, part := range parts(encoded) {
+			// A part consists of numbers and bytes, whose encoding does not fail.
+			datagram, _ := encode(mesh, kindPart, part)
+			datagrams = append(datagrams, datagram)
+		}
+	}
+	for _, datagram := range datagrams {
+		if _, err := mesh.conn.WriteToUDPAddrPort(sign(*secret, datagram), address); err != nil {
+			mesh.decisions.Request("datagram_unsent", "receiver", receiver, "kind", kind, "err", err)
+		}
 	}
 }
 
+// errTooLong states that a message has more parts than a receiver accepts.
+var errTooLong = errors.New("the message is too long")
+
+// encode returns a message in its frame.
+func encode[T any](mesh *Mesh, kind Kind, message T) ([]byte, error) {
+	encoded, err := cbor.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encoding the message: %w", err)
+	}
+	encoded, err = cbor.Marshal(frame{Kind: kind, Sender: mesh.self, Message: encoded})
+	if err != nil {
+		return nil, fmt.Errorf("encoding the frame: %w", err)
+	}
+	return encoded, nil
+}
+
 // sign appends the authenticator.
 func sign(secret, encoded []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
@@ -155,9 +184,19 @@
 	return peers
 }
 
+// Store holds the secret that the VMs share.
+type Store interface {
+	// Shared returns a record that all VMs share and that does not change.
+	Shared(ctx context.Context, key string) (config.Entry, bool, error)
+	// Get returns the entry and whether it exists.
+	Get(ctx context.Context, key string) (config.Entry, bool, error)
+	// CompareAndSwap stores the value if the key's revision is expected; 0 expects that the key is absent.
+	CompareAndSwap(ctx context.Context, key string, expected ids.Revision, value []byte) (ids.Revision, bool, error)
+}
+
 // Run receives datagrams until the context ends.
-func (mesh *Mesh) Run(ctx context.Context) {
-	go mesh.learnSecret(ctx)
+func (mesh *Mesh) Run(ctx context.Context, store Store) {
+	go mesh.learnSecret(ctx, store)
 	stop := context.AfterFunc(ctx, func() { _ = mesh.conn.Close() })
 	defer stop()
 	var buffer [maxDatagram]byte
@@ -192,6 +231,21 @@
 		return
 	}
 	mesh.greet(received.Sender, from)
+	if received.Kind == kindPart {
+		mesh.join(received.Sender, received.Message)
+		return
+	}
+	mesh.dispatch(received)
+}
+
+// dispatch hands a message to its handler. A fault in one handler must not end the process.
+func (mesh *Mesh) dispatch(received frame) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			mesh.decisions.Event("handler_panicked", "sender", received.Sender, "kind", received.Kind, "reason", fmt.Sprint(reason),
+				"stack", string(debug.Stack()))
+		}
+	}()
 	if handle, ok := mesh.handlers[received.Kind]; ok {
 		handle(received.Sender, received.Message)
 	}
@@ -207,21 +261,37 @@
 }
 
 // learnSecret reads the shared secret; the first VM creates it.
-func (mesh *Mesh) learnSecret(ctx context.Context) {
-	for ctx.Err() == nil {
-		entry, found, err := mesh.store.Get(ctx, secretKey)
-		if err == nil && found {
-			mesh.secret.Store(&entry.Value)
+func (mesh *Mesh) learnSecret(ctx context.Context, store Store) {
+	for read := store.Shared; ctx.Err() == nil; read = store.Get {
+		secret, err := readSecret(ctx, store, read)
+		if err == nil && secret != nil {
+			mesh.secret.Store(&secret)
 			return
 		}
-		if err == nil {
-			secret := make([]byte, secretBytes)
-			_, _ = rand.Read(secret) // never fails, see crypto/rand
-			_, _, err = mesh.store.CompareAndSwap(ctx, secretKey, 0, secret)
-		}
 		if err != nil {
 			mesh.decisions.Request("peer_secret_unknown", "err", err)
 			clock.Sleep(ctx, secretRetry)
 		}
 	}
 }
+
+// readSecret returns the secret that the VMs share, after creating it if there is none; nil if another VM creates it meanwhile.
+func readSecret(ctx context.Context, store Store, read func(context.Context, string) (config.Entry, bool, error)) ([]byte, error) {
+	entry, found, err := read(ctx, secretKey)
+	if err != nil {
+		return nil, fmt.Errorf("reading the secret: %w", err)
+	}
+	if found {
+		return entry.Value, nil
+	}
+	secret := make([]byte, secretBytes)
+	_, _ = rand.Read(secret) // never fails, see crypto/rand
+	_, stored, err := store.CompareAndSwap(ctx, secretKey, 0, secret)
+	if err != nil {
+		return nil, fmt.Errorf("creating the secret: %w", err)
+	}
+	if !stored {
+		return nil, nil
+	}
+	return secret, nil
+}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,17 +13,16 @@
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/mesh"
 	"dotterelgw/io/observe"
-	"dotterelgw/io/platform"
 )
 
 // store is a store that holds the secret.
 type store struct {
-	platform.Store
+	mesh.Store
 	secret string
 }
 
-// Get implements platform.Store.Get.
-func (store store) Get(context.Context, string) (config.Entry, bool, error) {
+// Shared implements mesh.Store.Shared.
+func (store store) Shared(context.Context, string) (config.Entry, bool, error) {
 	return config.Entry{Value: []byte(store.secret)}, true, nil
 }
 
@@ -38,7 +38,7 @@
 func start(t *testing.T, id ids.VMID, secret string) (*mesh.Mesh, fleet.VM, chan string) {
 	t.Helper()
 	decisions := observe.NewDecisions(io.Discard, string(id))
-	network, err := mesh.New(id, "127.0.0.1:0", store{secret: secret}, decisions)
+	network, err := mesh.New(id, "127.0.0.1:0", decisions)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
-		network.Run(ctx)
+		network.Run(ctx, store{secret: secret})
 		close(ended)
 	}()
 	t.Cleanup(func() {
@@ -112,3 +112,57 @@
 		}
 	}
 }
+
+// Guards against a long message that never arrives whole, against one joined of parts of two, and against parts that are
+// out of bounds.
+func TestLongMessages(t *testing.T) {
+	one, vmOne, _ := start(t, "vm1", "secret")
+	two, vmTwo, received := start(t, "vm2", "secret")
+	one.SetVMs([]fleet.VM{vmTwo})
+	two.SetVMs([]fleet.VM{vmOne})
+	for name, bytes := range map[string]int{"one datagram": 100, "several datagrams": 30 << 10, "many datagrams": 200 << 10} {
+		text := strings.Repeat(name, bytes/len(name))
+		end := time.After(testWait)
+		for arrived := false; !arrived; {
+			mesh.Send(one, "vm2", kind, greeting{Text: text})
+			select {
+			case got := <-received:
+				arrived = got == "vm1:"+text
+			case <-end:
+				t.Fatalf("%s: nothing arrived", name)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// Guards against a fault in the handling of one message that ends the process.
+func TestPanickingHandler(t *testing.T) {
+	const spoilt mesh.Kind = "spoilt"
+	one, vmOne, _ := start(t, "vm1", "secret")
+	decisions := observe.NewDecisions(io.Discard, "vm2")
+	two, err := mesh.New("vm2", "127.0.0.1:0", decisions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mesh.Handle(two, spoilt, func(ids.VMID, greeting) { panic("spoilt") })
+	arrived := make(chan string, 1000)
+	mesh.Handle(two, kind, func(_ ids.VMID, message greeting) { arrived <- message.Text })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go two.Run(ctx, store{secret: "secret"})
+	one.SetVMs([]fleet.VM{{ID: "vm2", Peer: two.Address()}})
+	two.SetVMs([]fleet.VM{vmOne})
+	end := time.After(testWait)
+	for {
+		mesh.Send(one, "vm2", spoilt, greeting{})
+		mesh.Send(one, "vm2", kind, greeting{Text: "after"})
+		select {
+		case <-arrived:
+			return
+		case <-end:
+			t.Fatal("no message after the one that panicked")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -77,7 +77,7 @@
 // New returns a node that does nothing until Run.
 func New(settings Settings, platform Platform, decisions *observe.Decisions, registry metrics.Registry) (*Node, error) {
 	debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryMB) * memoryFraction * (1 << 20)))
-	network, err := mesh.New(settings.VM, settings.Listen.Peer, platform.Store, decisions)
+	network, err := mesh.New(settings.VM, settings.Listen.Peer, decisions)
 	if err != nil {
 		return nil, fmt.Errorf("joining the other VMs: %w", err)
 	}
@@ -90,7 +90,7 @@
 		mesh:    network, quota: quota.New(settings.VM, network),
 	}
 	node.role.Store(&corerelay.Role{})
-	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format), decisions)
+	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format), decisions, relay.WithFamily(records))
 	node.directory = directory.New(node.records, platform.Format, decisions)
 	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, decisions)
 	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, decisions)
@@ -110,7 +110,7 @@
 
 func (node *Node) setVMs(vms []fleet.VM) {
 	identifiers := identify(vms)
-	if node.settled.Load() {
+	if node.settled.Load() || len(identifiers) > 1 {
 		node.chooseRole(identifiers)
 	}
 	node.mesh.SetVMs(vms)
@@ -167,13 +167,10 @@
 		"metrics", numbers.Addr(), "store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
 	var group sync.WaitGroup
 	group.Go(func() { node.directory.Run(background) })
-	group.Go(func() { node.fleet.Run(background) })
-	group.Go(func() { node.mesh.Run(background) })
 	group.Go(func() { node.records.Run(background) })
-	group.Go(func() { node.settle(background) })
+	group.Go(func() { node.join(background) })
 	group.Go(func() { node.quota.Run(background) })
 	group.Go(func() { node.monitor.Run(background) })
-	group.Go(func() { node.promoter.Run(background) })
 	group.Go(func() { node.accept(callers) })
 	readiness := &http.Server{Handler: node.platform.Ready(node.Ready), ReadHeaderTimeout: time.Second}
 	group.Go(func() { _ = readiness.Serve(ready) })
--- a/io/node/role.go
+++ b/io/node/role.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"dotterelgw/core/ids"
@@ -23,7 +24,19 @@
 	return identifiers
 }
 
-// settle chooses this VM's part in passing on records once the VMs that start with it have registered.
+// join registers this VM, then follows the others until the context ends. Of VMs that start together each sees those that have
+// registered before it, so that their records are read once.
+func (node *Node) join(ctx context.Context) {
+	node.fleet.Register(ctx)
+	var group sync.WaitGroup
+	group.Go(func() { node.fleet.Run(ctx) })
+	group.Go(func() { node.mesh.Run(ctx, node.records) })
+	group.Go(func() { node.promoter.Run(ctx) })
+	group.Go(func() { node.settle(ctx) })
+	group.Wait()
+}
+
+// settle chooses this VM's part in passing on records if no other VM is known by then.
 func (node *Node) settle(ctx context.Context) {
 	clock.Sleep(ctx, settleTime)
 	node.settled.Store(true)
--- a/io/node/topics.go
+++ b/io/node/topics.go
@@ -22,6 +22,9 @@
 	fleetStale = 22 * time.Second
 )
 
+// records is the beginning of the keys of all records that VMs write.
+const records = "dotterelgw/"
+
 // topics returns the records that VMs pass on to each other.
 func topics(format directory.Format) []relay.Topic {
 	return []relay.Topic{
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -29,8 +29,8 @@
 	dutyRetry = 150 * time.Millisecond
 	// dutyRecheck is the longest time for which the first candidates for the duty do not look at it.
 	dutyRecheck = 15 * time.Second
-	// lateRecheck is that time for all other VMs.
-	lateRecheck = time.Minute
+	// lateRecheck is that time for all other VMs, which hear of a vacancy from relays.
+	lateRecheck = 10 * time.Minute
 )
 
 // Token is a number that rises with every holder of the duty.
--- a/io/relay/ask.go
+++ b/io/relay/ask.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/relay"
 	"dotterelgw/io/clock"
@@ -18,8 +17,8 @@
 	kindTell mesh.Kind = "tell_records"
 )
 
-// maxTold bounds the keys and values of one answer in bytes, so that it fits into a datagram.
-const maxTold = 6 << 10
+// maxTold bounds the keys and values of one answer in bytes, as they are before they are packed.
+const maxTold = 400 << 10
 
 // question asks for what changed.
 type question struct {
@@ -56,13 +55,6 @@
 	AgeUS int64 `cbor:"age_us"`
 }
 
-// record is one entry.
-type record struct {
-	Key      string       `cbor:"key"`
-	Value    []byte       `cbor:"value"`
-	Revision ids.Revision `cbor:"revision"`
-}
-
 // answered is the answer of a relay on one topic.
 type answered struct {
 	known, whole bool
@@ -108,32 +100,38 @@
 		if !ok {
 			continue
 		}
-		told, size := topic.since(wanted, room)
+		told, size, ok := topic.since(wanted, room)
+		if !ok {
+			continue
+		}
 		room -= size
 		reply.Topics = append(reply.Topics, told)
 	}
 	mesh.Send(store.mesh, sender, kindTell, reply)
 }
 
-// since returns what changed in at most room bytes, and its size.
-func (topic *topic) since(wanted since, room int) (told changes, size int) {
+// since returns what changed in at most room bytes, and its size; false if this VM has not read the records yet.
+func (topic *topic) since(wanted since, room int) (told changes, size int, ok bool) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	now := clock.Now()
 	topic.asked = now
+	if topic.journal.Revision() == 0 {
+		return changes{}, 0, false
+	}
 	told = changes{Prefix: topic.Prefix, AgeUS: (now - topic.journal.Confirmed()).Microseconds()}
 	all, known := topic.journal.Since(wanted.After, wanted.Keys)
 	if !known {
-		return told, 0
+		return told, 0, true
 	}
 	told.Known = true
 	part, upTo, whole := relay.Cut(all, topic.journal.Revision(), room)
 	told.UpTo, told.Whole = upTo, whole
 	for _, entry := range part {
-		told.Entries = append(told.Entries, record(entry))
+		told.Entries = append(told.Entries, topic.packs.record(entry))
 		size += len(entry.Key) + len(entry.Value)
 	}
-	return told, size
+	return told, size, true
 }
 
 // receive takes the answer of a relay. Its age counts from the sending of the question, so that a late answer makes the
@@ -148,18 +146,32 @@
 		if !ok {
 			continue
 		}
-		age := since + time.Duration(max(told.AgeUS, 0))*time.Microsecond
-		event := platform.WatchEvent{Revision: told.UpTo}
-		if told.Whole {
-			event.Asked = time.Now().Add(-age)
-		}
-		for _, record := range told.Entries {
-			event.Entries = append(event.Entries, config.Entry(record))
+		event, err := told.event(since)
+		if err != nil {
+			store.decisions.Request("records_faulty", "prefix", told.Prefix, "err", err)
+			continue
 		}
 		topic.hand(answered{known: told.Known, whole: told.Whole, event: event})
 	}
 }
 
+// event returns the changes as an event; since is the time since the question was sent.
+func (told changes) event(since time.Duration) (platform.WatchEvent, error) {
+	event := platform.WatchEvent{Revision: told.UpTo}
+	if told.Whole {
+		age := since + time.Duration(max(told.AgeUS, 0))*time.Microsecond
+		event.Asked = time.Now().Add(-age)
+	}
+	for _, record := range told.Entries {
+		entry, err := record.entry()
+		if err != nil {
+			return platform.WatchEvent{}, err
+		}
+		event.Entries = append(event.Entries, entry)
+	}
+	return event, nil
+}
+
 // hand leaves the answer for the watch; an older one that was not taken is replaced.
 func (topic *topic) hand(answer answered) {
 	topic.mutex.Lock()
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -134,7 +135,7 @@
 	for index := range count {
 		decisions := observe.NewDecisions(io.Discard, fmt.Sprint(index))
 		service := &service{shared: shared, away: func() bool { return away(index) }}
-		network, err := mesh.New(ids.VMID(fmt.Sprint("vm", index)), "127.0.0.1:0", service, decisions)
+		network, err := mesh.New(ids.VMID(fmt.Sprint("vm", index)), "127.0.0.1:0", decisions)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -146,7 +147,7 @@
 		store := New(service, network, func() relay.Role { return role }, []Topic{{Prefix: prefix, StaleAfter: testStale}}, decisions)
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
-		running.Go(func() { network.Run(ctx) })
+		running.Go(func() { network.Run(ctx, store) })
 		running.Go(func() { store.Run(ctx) })
 		vms = append(vms, &vm{service: service, network: network, events: platform.Follow(ctx, store, prefix, 0), held: make(map[string]string)})
 		t.Cleanup(func() {
@@ -245,6 +246,8 @@
 // is cut off from the service or has changes that do not fit into a datagram.
 func TestChangeArrives(t *testing.T) {
 	const nobody, theRelay, theFollower = -1, 0, 1
+	random := make([]byte, 60<<10)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(random)
 	for name, test := range map[string]struct {
 		away  int
 		value string
@@ -252,6 +255,7 @@
 		"the VM is turned away":    {theFollower, "2"},
 		"the relay is turned away": {theRelay, "2"},
 		"the change is too large":  {nobody, string(make([]byte, 2*maxTold))},
+		"a configuration of 60 KB": {theFollower, string(random)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			shared, follower, turnAway := startPair(t)
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -29,7 +29,7 @@
 	Prefix string
 	// Same tells changes from heartbeats; nil counts every write as a change.
 	Same relay.Same
-	// FromStart states that the records are watched before the relays are known; others are listed then, and watched once the
+	// FromStart states that the records are watched before any other VM is known; others are listed then, and watched once the
 	// relays are known.
 	FromStart bool
 	// StaleAfter is the age of the last confirmation from which on a VM reads the service itself. It is longer than a relay's
@@ -44,6 +44,7 @@
 	role      func() relay.Role
 	decisions *observe.Decisions
 	topics    map[string]*topic
+	family    family
 
 	mutex sync.Mutex
 	// turn chooses the relay that is asked next.
@@ -56,6 +57,7 @@
 
 	mutex   sync.Mutex
 	journal *relay.Journal
+	packs   packs
 	// reported is the revision up to which the watch has reported every change.
 	reported ids.Revision
 	// asked is the time of the last question of another VM, answered that of the last answer of a relay.
@@ -66,11 +68,24 @@
 	answers chan answered
 }
 
+// Option changes a setting of the store.
+type Option func(*Store)
+
+// WithFamily has the records under a common prefix listed together by those who want parts of them at the start.
+func WithFamily(prefix string) Option {
+	return func(store *Store) { store.family.prefix = prefix }
+}
+
 // New returns a store that passes on the topics. The role is that of this VM at the time of the call.
-func New(service fleet.Store, network *mesh.Mesh, role func() relay.Role, topics []Topic, decisions *observe.Decisions) *Store {
-	store := &Store{Store: service, mesh: network, role: role, decisions: decisions, topics: make(map[string]*topic)}
+func New(service fleet.Store, network *mesh.Mesh, role func() relay.Role, topics []Topic, decisions *observe.Decisions, options ...Option) *Store {
+	store := &Store{
+		Store: service, mesh: network, role: role, decisions: decisions, topics: make(map[string]*topic), family: family{service: service},
+	}
+	for _, option := range options {
+		option(store)
+	}
 	for _, passed := range topics {
-		store.topics[passed.Prefix] = &topic{Topic: passed, journal: relay.NewJournal(passed.Same), answers: make(chan answered, 1)}
+		store.topics[passed.Prefix] = &topic{Topic: passed, journal: relay.NewJournal(passed.Same), packs: make(packs), answers: make(chan answered, 1)}
 	}
 	mesh.Handle(network, kindAsk, store.answer)
 	mesh.Handle(network, kindTell, store.receive)
@@ -79,8 +94,7 @@
 
 // List implements platform.Store.List.
 func (store *Store) List(ctx context.Context, prefix string) ([]config.Entry, ids.Revision, error) {
-	asked := clock.Now()
-	entries, revision, err := store.Store.List(ctx, prefix)
+	entries, revision, asked, err := store.list(ctx, prefix)
 	if err != nil {
 		return nil, 0, fmt.Errorf("from the service: %w", err)
 	}
@@ -92,6 +106,28 @@
 	return entries, revision, nil
 }
 
+// list returns the records under the prefix, and the time at which they were asked for.
+func (store *Store) list(ctx context.Context, prefix string) ([]config.Entry, ids.Revision, time.Duration, error) {
+	if store.family.holds(prefix) {
+		return store.family.list(ctx, prefix)
+	}
+	asked := clock.Now()
+	entries, revision, err := store.Store.List(ctx, prefix)
+	return entries, revision, asked, err
+}
+
+// Shared returns a record that all VMs share and that does not change, which is listed with the others of the family.
+func (store *Store) Shared(ctx context.Context, key string) (config.Entry, bool, error) {
+	if store.family.holds(key) {
+		return store.family.get(ctx, key)
+	}
+	entry, found, err := store.Get(ctx, key)
+	if err != nil {
+		return config.Entry{}, false, fmt.Errorf("from the service: %w", err)
+	}
+	return entry, found, nil
+}
+
 // Watch implements platform.Store.Watch.
 func (store *Store) Watch(ctx context.Context, prefix string, from ids.Revision) (<-chan platform.WatchEvent, error) {
 	topic, ok := store.topics[prefix]
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -98,6 +98,8 @@
 func (watch *watch) wanted() (wanted source, reason string) {
 	role := watch.store.role()
 	switch {
+	case watch.topic.servesOthers():
+		return fromService, "asked"
 	case !role.Known && watch.topic.FromStart:
 		return fromService, "start"
 	case !role.Known && !watch.topic.stale():
@@ -106,8 +108,6 @@
 		return fromService, "relay"
 	case len(role.Sources) == 0:
 		return fromService, "no_relay"
-	case watch.topic.servesOthers():
-		return fromService, "asked"
 	case watch.topic.stale():
 		return fromService, "stale"
 	case watch.behind:
