A replacement is safe while VMs do not answer: an old primary that stepped down leads again if the successor may lack a write

If the old primary stepped down and the replica that received its last write has left, the successor could lack an acknowledged write. Now the old primary, whose log has everything, is promoted again in that case, and also where a VM acknowledged more than the successor has, instead of leaving the group without primary. Notices to VMs are repeated by the number of VMs that are waited for.

Test: handover.TestConfirm (fails without Confirm: the replica was promoted).

--- a/core/handover/plan.go
+++ b/core/handover/plan.go
@@ -205,6 +205,8 @@
 
 // Fence is the result of an attempt to keep the old primary from acknowledging writes.
 type Fence struct {
+	// Old is the old primary; the zero value if there is none.
+	Old Member
 	// SteppedDown states that the old primary acts as a replica now.
 	SteppedDown bool
 	// Final is the end of the old primary's log if it stepped down.
@@ -231,8 +233,10 @@
 
 // Findings is what was found between the fence and the order to promote.
 type Findings struct {
-	// Acknowledged is the last write that any VM acknowledged.
+	// Acknowledged is the last write that any VM which answered has acknowledged.
 	Acknowledged position.Position
+	// Unanswered is the number of VMs that did not answer in time: one that is slow or silent may have acknowledged more.
+	Unanswered int
 	// Listed states that the registrations were read after the fence.
 	Listed bool
 	// Joined states that a server registered after the fence, which may have received writes and let the old primary
@@ -242,17 +246,40 @@
 	Unfenced bool
 }
 
+// The causes for which a successor must not be promoted.
+const (
+	registrationsUnknown = "registrations_unknown"
+	serverJoined         = "server_joined"
+	receivesAgain        = "server_receives_again"
+	writeMissing         = "acknowledged_write_missing"
+	writesUnknown        = "acknowledged_writes_unknown"
+)
+
+// Confirm returns the server to promote after the findings, or why nobody may be. If the successor lacks an acknowledged write, or
+// may lack one, an old primary that stepped down leads again: its log has all of them.
+func (fence Fence) Confirm(successor Member, findings Findings) (Member, string) {
+	cause := fence.Unsafe(successor, findings)
+	if fence.SteppedDown && (cause == writeMissing || cause == writesUnknown) {
+		old := fence.Old
+		old.Received = fence.Final
+		return old, ""
+	}
+	return successor, cause
+}
+
 // Unsafe returns why the successor must not be promoted, empty if it may.
-func Unsafe(successor Member, findings Findings) string {
+func (fence Fence) Unsafe(successor Member, findings Findings) string {
 	switch {
 	case !findings.Listed:
-		return "registrations_unknown"
+		return registrationsUnknown
 	case findings.Joined:
-		return "server_joined"
+		return serverJoined
 	case findings.Unfenced:
-		return "server_receives_again"
+		return receivesAgain
 	case successor.Received.Less(findings.Acknowledged):
-		return "acknowledged_write_missing"
+		return writeMissing
+	case findings.Unanswered > 0 && fence.SteppedDown && successor.Received.Less(fence.Final):
+		return writesUnknown
 	}
 	return ""
 }
--- a/core/handover/plan_test.go
+++ b/core/handover/plan_test.go
@@ -190,12 +190,43 @@
 		"who joined cannot be read":    {handover.Findings{Acknowledged: at(5)}, "registrations_unknown"},
 		"a pause ended with a restart": {handover.Findings{Acknowledged: at(5), Listed: true, Unfenced: true}, "server_receives_again"},
 	} {
-		if got := handover.Unsafe(follows("b", 5), test.findings); got != test.want {
+		if got := (handover.Fence{}).Unsafe(follows("b", 5), test.findings); got != test.want {
 			t.Errorf("%s: %q, want %q", name, got, test.want)
 		}
 	}
 }
 
+// Pattern: some of 295 VMs are slow, so that their last acknowledged writes are not known when a primary that steps down is replaced, and
+// the replica that received its last write has left. Guards against a successor that lacks an acknowledged write, and against a group
+// that stays without primary although the old one has everything.
+func TestConfirm(t *testing.T) {
+	stepped := handover.Fence{Old: leads("a", 4), SteppedDown: true, Final: at(6)}
+	for name, test := range map[string]struct {
+		fence    handover.Fence
+		findings handover.Findings
+		want     ids.BackendServerID
+		cause    string
+	}{
+		"all VMs answered":                    {stepped, handover.Findings{Listed: true, Acknowledged: at(5)}, "b", ""},
+		"a VM acknowledged more":              {stepped, handover.Findings{Listed: true, Acknowledged: at(6)}, "a", ""},
+		"a VM did not answer":                 {stepped, handover.Findings{Listed: true, Acknowledged: at(5), Unanswered: 1}, "a", ""},
+		"nothing is left to lack":             {handover.Fence{Old: leads("a", 4), SteppedDown: true, Final: at(5)}, handover.Findings{Listed: true, Unanswered: 9}, "b", ""},
+		"the old primary is dark":             {handover.Fence{Old: leads("a", 4)}, handover.Findings{Listed: true, Unanswered: 9}, "b", ""},
+		"the old primary is dark, write gone": {handover.Fence{Old: leads("a", 4)}, handover.Findings{Listed: true, Acknowledged: at(6)}, "b", "acknowledged_write_missing"},
+		"a server joined":                     {stepped, handover.Findings{Listed: true, Joined: true, Unanswered: 1}, "b", "server_joined"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			successor, cause := test.fence.Confirm(follows("b", 5), test.findings)
+			if successor.ID != test.want || cause != test.cause {
+				t.Errorf("successor %q, cause %q; want %q, %q", successor.ID, cause, test.want, test.cause)
+			}
+			if test.want == "a" && successor.Received != test.fence.Final {
+				t.Errorf("begins at %v, want %v", successor.Received, test.fence.Final)
+			}
+		})
+	}
+}
+
 // Pattern: a primary crashes and comes back at its address under another identifier, in the term that it had. Guards against
 // replacing it for the silence of the identifier that it had before.
 func TestPrimaryUnderAnotherIdentifier(t *testing.T) {
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -24,8 +24,15 @@
 	kindLeader mesh.Kind = "leader"
 )
 
-// ackInterval is the time between two calls to VMs that have not acknowledged a fence.
-const ackInterval = 25 * time.Millisecond
+const (
+	// ackInterval is the time between two notices to VMs that have not acknowledged a fence.
+	ackInterval = 25 * time.Millisecond
+	// ackIntervalPerVM is the least time between two notices for each VM that is waited for, so that the answers of a large fleet
+	// can be read before it is asked again.
+	ackIntervalPerVM = 400 * time.Microsecond
+	// ackCheck is the time between two looks at who has answered.
+	ackCheck = 8 * time.Millisecond
+)
 
 // notice names the group whose primary is replaced.
 type notice struct {
@@ -49,10 +56,11 @@
 }
 
 // awaitFence returns once no VM relies on the old primary any more: each has acknowledged, or the lease of its last
-// observation before the fence has run out. It returns the position of the last write that any of them acknowledged.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) position.Position {
+// observation before the fence has run out. It returns the position of the last write that any of those which answered has
+// acknowledged, and the number of those that did not answer.
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (acknowledged position.Position, unanswered int) {
 	began := clock.Now()
-	acknowledged := group.Fence(term)
+	acknowledged = group.Fence(term)
 	promoter.mutex.Lock()
 	promoter.number++
 	number := promoter.number
@@ -64,8 +72,7 @@
 		for _, peer := range missing {
 			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term})
 		}
-		clock.Sleep(ctx, ackInterval)
-		missing = promoter.unacknowledged(number)
+		missing = promoter.awaitAnswers(ctx, number, max(ackInterval, ackIntervalPerVM*time.Duration(len(missing))))
 	}
 	promoter.mutex.Lock()
 	for _, at := range acks {
@@ -77,7 +84,18 @@
 	promoter.mutex.Unlock()
 	promoter.decisions.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds(),
 		"acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
-	return acknowledged
+	return acknowledged, len(missing)
+}
+
+// awaitAnswers waits for the time, or until all VMs have answered, and returns those that have not.
+func (promoter *Promoter) awaitAnswers(ctx context.Context, number uint64, patience time.Duration) []ids.VMID {
+	for end := clock.Now() + patience; ; {
+		clock.Sleep(ctx, ackCheck)
+		missing := promoter.unacknowledged(number)
+		if len(missing) == 0 || clock.Now() >= end || ctx.Err() != nil {
+			return missing
+		}
+	}
 }
 
 func (promoter *Promoter) unacknowledged(number uint64) []ids.VMID {
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -49,11 +49,13 @@
 		clock.Sleep(ctx, orderPause)
 		return
 	}
-	findings := handover.Findings{Acknowledged: promoter.awaitFence(ctx, group, term)}
+	var findings handover.Findings
+	findings.Acknowledged, findings.Unanswered = promoter.awaitFence(ctx, group, term)
 	findings.Listed = promoter.refresh(ctx)
 	findings.Joined = joined(servers, group.Servers())
 	findings.Unfenced = !fence.SteppedDown && !promoter.stillFenced(servers, fence.Others, term)
-	if cause := handover.Unsafe(successor, findings); cause != "" {
+	successor, cause := fence.Confirm(successor, findings)
+	if cause != "" {
 		promoter.decisions.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
 			"position", successor.Received.Log, "acknowledged", findings.Acknowledged.Log)
 		promoter.release(ctx, group, term)
@@ -145,6 +147,8 @@
 	var fence handover.Fence
 	var stepped sync.WaitGroup
 	if old != nil {
+		observed, known := group.Observed(old.ID())
+		fence.Old = memberOf(old, observed, known)
 		stepped.Go(func() { promoter.stepDown(group, old, term, &fence) })
 		if old.SilentFor() == 0 {
 			// One that answers can make pauses needless.
