--- /dev/null
+++ b/io/monitor/share_test.go
@@ -0,0 +1,168 @@
+package monitor
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/member"
+	"dotterelgw/core/observer"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/mesh"
+	"dotterelgw/io/observe"
+)
+
+const (
+	testGroup ids.GroupID = "g1"
+	// testVMs is a fleet with collectors.
+	testVMs = 60
+	// testWait bounds what a test waits for.
+	testWait = 10 * time.Second
+)
+
+// backend answers status requests of one VM and counts them.
+type backend struct{ asked atomic.Int32 }
+
+// Dial implements dbpool.Dialer.Dial.
+func (backend *backend) Dial(_ context.Context, server catalog.Server, _ ids.OrganisationID) (dbpool.Link, error) {
+	return &status{backend: backend, server: server}, nil
+}
+
+// status is a link that answers status requests.
+type status struct {
+	backend *backend
+	server  catalog.Server
+}
+
+func (status *status) Send(time.Time, ...dbpool.Call) error {
+	status.backend.asked.Add(1)
+	return nil
+}
+
+func (status *status) Receive(time.Time) (statement.Reply, error) {
+	return statement.Reply{Code: statement.Complete}, nil
+}
+
+func (status *status) Status(statement.Reply) (leader.Status, error) {
+	return leader.Status{Role: status.server.Role, Term: 1, Connections: 1}, nil
+}
+
+func (status *status) Quiet() bool { return true }
+
+func (status *status) Close(bool) {}
+
+// secret is the store that holds the secret of the VMs.
+type secret struct{ mesh.Store }
+
+// Shared implements mesh.Store.Shared.
+func (secret) Shared(context.Context, string) (config.Entry, bool, error) {
+	return config.Entry{Value: []byte("secret")}, true, nil
+}
+
+// watcher is one VM of the test's fleet that runs.
+type watcher struct {
+	*Monitor
+	backend *backend
+	vm      fleet.VM
+	network *mesh.Mesh
+	stop    context.CancelFunc
+}
+
+// startWatcher starts a VM that knows the group's servers.
+func startWatcher(t *testing.T, vm member.Member) *watcher {
+	t.Helper()
+	decisions := observe.NewDecisions(io.Discard, string(vm.ID))
+	network, err := mesh.New(vm.ID, "127.0.0.1:0", decisions)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	started := &watcher{
+		backend: &backend{}, network: network, stop: stop, vm: fleet.VM{ID: vm.ID, Peer: network.Address(), Zone: vm.Zone},
+	}
+	started.Monitor = New(ctx, started.backend, vm.Zone, decisions)
+	started.Share(Sharing{Mesh: network, Self: vm.ID, Holder: func() ids.VMID { return "" }})
+	go network.Run(ctx, secret{})
+	go started.Run(ctx)
+	t.Cleanup(stop)
+	return started
+}
+
+// roles returns a VM that uses groups, a collector that it asks, and the observers of the group.
+func roles(t *testing.T, vms []member.Member) (user, collector member.Member, observers []member.Member) {
+	t.Helper()
+	byID := make(map[ids.VMID]member.Member)
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+	}
+	for _, vm := range vms {
+		plan := observer.NewPlan(vm, vms)
+		watching := plan.Observers(testGroup, "")
+		if len(plan.Collectors()) == 0 || vm.ID == watching[0] || vm.ID == watching[1] {
+			continue
+		}
+		return vm, byID[plan.Collectors()[0]], []member.Member{byID[watching[0]], byID[watching[1]]}
+	}
+	t.Fatal("no such VM")
+	return user, collector, nil
+}
+
+// Pattern: a fleet with collectors, in which the VM that observes a group is lost, as are all but one of the collectors that a VM
+// asks. Guards against VMs that ask the servers themselves, and against certainty about a primary that is lost with its observer.
+func TestStatePassesThroughCollectors(t *testing.T) {
+	var vms []member.Member
+	for index := range testVMs {
+		vms = append(vms, member.Member{ID: ids.VMID(fmt.Sprint("vm", index)), Zone: ids.AvailabilityZone(fmt.Sprint("z", index%2))})
+	}
+	user, collector, observers := roles(t, vms)
+	running := make(map[ids.VMID]*watcher)
+	for _, vm := range append([]member.Member{user, collector}, observers...) {
+		if running[vm.ID] == nil {
+			running[vm.ID] = startWatcher(t, vm)
+		}
+	}
+	var registered []fleet.VM
+	for _, one := range running {
+		registered = append(registered, one.vm)
+	}
+	servers := []catalog.Server{
+		{ID: "a", Group: testGroup, Role: catalog.Leader, Slots: 4}, {ID: "b", Group: testGroup, Role: catalog.Replica, Slots: 4},
+	}
+	for _, one := range running {
+		one.network.SetVMs(registered)
+		one.SetVMs(vms)
+		one.SetServers(servers)
+	}
+	asking := running[user.ID]
+	certain := func() time.Duration { return asking.Group(testGroup).CertainUntil() }
+	await := func(what string, since time.Duration) {
+		t.Helper()
+		for end := time.Now().Add(testWait); certain() <= since; time.Sleep(5 * time.Millisecond) {
+			asking.Group(testGroup).Use()
+			if time.Now().After(end) {
+				t.Fatalf("%s: the primary is not certain", what)
+			}
+		}
+	}
+	await("at first", 0)
+	await("later", certain())
+	if user.ID != collector.ID && asking.backend.asked.Load() > 0 {
+		t.Errorf("the VM asked the servers %d times itself", asking.backend.asked.Load())
+	}
+	if collector.ID != observers[0].ID {
+		running[observers[0].ID].stop()
+	}
+	await("without the observer", certain()+2*askInterval)
+	if asked := asking.backend.asked.Load(); asked > 0 {
+		t.Errorf("the VM asked the servers %d times itself", asked)
+	}
+}
