A server without a slot is left alone for a growing time, and reads go where fewer statements of all VMs wait

Of a fleet of this size each VM sends a server one statement in some seconds, so its own statements tell nothing of the queue there; the status that the VMs share does.

Change: the pause doubles from 10 to 160 ms with jitter while the statement's time suffices; reads go elsewhere at once. The cost of a server counts the statements of all VMs that wait there, and so does the time for which an answer to a read is awaited.

Tests: balance.TestBusyPause, balance.TestChoose (statements of other VMs).

--- a/core/balance/choose.go
+++ b/core/balance/choose.go
@@ -29,6 +29,8 @@
 	Slots int
 	// InFlight is the number of this VM's statements that run or wait there.
 	InFlight int
+	// Busy is the number of statements of all VMs that were seen to run or wait there a moment ago.
+	Busy int
 	// Matching states that an idle connection of the organisation is at hand.
 	Matching bool
 	// Free states that a connection can be opened without closing another.
@@ -53,7 +55,8 @@
 // Cost returns the time at which the server is expected to answer.
 func (candidate *Candidate) Cost() time.Duration {
 	slots := max(candidate.Slots, 1)
-	cost := float64(candidate.Latency) * (1 + float64(candidate.InFlight)/float64(slots))
+	ahead := max(candidate.InFlight, candidate.Busy-slots)
+	cost := float64(candidate.Latency) * (1 + float64(ahead)/float64(slots))
 	if candidate.Leader {
 		cost *= leaderFactor
 	}
--- a/core/balance/choose_test.go
+++ b/core/balance/choose_test.go
@@ -52,6 +52,14 @@
 		"requests under way count": {
 			idle(20 * millisecond), with(idle(15*millisecond), func(candidate *balance.Candidate) { candidate.InFlight = 6 }),
 		},
+		"statements of other VMs that wait count": {
+			with(idle(20*millisecond), func(candidate *balance.Candidate) { candidate.Local = false }),
+			with(idle(20*millisecond), func(candidate *balance.Candidate) { candidate.Busy = 12 }),
+		},
+		"statements of other VMs that run in free slots do not": {
+			with(idle(20*millisecond), func(candidate *balance.Candidate) { candidate.Busy = 3 }),
+			with(idle(20*millisecond), func(candidate *balance.Candidate) { candidate.Local = false }),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			if got := balance.Choose(candidates, want, 100*millisecond); got != 0 {
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -47,6 +47,8 @@
 	latency balance.Latency
 	applied position.Position
 	seenAt  time.Duration
+	// busy is the number of statements that were seen to run or wait there.
+	busy int
 	// connections is the number of connections that all VMs were seen to have; the largest number until it is known.
 	connections int
 	failures    int
@@ -161,6 +163,14 @@
 	return server.latency.Estimate(clock.Now())
 }
 
+// Expected returns the time that the server is expected to take for a statement behind those that were seen to wait there.
+func (server *Server) Expected() time.Duration {
+	slots := max(server.Info().Slots, 1)
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.latency.Estimate(clock.Now()) + balance.Wait(max(server.busy-slots, 0), slots, server.latency.Estimate(clock.Now()))
+}
+
 // Reachable states whether the server is expected to answer.
 func (server *Server) Reachable() bool {
 	server.mutex.Lock()
@@ -201,7 +211,7 @@
 	server.mutex.Lock()
 	if observation.SentAt > server.seenAt {
 		server.applied, server.seenAt = observation.Applied, observation.SentAt
-		server.connections = observation.Connections
+		server.connections, server.busy = observation.Connections, observation.Busy
 	}
 	server.mutex.Unlock()
 	server.setLimit()
@@ -237,7 +247,7 @@
 	defer server.mutex.Unlock()
 	return balance.Candidate{
 		Leader: isLeader, Local: info.Zone == server.group.monitor.zone, Latency: server.latency.Estimate(now), Slots: info.Slots,
-		InFlight: int(server.inFlight.Load()) + pool.Waiting, Matching: pool.Matching, Free: pool.Free, Evictable: pool.Evictable,
+		InFlight: int(server.inFlight.Load()) + pool.Waiting, Busy: server.busy, Matching: pool.Matching, Free: pool.Free, Evictable: pool.Evictable,
 		Applied: applied, Lag: lag,
 	}
 }
--- a/io/proxy/alone.go
+++ b/io/proxy/alone.go
@@ -17,8 +17,8 @@
 	latencyFactor = 6
 	// maxAttempts bounds the servers that one statement tries after the first.
 	maxAttempts = 5
-	// busyPause is the pause before a statement that found no slot is sent again.
-	busyPause = 15 * time.Millisecond
+	// promotedPause is the pause before a statement is sent again after its server was found not to be the primary.
+	promotedPause = 15 * time.Millisecond
 )
 
 // runAlone runs a statement outside of a transaction.
@@ -43,7 +43,7 @@
 			return reply
 		}
 		session.server.retries.Inc(1)
-		if attempts.count++; attempts.count > maxAttempts {
+		if attempts.count++; attempts.used() > maxAttempts {
 			return session.answer(request, refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%d attempts, last %s", attempts.count, reply.Code)), statement.Idle)
 		}
 	}
@@ -80,7 +80,9 @@
 		}
 		return reply, false, nil
 	case reply.Code.NotRun():
-		session.turnedAway(request, attempts, target, reply)
+		if !session.turnedAway(request, operation, attempts, target, reply) {
+			return reply, false, refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%s had no slot %d times", target.server.ID(), attempts.busy))
+		}
 		return reply, true, nil
 	case !operation.writes && attempts.count == 0:
 		// A read that failed on one server may succeed on another.
@@ -93,7 +95,7 @@
 // patience returns how long an answer to a statement that can be repeated is awaited: what was lost does not come, and
 // what merely is slow comes by then.
 func patience(server *monitor.Server) time.Duration {
-	return max(leastAttempt, latencyFactor*server.Latency())
+	return max(leastAttempt, latencyFactor*server.Expected())
 }
 
 func earlier(one, other time.Time) time.Time {
@@ -103,19 +105,24 @@
 	return one
 }
 
-// turnedAway prepares the next attempt after a server promised that the statement did not run.
-func (session *session) turnedAway(request statement.Request, attempts *attempts, target target, reply statement.Reply) {
+// turnedAway prepares the next attempt after a server promised that the statement did not run; false if its time does not suffice
+// for one.
+func (session *session) turnedAway(request statement.Request, operation *operation, attempts *attempts, target target, reply statement.Reply) bool {
 	session.server.Decisions.Request("turned_away", "request", request.ID, "server", target.server.ID(), "code", reply.Code,
 		"position", target.after.Log, "server_position", reply.Position.Log, "attempt", attempts.count)
 	switch reply.Code {
 	case statement.Busy:
-		time.Sleep(busyPause)
+		if !operation.onPrimary() {
+			attempts.exclude(target.server)
+		}
+		return attempts.pause()
 	case statement.ReadOnly:
 		target.server.Suspect()
-		time.Sleep(busyPause)
+		time.Sleep(promotedPause)
 	default:
 		attempts.exclude(target.server)
 	}
+	return true
 }
 
 // lost decides what follows when a server gave no answer: a write may have taken effect.
--- a/io/proxy/inside.go
+++ b/io/proxy/inside.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"time"
 
 	"dotterelgw/core/refusal"
@@ -60,11 +61,10 @@
 		}
 		reply, err := session.exchange(request, attempts)
 		switch {
-		case err == nil && reply.Code == statement.Busy && reply.State == statement.Open && attempts.count < maxAttempts:
+		case err == nil && reply.Code == statement.Busy && reply.State == statement.Open && attempts.pause():
 			attempts.count++
-			time.Sleep(busyPause)
 			continue
-		case err == nil && reply.Code == statement.UnknownStatement && reply.State == statement.Open && attempts.count < maxAttempts:
+		case err == nil && reply.Code == statement.UnknownStatement && reply.State == statement.Open && attempts.used() < maxAttempts:
 			transaction.conn.ForgetPrepared()
 			attempts.count++
 			continue
@@ -75,7 +75,7 @@
 		}
 		lost := transaction.server
 		session.abandon()
-		if transaction.answered || attempts.count >= maxAttempts || !time.Now().Before(attempts.deadline) {
+		if transaction.answered || attempts.used() >= maxAttempts || !time.Now().Before(attempts.deadline) {
 			return reply, refuse(refusal.BackendLost, retrySoon, describe(lost, reply, err))
 		}
 		attempts.count++
@@ -126,10 +126,12 @@
 		} else {
 			target.server.Answered(sentAt, reply, false)
 			target.conn.Release(reply.State)
-			session.turnedAway(request, attempts, target, reply)
+			if !session.turnedAway(request, &transaction.operation, attempts, target, reply) {
+				return refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%s had no slot %d times", target.server.ID(), attempts.busy))
+			}
 		}
 		session.server.retries.Inc(1)
-		if attempts.count++; attempts.count > maxAttempts {
+		if attempts.count++; attempts.used() > maxAttempts {
 			return refuse(refusal.BackendLost, retrySoon, describe(target.server, reply, err))
 		}
 	}
--- a/io/proxy/target.go
+++ b/io/proxy/target.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
+	"dotterelgw/core/balance"
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/position"
@@ -42,6 +44,22 @@
 	deadline time.Time
 	excluded map[ids.BackendServerID]bool
 	count    int
+	// busy is the number of times that no slot was free.
+	busy int
+}
+
+// used returns the number of attempts but for those that only found no slot, which their pauses bound.
+func (attempts *attempts) used() int { return attempts.count - attempts.busy }
+
+// pause waits before the statement is sent again to a server that had no slot; false if its time does not suffice.
+func (attempts *attempts) pause() bool {
+	pause := balance.BusyPause(attempts.busy, rand.Float64())
+	attempts.busy++
+	if !time.Now().Add(pause).Before(attempts.deadline) {
+		return false
+	}
+	time.Sleep(pause)
+	return true
 }
 
 func (attempts *attempts) exclude(server *monitor.Server) {
