--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -7,16 +7,19 @@
 	"time"
 
 	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/platform"
 )
 
 const (
 	// sourceCheck is the time between two looks at where the records come from.
-	sourceCheck = 200 * time.Millisecond
+	sourceCheck = 150 * time.Millisecond
 	// retryPause is the pause of a VM without relays that answer after a failed watch of the service.
 	retryPause = time.Second
 	// relayedPause is that pause while relays answer, which try the service themselves and tell when it is back.
 	relayedPause = 3 * time.Second
+	// companyDelay is the time after its start in which a VM learns of others, whose relays it then follows.
+	companyDelay = 150 * time.Millisecond
 	// answerMemory is the time after an answer in which the relays count as alive: two questions and some delay.
 	answerMemory = 3 * askInterval
 )
@@ -36,6 +39,8 @@
 	after  ids.Revision
 	events chan platform.WatchEvent
 
+	// began is the time at which the watch began.
+	began  time.Duration
 	source source
 	// direct gets the events of the service; nil while it is not watched, and stop ends the watch.
 	direct <-chan platform.WatchEvent
@@ -49,6 +54,7 @@
 	defer close(watch.events)
 	defer watch.end()
 	watch.topic.report(watch.after)
+	watch.began = clock.Now()
 	ticker := time.NewTicker(sourceCheck)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -100,7 +106,7 @@
 	switch {
 	case watch.topic.servesOthers():
 		return fromService, "asked"
-	case !role.Known && watch.topic.FromStart:
+	case !role.Known && watch.topic.FromStart && clock.Now()-watch.began > companyDelay:
 		return fromService, "start"
 	case !role.Known && !watch.topic.stale():
 		return fromRelays, ""
