Late candidates for the duty do not ask the store for it 15 s after their start

A wait began before any other VM was known, so that every VM took itself for the first candidate and looked again after 15 s.

Test: promoter.TestWaitForDuty (a late candidate returned after 15 s before).

--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -115,18 +115,23 @@
 
 // wait returns when the duty may be free.
 func (duty *duty) wait(ctx context.Context) {
-	recheck := lateRecheck
-	if duty.rank() < firstCandidates {
-		recheck = dutyRecheck
-	}
-	timer := time.NewTimer(recheck)
-	defer timer.Stop()
-	select {
-	case <-duty.vacant:
-	case <-timer.C:
-		// The store itself is asked, whatever was seen last.
-		duty.holder.Store(ids.VMID(""))
-	case <-ctx.Done():
+	for waited := dutyRecheck; ; waited += dutyRecheck {
+		timer := time.NewTimer(dutyRecheck)
+		select {
+		case <-duty.vacant:
+			timer.Stop()
+			return
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		// The rank is looked at now, since no other VM is known when the first wait begins.
+		if duty.rank() < firstCandidates || waited >= lateRecheck {
+			// The store itself is asked, whatever was seen last.
+			duty.holder.Store(ids.VMID(""))
+			return
+		}
 	}
 }
 
