--- a/core/quota/account.go
+++ b/core/quota/account.go
@@ -16,6 +16,8 @@
 
 // Account is one organisation's rate on one VM: the VM's own part and what other VMs lent. It is not safe for concurrent use.
 type Account struct {
+	// away is the time whose earnings the part begins with.
+	away     time.Duration
 	budget   limit.Budget
 	share    limit.Share
 	owns     bool
@@ -23,8 +25,10 @@
 	borrowed *limit.Borrower
 }
 
-// NewAccount returns an account without a part.
-func NewAccount() *Account { return &Account{borrowed: limit.NewBorrower(LoanValidity)} }
+// NewAccount returns an account without a part. Away is the time for which the process was away at least before it started.
+func NewAccount(away time.Duration) *Account {
+	return &Account{away: away, borrowed: limit.NewBorrower(LoanValidity)}
+}
 
 // Parts returns into how many parts a budget is divided over the VMs.
 func Parts(budget limit.Budget, vms int) int {
@@ -40,9 +44,9 @@
 // fraction can spend their sum. What is spent early is missing later.
 const overdraft = 0.75
 
-// awayTime is the time for which a process that starts was away at least, or a VM that takes over a part learns of it late; the
-// part earned meanwhile and nothing was spent.
-const awayTime = 200 * time.Millisecond
+// LeastAway is the time for which a process that starts was away at least on any platform, or a VM that takes over a part learns of
+// it late; the part earned meanwhile and nothing was spent.
+const LeastAway = 200 * time.Millisecond
 
 // Resize sets the budget, the number of its parts and whether this VM owns one. A part begins nearly empty: a VM that
 // started anew does not admit again what its previous process admitted, but a fleet that starts serves its first callers.
@@ -53,9 +57,11 @@
 	case owns && account.owns:
 		account.bucket.Resize(now, account.share)
 	case owns:
-		account.bucket = limit.NewBucket(account.share, now-awayTime)
+		account.bucket = limit.NewBucket(account.share, now-account.away)
 	}
 	account.owns = owns
+	// A part that is gained from now on comes from a VM that lives.
+	account.away = LeastAway
 }
 
 // Admit spends one operation; first states that the operation was not counted as an arrival yet.
--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -66,6 +66,8 @@
 	// asked holds the asks that may still be answered.
 	asked  map[uint64]pending
 	number uint64
+	// away is the time for which the process was away at least.
+	away time.Duration
 }
 
 // entry is an account with what the book knows of the others'.
@@ -95,9 +97,10 @@
 	sent time.Duration
 }
 
-// NewBook returns a book of the VM that admits nothing until it knows budgets and VMs.
-func NewBook(self ids.VMID) *Book {
-	return &Book{self: self, accounts: make(map[ids.OrganisationID]*entry), asked: make(map[uint64]pending)}
+// NewBook returns a book of the VM that admits nothing until it knows budgets and VMs. Away is the time for which the process was
+// away at least before it started, LeastAway if nothing is known.
+func NewBook(self ids.VMID, away time.Duration) *Book {
+	return &Book{self: self, away: away, accounts: make(map[ids.OrganisationID]*entry), asked: make(map[uint64]pending)}
 }
 
 // SetBudgets replaces the budgets of all organisations.
@@ -128,7 +131,7 @@
 	for id, budget := range book.budgets {
 		held, ok := book.accounts[id]
 		if !ok {
-			held = &entry{Account: NewAccount()}
+			held = &entry{Account: NewAccount(book.away)}
 			held.lenders.StartAt(slices.IndexFunc(book.vms, func(vm member.Member) bool { return vm.ID == book.self }))
 			book.accounts[id] = held
 		}
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -34,6 +34,8 @@
 	books  map[ids.VMID]*quota.Book
 	vms    []ids.VMID
 	budget limit.Budget
+	// away is what each process is told of how long it was away.
+	away time.Duration
 	// cut states which VMs no datagram reaches.
 	cut      map[ids.VMID]bool
 	messages []message
@@ -56,7 +58,7 @@
 func newSimulation(seed int64, vms int, budget limit.Budget) *simulation {
 	simulation := &simulation{
 		random: rand.New(rand.NewSource(seed)), books: make(map[ids.VMID]*quota.Book), cut: make(map[ids.VMID]bool),
-		budget: budget, byVM: make(map[ids.VMID]int),
+		budget: budget, away: quota.LeastAway, byVM: make(map[ids.VMID]int),
 		whole: limit.NewBucket(limit.Share{Rate: budget.Rate, Burst: budget.Burst}, 0),
 	}
 	for index := range vms {
@@ -70,7 +72,7 @@
 
 // restart gives the VM an empty book, as a new process has.
 func (simulation *simulation) restart(vm ids.VMID, now time.Duration) {
-	book := quota.NewBook(vm)
+	book := quota.NewBook(vm, simulation.away)
 	book.SetVMs(now, simulation.vms)
 	book.SetBudgets(now, map[ids.OrganisationID]limit.Budget{organisation: simulation.budget})
 	simulation.books[vm] = book
@@ -277,6 +279,28 @@
 	}
 }
 
+// Pattern: all processes are killed again and again while an organisation sends ten times its rate, and the platform starts them half a
+// second later. Guards against parts that begin with more than they earned while their processes were away.
+func TestRestartsAfterPause(t *testing.T) {
+	const away, up = 500 * time.Millisecond, time.Second
+	budget := limit.Budget{Rate: 50, Burst: 50}
+	simulation := newSimulation(1, 7, budget)
+	simulation.away = 450 * time.Millisecond
+	demand := even(simulation, 500)
+	for now := time.Duration(0); now < 20*time.Second; {
+		simulation.run(now, up, demand)
+		now += up
+		simulation.run(now, away, nil)
+		now += away
+		for _, vm := range simulation.vms {
+			simulation.restart(vm, now)
+		}
+	}
+	if most := simulation.most(window); most > bound(budget) {
+		t.Errorf("%d operations in %v, bound %d", most, window, bound(budget))
+	}
+}
+
 // Pattern: all VMs lose power and start again before callers whose organisations use little of their rates. Guards against
 // refusing the first operations of a fleet that just started.
 func TestFirstOperationsAfterStart(t *testing.T) {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -88,7 +88,7 @@
 		background: background, stop: stop,
 		settings: settings, platform: platform, decisions: decisions, metrics: registry,
 		monitor: monitor.New(background, platform.Dialer, settings.AvailabilityZone, decisions),
-		mesh:    network, quota: quota.New(settings.VM, network),
+		mesh:    network, quota: quota.New(settings.VM, network, settings.Restart.Away()),
 	}
 	node.role.Store(&corerelay.Role{})
 	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format, settings.Configuration), decisions, relay.WithFamily(records))
--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"dotterelgw/core/ids"
+	"dotterelgw/core/quota"
 	"dotterelgw/io/settings"
 )
 
@@ -28,6 +29,20 @@
 	Drain Drain `toml:"drain"`
 	// Configuration holds how soon changes of the configuration must be in force.
 	Configuration Configuration `toml:"configuration"`
+	// Restart holds what is known of how the platform starts a process again.
+	Restart Restart `toml:"restart"`
+}
+
+// Restart holds what is known of how the platform starts a process again.
+type Restart struct {
+	// AwayMS is the time in milliseconds that passes at least between the end of a process and the start of the next one. What the
+	// VM's parts of rates earn in it is spent after a start; a value that is too large lets organisations exceed their rates then.
+	AwayMS float64 `toml:"away_ms"`
+}
+
+// Away returns the time for which a process that starts was away at least.
+func (restart Restart) Away() time.Duration {
+	return time.Duration(restart.AwayMS * float64(time.Millisecond))
 }
 
 // Configuration holds how soon changes of the configuration must be in force.
@@ -97,10 +112,14 @@
 	leastMemoryMB = 32
 	leastGraceS   = 0.5
 	leastApplyMS  = 1000
+	mostAwayMS    = 5000
 )
 
 func defaults() Settings {
-	return Settings{Limits: Limits{MemoryMB: 256, MaxDescriptors: 4000}, Drain: Drain{GraceS: 6}, Configuration: Configuration{ApplyMS: 3000, StretchMS: 12000}}
+	return Settings{
+		Limits: Limits{MemoryMB: 256, MaxDescriptors: 4000}, Drain: Drain{GraceS: 6}, Configuration: Configuration{ApplyMS: 3000, StretchMS: 12000},
+		Restart: Restart{AwayMS: float64(quota.LeastAway.Milliseconds())},
+	}
 }
 
 // Load reads and checks a settings file.
@@ -158,6 +177,9 @@
 	if read.Drain.GraceS < leastGraceS {
 		fault("drain.grace_s", fmt.Sprint(read.Drain.GraceS), fmt.Sprintf("at least %g", leastGraceS))
 	}
+	if read.Restart.AwayMS < 0 || read.Restart.AwayMS > mostAwayMS {
+		fault("restart.away_ms", fmt.Sprint(read.Restart.AwayMS), fmt.Sprintf("0 to %d", mostAwayMS))
+	}
 	if read.Configuration.ApplyMS < leastApplyMS {
 		fault("configuration.apply_ms", fmt.Sprint(read.Configuration.ApplyMS), fmt.Sprintf("at least %d", leastApplyMS))
 	}
--- a/io/node/settings_test.go
+++ b/io/node/settings_test.go
@@ -62,6 +62,7 @@
 		"several":         {"grace_s = 6", "grace_s = 0", []string{"drain.grace_s"}},
 		"negative":        {"stretch_ms = 12000", "stretch_ms = -1", []string{"configuration.stretch_ms"}},
 		"too little time": {"apply_ms = 3000", "apply_ms = 10", []string{"configuration.apply_ms"}},
+		"away too long":   {"[drain]", "[restart]\naway_ms = 6000\n[drain]", []string{"restart.away_ms"}},
 		"no TOML":         {"[store]", "[store", []string{"settings.toml"}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -36,9 +36,10 @@
 	lent chan struct{}
 }
 
-// New returns a limiter that admits nothing until it knows the configuration and the VMs.
-func New(self ids.VMID, network *mesh.Mesh) *Limiter {
-	limiter := &Limiter{mesh: network, book: quota.NewBook(self), lent: make(chan struct{})}
+// New returns a limiter that admits nothing until it knows the configuration and the VMs. Away is the time for which the process was
+// away at least before it started.
+func New(self ids.VMID, network *mesh.Mesh, away time.Duration) *Limiter {
+	limiter := &Limiter{mesh: network, book: quota.NewBook(self, away), lent: make(chan struct{})}
 	mesh.Handle(network, kindAsk, limiter.lend)
 	mesh.Handle(network, kindLend, limiter.receive)
 	return limiter
