--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -26,10 +26,11 @@
 	leader  ids.BackendServerID
 	term    ids.Term
 	certain bool
-	// used is the time of the last request, usedSince that of the first one after a rest.
-	used, usedSince time.Duration
-	// observedFor and collectedFor are the times of the last questions of other VMs, see Plan.
-	observedFor, collectedFor time.Duration
+	// used tells of requests, usedSince is the time of the first one after a rest.
+	used      demand
+	usedSince time.Duration
+	// observedFor and collectedFor tell of questions of other VMs to this one as an observer and as a collector.
+	observedFor, collectedFor demand
 	// acknowledged is the position of the last write that this VM acknowledged.
 	acknowledged position.Position
 	// fenced is the time at which the primary was last fenced.
@@ -42,6 +43,7 @@
 	return &Group{
 		id: id, monitor: monitor, tracker: leader.NewTracker(),
 		servers: make(map[ids.BackendServerID]*Server), changed: make(chan struct{}),
+		used: demand{memory: useMemory}, observedFor: demand{memory: othersMemory}, collectedFor: demand{memory: othersMemory},
 	}
 }
 
@@ -50,63 +52,50 @@
 
 // Use notes that there is a request for the group, whose state is asked for from now on.
 func (group *Group) Use() {
-	group.mutex.Lock()
-	now := clock.Now()
-	resting := group.used == 0 || now-group.used > useMemory
-	group.used = now
-	if resting {
+	if now := clock.Now(); group.want(&group.used, now) {
+		group.mutex.Lock()
 		group.usedSince = now
-	}
-	group.mutex.Unlock()
-	if resting {
+		group.mutex.Unlock()
 		group.Hurry()
 	}
 }
 
-func (group *Group) inUse() bool {
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	return group.used > 0 && clock.Now()-group.used <= useMemory
-}
-
 // observeForOthers notes that other VMs rely on this one to ask the servers of the group.
 func (group *Group) observeForOthers() {
-	group.mutex.Lock()
-	now := clock.Now()
-	resting := group.observedFor == 0 || now-group.observedFor > othersMemory
-	group.observedFor = now
-	group.mutex.Unlock()
-	if resting {
+	if group.want(&group.observedFor, clock.Now()) {
 		group.poll()
 	}
 }
 
-// observes states whether other VMs rely on this one to ask the servers of the group.
-func (group *Group) observes() bool {
-	group.mutex.Lock()
-	defer group.mutex.Unlock()
-	return group.observedFor > 0 && clock.Now()-group.observedFor <= othersMemory
-}
-
 // collectForOthers notes that other VMs ask this one for the state of the group.
 func (group *Group) collectForOthers() {
-	group.mutex.Lock()
-	now := clock.Now()
-	resting := group.collectedFor == 0 || now-group.collectedFor > othersMemory
-	group.collectedFor = now
-	group.mutex.Unlock()
-	if resting {
+	if group.want(&group.collectedFor, clock.Now()) {
 		group.Hurry()
 	}
 }
 
-// collected states whether other VMs ask this one for the state of the group.
-func (group *Group) collected() bool {
+// want notes a demand and states whether it is the first after a rest.
+func (group *Group) want(demand *demand, now time.Duration) (first bool) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	return group.collectedFor > 0 && clock.Now()-group.collectedFor <= othersMemory
+	return demand.note(now)
 }
 
+func (group *Group) wanted(demand *demand) bool {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return demand.recent(clock.Now())
+}
+
+// inUse states whether this VM has had requests for the group lately.
+func (group *Group) inUse() bool { return group.wanted(&group.used) }
+
+// observes states whether other VMs rely on this one to ask the servers of the group.
+func (group *Group) observes() bool { return group.wanted(&group.observedFor) }
+
+// collected states whether other VMs ask this one for the state of the group.
+func (group *Group) collected() bool { return group.wanted(&group.collectedFor) }
+
 // unknown states whether the group has come into use a moment ago and nothing is known of its primary.
 func (group *Group) unknown() bool {
 	group.mutex.Lock()
