Long records go between VMs only to those that the store turns away, at a bounded rate

Such records are read from the store again, as before, unless it turns the VM away.

Test: relay.TestLargeRecords (fails without the bound: every question was answered with 300 KB), TestChangeArrives.

--- a/io/relay/ask.go
+++ b/io/relay/ask.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/relay"
 	"dotterelgw/io/clock"
@@ -21,8 +22,13 @@
 	// maxTold bounds the keys and values of one answer in bytes: what does not fit follows with the next answer, so that many VMs
 	// that lack many records do not fill the link of the one that they ask.
 	maxTold = 6 << 10
-	// maxLarge bounds a record that is longer than an answer and is told alone.
+	// maxPassed bounds a record, as it is packed, that is longer than an answer and is told alone to whoever asks. Longer ones are
+	// read from the service: the links of VMs carry 20 Mbit/s, and each collector is asked by many VMs at once.
+	maxPassed = 16 << 10
+	// maxLarge bounds a packed record that is told to a VM that the service turns away.
 	maxLarge = 400 << 10
+	// largeRate is the number of bytes a second of such records that a VM sends.
+	largeRate = 128 << 10
 )
 
 // question asks for what changed.
@@ -40,6 +46,8 @@
 	After  ids.Revision `cbor:"after"`
 	// Keys is the number of keys at that revision.
 	Keys int `cbor:"keys"`
+	// TurnedAway states that the service does not answer the VM that asks.
+	TurnedAway bool `cbor:"turned_away,omitempty"`
 }
 
 // tidings answers a question.
@@ -92,7 +100,9 @@
 			continue
 		}
 		topic.mutex.Lock()
-		question.Topics = append(question.Topics, since{Prefix: topic.Prefix, After: topic.reported, Keys: topic.journal.Keys()})
+		question.Topics = append(question.Topics, since{
+			Prefix: topic.Prefix, After: topic.reported, Keys: topic.journal.Keys(), TurnedAway: topic.turnedAway,
+		})
 		topic.mutex.Unlock()
 	}
 	if len(question.Topics) == 0 {
@@ -141,7 +151,7 @@
 		return told, 0, true
 	}
 	told.Known = true
-	if first := relay.FirstSize(all); first > room && room > 0 && first <= maxLarge {
+	if first := relay.FirstSize(all); first > room && room > 0 && topic.passes(all[0], wanted.TurnedAway, now) {
 		room = first
 	}
 	part, upTo, whole := relay.Cut(all, topic.journal.Revision(), room)
@@ -153,6 +163,19 @@
 	return told, size, true
 }
 
+// passes states whether a record that is longer than an answer is told. The mutex is held.
+func (topic *topic) passes(entry config.Entry, turnedAway bool, now time.Duration) bool {
+	size := len(topic.packs.record(entry).Value)
+	if size <= maxPassed {
+		return true
+	}
+	if !turnedAway || size > maxLarge || now < topic.largeAt {
+		return false
+	}
+	topic.largeAt = now + time.Duration(size)*time.Second/largeRate
+	return true
+}
+
 // receive takes the answer of a relay. Its age counts from the sending of the question, so that a late answer makes the
 // records older, never newer.
 func (store *Store) receive(_ ids.VMID, reply tidings) {
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -252,10 +252,11 @@
 		away  int
 		value string
 	}{
-		"the VM is turned away":    {theFollower, "2"},
-		"the relay is turned away": {theRelay, "2"},
-		"the change is too large":  {nobody, string(make([]byte, 2*maxLarge))},
-		"a configuration of 60 KB": {theFollower, string(random)},
+		"the VM is turned away":        {theFollower, "2"},
+		"the relay is turned away":     {theRelay, "2"},
+		"the change is too large":      {nobody, string(make([]byte, 2*maxLarge))},
+		"60 KB, the VM is turned away": {theFollower, string(random)},
+		"60 KB, nobody is":             {nobody, string(random)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			shared, follower, turnAway := startPair(t)
@@ -289,3 +290,29 @@
 	shared.put(prefix+"a", "2")
 	follower.await(t, "the change", func(platform.WatchEvent) bool { return follower.held[prefix+"a"] == "2" })
 }
+
+// Pattern: the configuration grows to some hundred kilobytes, and 100 VMs ask one collector for it whose link carries 20 Mbit/s. Guards
+// against a link that is filled with copies, which delays all else on the VM for seconds, and against a VM that the service turns
+// away and that gets none.
+func TestLargeRecords(t *testing.T) {
+	value := make([]byte, 300<<10)
+	_, _ = rand.NewChaCha8([32]byte{}).Read(value)
+	large := config.Entry{Key: prefix + "a", Value: value, Revision: 2}
+	small := config.Entry{Key: prefix + "b", Value: value[:8<<10], Revision: 2}
+	topic := &topic{packs: make(packs)}
+	told := 0
+	for now := time.Second; now < 6*time.Second; now += 10 * time.Millisecond {
+		if topic.passes(large, false, now) {
+			t.Fatal("a large record is told to a VM that the service answers")
+		}
+		if !topic.passes(small, false, now) {
+			t.Fatal("a small record is not told")
+		}
+		if topic.passes(large, true, now) {
+			told += len(value)
+		}
+	}
+	if told == 0 || told > 5*largeRate+len(value) {
+		t.Errorf("%d bytes in 5 s, want %d at most", told, 5*largeRate+len(value))
+	}
+}
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -64,6 +64,10 @@
 	reported ids.Revision
 	// asked is the time of the last question of another VM, answered that of the last answer of a relay.
 	asked, answered time.Duration
+	// turnedAway states that the service did not answer when it was last asked.
+	turnedAway bool
+	// largeAt is the time from which on a large record may be told again.
+	largeAt time.Duration
 	// retryAt is the time up to which the service is not watched again after an error.
 	retryAt time.Duration
 	// answers hands the answers of relays to the watch.
@@ -178,12 +182,20 @@
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	now := clock.Now()
+	topic.turnedAway = true
 	topic.retryAt = now + retryPause
 	if !isRelay && topic.answered > 0 && now-topic.answered < answerMemory {
 		topic.retryAt = now + relayedPause
 	}
 }
 
+// reached notes that the service answers this VM.
+func (topic *topic) reached() {
+	topic.mutex.Lock()
+	defer topic.mutex.Unlock()
+	topic.turnedAway = false
+}
+
 // mayTry states whether the service may be watched again.
 func (topic *topic) mayTry() bool {
 	topic.mutex.Lock()
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -134,6 +134,7 @@
 func (watch *watch) watched(ctx context.Context, event platform.WatchEvent, open bool) bool {
 	if open && event.Err == nil {
 		watch.behind = false
+		watch.topic.reached()
 		watch.topic.apply(event)
 		return watch.report(ctx, event)
 	}
