A planned stop ends sessions right after an answer or after a quiet second, not between two requests

A VM that stops woke all sessions at once and ended those that were waiting for a request, also where the next one was on its way: it got no answer.

--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -50,6 +50,10 @@
 	writtenAt time.Duration
 	// routed is where the last statement ran.
 	routed routed
+	// replied states that the caller has just been answered and cannot have sent a further request; quietSince is the time of its
+	// last answer.
+	replied    bool
+	quietSince time.Duration
 }
 
 // routed is the decision on where a statement runs, for the log.
@@ -101,6 +105,7 @@
 		session.reject(session.answer(statement.Request{}, refused, statement.Idle))
 		return false
 	}
+	session.quietSince = clock.Now()
 	return session.caller.Accept() == nil
 }
 
@@ -143,9 +148,10 @@
 
 // next serves one request.
 func (session *session) next() error {
-	if session.server.draining.Load() && session.state == statement.Idle && !session.caller.Pending() {
+	if session.server.draining.Load() && session.state == statement.Idle && !session.caller.Pending() && session.mayEnd() {
 		return errEnded
 	}
+	session.replied = false
 	request, err := session.caller.Next(session.deadline())
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		session.expire()
@@ -159,6 +165,7 @@
 	if err := session.caller.Reply(reply); err != nil {
 		return errEnded
 	}
+	session.replied, session.quietSince = true, clock.Now()
 	session.measure(request, reply, arrived)
 	if reply.Code == statement.KeyUnknown {
 		return errEnded
@@ -166,6 +173,15 @@
 	return nil
 }
 
+// quietTime is the time without a request after which a session ends in a planned stop: the next request of a caller that sends many is
+// likely to be on its way.
+const quietTime = time.Second
+
+// mayEnd states whether a planned stop may end the session now without cutting a request that is on its way.
+func (session *session) mayEnd() bool {
+	return session.replied || clock.Now()-session.quietSince >= quietTime
+}
+
 // broken answers a message that violates the protocol, if it can be answered, and ends the session.
 func (session *session) broken(err error) error {
 	if reply, ok := session.caller.ReplyTo(err); ok {
