--- a/io/platform/follow.go
+++ b/io/platform/follow.go
@@ -11,8 +11,8 @@
 const (
 	followBase = 50 * time.Millisecond
 	followMax  = time.Second
-	// followListTimeout bounds a List call.
-	followListTimeout = 5 * time.Second
+	// followListTimeout bounds a List call; hundreds of VMs that read a megabyte at once take seconds.
+	followListTimeout = 10 * time.Second
 )
 
 // Follow watches the prefix and resumes after errors, with backoff, at the revision after the last one reported. Events
