--- a/core/relay/changelog.go
+++ b/core/relay/changelog.go
@@ -62,14 +62,16 @@
 }
 
 // Apply adds the changes up to the revision, or does nothing before the first listing. An entry with a nil value is a deletion.
-// The service was at that revision at the confirmed time or later.
-func (changeLog *ChangeLog) Apply(changes []config.Entry, revision ids.Revision, confirmed time.Duration) {
+// The service was at that revision at the confirmed time or later. Apply returns the number of changes that it ignored because
+// they are not newer than the change log.
+func (changeLog *ChangeLog) Apply(changes []config.Entry, revision ids.Revision, confirmed time.Duration) (ignored int) {
 	if changeLog.compacted == 0 {
-		return
+		return 0
 	}
 	for _, entry := range changes {
 		switch {
 		case entry.Revision <= changeLog.revision:
+			ignored++
 		case entry.Value == nil:
 			changeLog.remove(entry.Key, entry.Revision)
 		default:
@@ -77,6 +79,7 @@
 		}
 	}
 	changeLog.advance(revision, confirmed)
+	return ignored
 }
 
 // advance raises the revision and the confirmed time, neither of which ever decreases.
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -154,14 +154,17 @@
 }
 
 // apply records an event in the change log. An event without a time confirms nothing.
-func (topic *topic) apply(event platform.WatchEvent) {
+func (topic *topic) apply(event platform.WatchEvent, eventLog *observe.EventLog) {
 	var confirmed time.Duration
 	if !event.RequestedAt.IsZero() {
 		confirmed = clock.Now() - time.Since(event.RequestedAt)
 	}
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
-	topic.changeLog.Apply(event.Entries, event.Revision, confirmed)
+	known := topic.changeLog.Revision()
+	if ignored := topic.changeLog.Apply(event.Entries, event.Revision, confirmed); ignored > 0 {
+		eventLog.LimitedEvent("changes_ignored", "prefix", topic.Prefix, "changes", ignored, "revision", event.Revision, "known", known)
+	}
 }
 
 // report sets the revision up to which the watch has reported every change.
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -138,7 +138,7 @@
 	if open && event.Err == nil {
 		watch.behind = false
 		watch.topic.markReachable()
-		watch.topic.apply(event)
+		watch.topic.apply(event, watch.store.eventLog)
 		return watch.report(ctx, event)
 	}
 	watch.stopService()
@@ -162,7 +162,7 @@
 	if watch.behind || update.event.Revision < watch.reported {
 		return true
 	}
-	watch.topic.apply(update.event)
+	watch.topic.apply(update.event, watch.store.eventLog)
 	return watch.report(ctx, update.event)
 }
 
