A revision of the store holds its era, so that numbers given out again differ

Cause: a restored store gives out its numbers again. VMs compared them with those of before: a relay's change log dropped a change as not newer, a watch asked after a number that stood for another change by then, a cached record or a lease passed for the one that has its number now. Change: ids.Revision holds the era of the reply in its upper bits, so that every comparison, cached record and fencing token orders eras first. A change log starts anew with the first listing of an era and knows no changes from the one before. Datagrams with revisions have new kinds, as older VMs send bare numbers. Why it works: no two changes have one revision any more, and revisions rise.

--- a/core/ids/ids.go
+++ b/core/ids/ids.go
@@ -32,13 +32,6 @@
 // LogPosition is a position in the log of a group. Positions are comparable only within one term history.
 type LogPosition uint64
 
-// Revision is the mod_revision that the key-value service assigns to a configuration entry.
-type Revision int64
-
-// Era counts how often the key-value service was restored from an older copy of its data. Each time it loses the writes since that
-// copy, and gives out their revisions again.
-type Era int64
-
 // RequestID identifies one request or refusal. It starts with the VM's identifier.
 type RequestID string
 
--- a/core/relay/changelog.go
+++ b/core/relay/changelog.go
@@ -42,11 +42,17 @@
 func (changeLog *ChangeLog) ConfirmedAt() time.Duration { return changeLog.confirmed }
 
 // List replaces the records with a full listing at the revision. The service was at that revision at the confirmed time or
-// later. A listing older than the change log's revision is ignored.
+// later. A listing older than the change log's revision is ignored. The first listing of an era starts the change log anew: how the
+// records changed between the eras is not known.
 func (changeLog *ChangeLog) List(entries []config.Entry, revision ids.Revision, confirmed time.Duration) {
 	if revision < changeLog.revision {
 		return
 	}
+	if revision.Era() > changeLog.revision.Era() {
+		clear(changeLog.entries)
+		clear(changeLog.deletions)
+		changeLog.compacted = 0
+	}
 	deleted := maps.Clone(changeLog.entries)
 	for _, entry := range entries {
 		delete(deleted, entry.Key)
@@ -127,12 +133,15 @@
 func (changeLog *ChangeLog) Keys() int { return len(changeLog.entries) }
 
 // Since returns the changes after the revision, oldest first; a deletion has a nil value. Keys is the number of keys at that
-// revision. Since returns false if some changes may be missing. Changes since a revision before the first listing are known if
-// the number of unchanged entries equals keys, as then no key was deleted.
+// revision. Since returns false if some changes may be missing, as always after a revision of an earlier era. Changes since a
+// revision before the first listing are known if the number of unchanged entries equals keys, as then no key was deleted.
 func (changeLog *ChangeLog) Since(after ids.Revision, keys int) ([]config.Entry, bool) {
 	if changeLog.compacted > 0 && after >= changeLog.revision {
 		return nil, true
 	}
+	if after.Era() < changeLog.revision.Era() {
+		return nil, false
+	}
 	var changes []config.Entry
 	for _, entry := range changeLog.entries {
 		if entry.Revision > after {
--- a/core/relay/changelog_test.go
+++ b/core/relay/changelog_test.go
@@ -29,13 +29,13 @@
 func describe(changes []config.Entry) []string {
 	var lines []string
 	for _, change := range changes {
-		lines = append(lines, fmt.Sprintf("%s=%s@%d", change.Key, change.Value, change.Revision))
+		lines = append(lines, fmt.Sprintf("%s=%s@%v", change.Key, change.Value, change.Revision))
 	}
 	return lines
 }
 
 // Guards against changes that never reach a VM which gets them from a relay: deletions, keys that are created again, listings
-// after the service lost its history, and replies that arrive out of order.
+// after the service lost its history, replies that arrive out of order, and numbers that a restored service gives out again.
 func TestSince(t *testing.T) {
 	for name, test := range map[string]struct {
 		apply    func(changeLog *relay.ChangeLog)
@@ -79,6 +79,27 @@
 			changeLog.Apply([]config.Entry{entry("b", "1-1", 9)}, 9, 0)
 			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 8, 0)
 		}, after: 7, want: []string{"b=1-1@9"}, complete: true},
+		"revision of an earlier era, whose number is not reached yet": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
+			changeLog.List([]config.Entry{entry("a", "1-2", ids.NewRevision(1, 3))}, ids.NewRevision(1, 5), 0)
+		}, after: 7, keys: 1},
+		"revision of an earlier era, as many keys": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
+			changeLog.List([]config.Entry{entry("b", "1-1", ids.NewRevision(1, 3))}, ids.NewRevision(1, 9), 0)
+		}, after: 7, keys: 0},
+		"number given out again": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
+			changeLog.List([]config.Entry{entry("a", "1-1", ids.NewRevision(1, 3))}, ids.NewRevision(1, 5), 0)
+			changeLog.Apply([]config.Entry{entry("a", "2-1", ids.NewRevision(1, 6))}, ids.NewRevision(1, 6), 0)
+		}, after: ids.NewRevision(1, 5), want: []string{"a=2-1@1.6"}, complete: true},
+		"key deleted between two eras": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", 3), entry("b", "1-1", 4)}, 7, 0)
+			changeLog.List([]config.Entry{entry("b", "1-1", ids.NewRevision(1, 4))}, ids.NewRevision(1, 5), 0)
+		}, after: ids.NewRevision(1, 0), keys: 0, want: []string{"b=1-1@1.4"}, complete: true},
+		"listing of an earlier era": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", ids.NewRevision(1, 3))}, ids.NewRevision(1, 5), 0)
+			changeLog.List(nil, 9, 0)
+		}, after: ids.NewRevision(1, 4), keys: 1, complete: true},
 		"change older than the entry": {apply: func(changeLog *relay.ChangeLog) {
 			changeLog.List([]config.Entry{entry("a", "2-1", 6)}, 7, 0)
 			changeLog.Apply([]config.Entry{deleted("a", 5)}, 8, 0)
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -62,7 +62,7 @@
 	missingSince map[ids.VMID]time.Duration
 	// listed states whether the first listing has been applied.
 	listed bool
-	// lease is the lease of the registration, 0 while there is none. It has no lock, since only Register and Run use it, one after
+	// lease is the lease of the registration, zero while there is none. It has no lock, since only Register and Run use it, one after
 	// the other.
 	lease    platform.Lease
 	onChange []func([]VM)
@@ -102,7 +102,7 @@
 // keepRegistered renews the registration, with an exponential backoff after failures, until the context ends.
 func (fleet *Fleet) keepRegistered(ctx context.Context) {
 	pause := renewInterval
-	if fleet.lease == 0 {
+	if fleet.lease == (platform.Lease{}) {
 		pause = retryInterval
 	}
 	for failures := 0; ctx.Err() == nil; {
@@ -123,13 +123,13 @@
 
 // renew renews the lease of the registration, or registers this VM if it has no lease or the lease has expired.
 func (fleet *Fleet) renew(ctx context.Context) error {
-	if fleet.lease != 0 {
+	if fleet.lease != (platform.Lease{}) {
 		_, err := fleet.store.KeepAlive(ctx, fleet.lease)
 		if !errors.Is(err, platform.ErrLeaseEnded) {
 			return err
 		}
 		fleet.eventLog.Event("registration_lapsed", "lease", fleet.lease)
-		fleet.lease = 0
+		fleet.lease = platform.Lease{}
 	}
 	lease, err := fleet.storeRegistration(ctx)
 	if err == nil {
@@ -143,11 +143,11 @@
 func (fleet *Fleet) storeRegistration(ctx context.Context) (platform.Lease, error) {
 	value, err := json.Marshal(fleet.self)
 	if err != nil {
-		return 0, fmt.Errorf("encoding the registration: %w", err)
+		return platform.Lease{}, fmt.Errorf("encoding the registration: %w", err)
 	}
 	lease, _, err := fleet.store.Grant(ctx, registrationTTL)
 	if err != nil {
-		return 0, fmt.Errorf("granting a lease for the registration: %w", err)
+		return platform.Lease{}, fmt.Errorf("granting a lease for the registration: %w", err)
 	}
 	key := Prefix + string(fleet.self.ID)
 	revision, stored, err := fleet.store.CompareAndSwapLeased(ctx, key, 0, value, lease)
@@ -158,7 +158,7 @@
 		err = errConflict
 	}
 	if err != nil {
-		return 0, fmt.Errorf("storing the registration: %w", err)
+		return platform.Lease{}, fmt.Errorf("storing the registration: %w", err)
 	}
 	fleet.eventLog.Event("registered", "lease", lease, "peer", fleet.self.Peer)
 	return lease, nil
--- a/io/platform/errors.go
+++ b/io/platform/errors.go
@@ -14,11 +14,15 @@
 const (
 	// ErrOutcomeUnknown reports that a write may or may not have taken effect.
 	ErrOutcomeUnknown = jujuerrors.ConstError("it is not known whether the write took effect")
-	// ErrCompacted reports that the requested revision has been compacted; list, then watch from the listed revision.
+	// ErrCompacted reports that the requested revision has been compacted, or that it is of an earlier era; list, then watch from
+	// the listed revision.
 	ErrCompacted = jujuerrors.ConstError("the service no longer holds the revision")
 	// ErrWatchTimeout reports that the service did not answer a progress request in time.
 	ErrWatchTimeout = jujuerrors.ConstError("the watch was not confirmed in time")
-	// ErrLeaseEnded reports that the lease has expired or was revoked.
+	// ErrRestored reports that the service was restored from an older copy while or before the call was made, so that its
+	// revisions stand for other changes than the caller means.
+	ErrRestored = jujuerrors.ConstError("the service was restored from an older copy")
+	// ErrLeaseEnded reports that the lease has expired or was revoked, or is of an earlier era.
 	ErrLeaseEnded = jujuerrors.ConstError("the lease has ended")
 )
 
--- a/io/platform/lease.go
+++ b/io/platform/lease.go
@@ -16,12 +16,12 @@
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	response, err := client.lease.LeaseGrant(ctx, &etcdpb.LeaseGrantRequest{TTL: seconds})
 	if err != nil {
-		return 0, 0, fmt.Errorf("grant lease: %w", writeError(callError(err)))
+		return Lease{}, 0, fmt.Errorf("grant lease: %w", writeError(callError(err)))
 	}
 	if response.GetError() != "" {
-		return 0, 0, fmt.Errorf("grant lease: %s", response.GetError())
+		return Lease{}, 0, fmt.Errorf("grant lease: %s", response.GetError())
 	}
-	return Lease(response.GetID()), time.Duration(response.GetTTL()) * time.Second, nil
+	return Lease{ID: response.GetID()}, time.Duration(response.GetTTL()) * time.Second, nil
 }
 
 // KeepAlive implements Leases.KeepAlive. Each call opens a new stream, so that the deadline of the context covers the renewal.
@@ -30,28 +30,28 @@
 	defer cancel()
 	stream, err := client.lease.LeaseKeepAlive(streamContext)
 	if err != nil {
-		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), callError(err))
+		return 0, fmt.Errorf("keep lease %x alive: %w", lease.ID, callError(err))
 	}
 	// If Send fails, it returns io.EOF, and Recv returns the reason.
-	_ = stream.Send(&etcdpb.LeaseKeepAliveRequest{ID: int64(lease)})
+	_ = stream.Send(&etcdpb.LeaseKeepAliveRequest{ID: lease.ID})
 	response, err := stream.Recv()
 	if err != nil {
-		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), callError(err))
+		return 0, fmt.Errorf("keep lease %x alive: %w", lease.ID, callError(err))
 	}
 	if response.GetTTL() <= 0 {
-		return 0, fmt.Errorf("keep lease %x alive: %w", int64(lease), ErrLeaseEnded)
+		return 0, fmt.Errorf("keep lease %x alive: %w", lease.ID, ErrLeaseEnded)
 	}
 	return time.Duration(response.GetTTL()) * time.Second, nil
 }
 
 // Revoke implements Leases.Revoke.
 func (client *client) Revoke(ctx context.Context, lease Lease) error {
-	_, err := client.lease.LeaseRevoke(ctx, &etcdpb.LeaseRevokeRequest{ID: int64(lease)})
+	_, err := client.lease.LeaseRevoke(ctx, &etcdpb.LeaseRevokeRequest{ID: lease.ID})
 	if status.Code(err) == codes.NotFound {
-		return fmt.Errorf("revoke lease %x: %w", int64(lease), ErrLeaseEnded)
+		return fmt.Errorf("revoke lease %x: %w", lease.ID, ErrLeaseEnded)
 	}
 	if err != nil {
-		return fmt.Errorf("revoke lease %x: %w", int64(lease), writeError(callError(err)))
+		return fmt.Errorf("revoke lease %x: %w", lease.ID, writeError(callError(err)))
 	}
 	return nil
 }
--- a/io/platform/store.go
+++ b/io/platform/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"dotterelgw/core/config"
@@ -16,7 +17,7 @@
 	Get(ctx context.Context, key string) (config.Entry, bool, error)
 	// CompareAndSwap stores the value if the key has the expected revision; 0 requires the key to be absent. It returns the
 	// new revision of the key and true, or the current revision, 0 for an absent key, and false. If the error wraps
-	// ErrOutcomeUnknown, the value may have been stored.
+	// ErrOutcomeUnknown, the value may have been stored. It wraps ErrRestored if the expected revision is of an earlier era.
 	CompareAndSwap(ctx context.Context, key string, expected ids.Revision, value []byte) (ids.Revision, bool, error)
 	// Watch reports every change since the revision, inclusive; 0 starts with the next change. The last event before the
 	// channel is closed has an error unless the context ended.
@@ -38,8 +39,17 @@
 	Err error
 }
 
-// Lease is the id of a lease of the key-value service; 0 means no lease.
-type Lease int64
+// Lease identifies a lease of the key-value service. The zero value means no lease.
+type Lease struct {
+	// ID is the number that the service gave to the lease.
+	ID int64
+	// Era is the era in which the lease was granted. It ends with the era: a restored service may have lost it, or given its id to
+	// another VM.
+	Era ids.Era
+}
+
+// String returns the id of the lease.
+func (lease Lease) String() string { return strconv.FormatInt(lease.ID, 10) }
 
 // Leases grants, renews and revokes leases.
 type Leases interface {
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -85,7 +85,7 @@
 		case err != nil:
 			duty.eventLog.LimitedEvent("duty_unavailable", "err", err)
 			clock.Sleep(ctx, dutyRetryPause)
-		case lease == 0:
+		case lease == platform.Lease{}:
 			duty.waitForVacancy(ctx)
 		default:
 			duty.renew(ctx, lease)
@@ -138,29 +138,29 @@
 // firstCandidates is the number of VMs that check the duty at dutyRecheckInterval.
 const firstCandidates = 3
 
-// acquire tries to become the holder. It returns 0 if another VM holds the duty.
+// acquire tries to become the holder. It returns no lease if another VM holds the duty.
 func (duty *duty) acquire(ctx context.Context) (platform.Lease, error) {
 	_, found, err := duty.store.Get(ctx, dutyKey)
 	if err != nil {
-		return 0, fmt.Errorf("reading the duty key: %w", err)
+		return platform.Lease{}, fmt.Errorf("reading the duty key: %w", err)
 	}
 	if found {
-		return 0, nil
+		return platform.Lease{}, nil
 	}
 	sent := clock.Now()
 	lease, ttl, err := duty.store.Grant(ctx, dutyTTL)
 	if err != nil {
-		return 0, fmt.Errorf("granting a lease for the duty: %w", err)
+		return platform.Lease{}, fmt.Errorf("granting a lease for the duty: %w", err)
 	}
 	revision, stored, err := duty.store.CompareAndSwapLeased(ctx, dutyKey, 0, []byte(duty.self), lease)
 	if err != nil || !stored {
 		duty.revoke(ctx, lease)
 	}
 	if err != nil {
-		return 0, fmt.Errorf("writing the duty key: %w", err)
+		return platform.Lease{}, fmt.Errorf("writing the duty key: %w", err)
 	}
 	if !stored {
-		return 0, nil
+		return platform.Lease{}, nil
 	}
 	duty.token.Store(int64(revision))
 	duty.expiresAt.Store(int64(sent + ttl))
--- a/io/relay/listing.go
+++ b/io/relay/listing.go
@@ -53,6 +53,15 @@
 	return entries, listing.revision, listing.requested, nil
 }
 
+// discard has the next call list anew if the last listing is of the era or of an earlier one.
+func (listing *listing) discard(era ids.Era) {
+	listing.mutex.Lock()
+	defer listing.mutex.Unlock()
+	if listing.revision.Era() <= era {
+		listing.requested = 0
+	}
+}
+
 // get returns the record with the key from the listing, and whether it exists.
 func (listing *listing) get(ctx context.Context, key string) (config.Entry, bool, error) {
 	entries, _, _, err := listing.list(ctx, key)
--- a/io/relay/poll.go
+++ b/io/relay/poll.go
@@ -12,10 +12,11 @@
 	"dotterelgw/io/platform"
 )
 
-// The kinds of messages.
+// The kinds of messages. The earlier kinds ask_records and tell_records carried revisions without an era, which a VM of an earlier
+// version would compare with those of today.
 const (
-	kindRequest  mesh.Kind = "ask_records"
-	kindResponse mesh.Kind = "tell_records"
+	kindRequest  mesh.Kind = "request_records"
+	kindResponse mesh.Kind = "records"
 )
 
 const (
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -145,8 +145,13 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	if errors.Is(event.Err, platform.ErrCompacted) {
+		watch.store.listing.discard(watch.reported.Era())
+		watch.emit(ctx, event)
+		return false
+	}
 	watch.topic.markUnreachable(watch.store.role().Relay)
-	if watch.topic.stale() || errors.Is(event.Err, platform.ErrCompacted) {
+	if watch.topic.stale() {
 		watch.emit(ctx, event)
 		return false
 	}
