A VM that the store turns away gets the records of a later era from other VMs

What callers saw: sessions on a VM that the store turned away while it was restored kept the old configuration, and were refused once it was too old. Cause: a relay that has reached a later era knows no changes since a revision of the earlier one, and answered so; the VM then asked the store, which does not answer it. (Part of the class: a revision of an earlier era names nothing that a relay could continue from.) Change: the relay answers with all records of its era, in as many responses as they need; the VM collects them, keeps what it has meanwhile, and reports them as one listing. A response names the revision after which it begins, so that none is taken that does not continue what the VM has. TestRestoreReachesUnreachableVM fails without it in all four cases.

--- a/io/relay/poll.go
+++ b/io/relay/poll.go
@@ -60,6 +60,8 @@
 // topicResponse holds the changes of one prefix.
 type topicResponse struct {
 	Prefix string `cbor:"prefix"`
+	// After is the revision after which Entries begins.
+	After ids.Revision `cbor:"after"`
 	// HistoryKnown states that the sender knows every change after the requested revision.
 	HistoryKnown bool `cbor:"known"`
 	// Revision is the revision up to which Entries holds every change.
@@ -73,6 +75,8 @@
 
 // topicUpdate is the part of a response that concerns one topic, decoded for its watch.
 type topicUpdate struct {
+	// after is the revision after which the entries of the event begin.
+	after                  ids.Revision
 	historyKnown, complete bool
 	event                  platform.WatchEvent
 }
@@ -101,9 +105,7 @@
 			continue
 		}
 		topic.mutex.Lock()
-		request.Topics = append(request.Topics, topicRequest{
-			Prefix: topic.Prefix, After: topic.reported, KeyCount: topic.changeLog.Keys(), ServiceUnreachable: topic.serviceUnreachable,
-		})
+		request.Topics = append(request.Topics, topic.request())
 		topic.mutex.Unlock()
 	}
 	if len(request.Topics) == 0 {
@@ -147,7 +149,8 @@
 	if topic.changeLog.Revision() == 0 {
 		return topicResponse{}, 0, false
 	}
-	changes = topicResponse{Prefix: topic.Prefix, AgeUS: (now - topic.changeLog.ConfirmedAt()).Microseconds()}
+	wanted = wanted.continueFrom(topic.changeLog)
+	changes = topicResponse{Prefix: topic.Prefix, After: wanted.After, AgeUS: (now - topic.changeLog.ConfirmedAt()).Microseconds()}
 	all, known := topic.changeLog.Since(wanted.After, wanted.KeyCount)
 	if !known {
 		return changes, 0, true
@@ -196,7 +199,7 @@
 			store.eventLog.LimitedEvent("records_faulty", "prefix", changes.Prefix, "err", err)
 			continue
 		}
-		topic.deliver(topicUpdate{historyKnown: changes.HistoryKnown, complete: changes.Complete, event: event})
+		topic.deliver(topicUpdate{after: changes.After, historyKnown: changes.HistoryKnown, complete: changes.Complete, event: event})
 	}
 }
 
--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -49,6 +49,21 @@
 	history  []config.Entry
 }
 
+// restore returns to the state at the number and begins the next era.
+func (records *records) restore(number int64) {
+	records.mutex.Lock()
+	defer records.mutex.Unlock()
+	era := records.revision.Era() + 1
+	var kept []config.Entry
+	for _, entry := range records.history {
+		if entry.Revision.Number() <= number {
+			entry.Revision = ids.NewRevision(era, entry.Revision.Number())
+			kept = append(kept, entry)
+		}
+	}
+	records.history, records.revision = kept, ids.NewRevision(era, number)
+}
+
 // put writes a value; an empty one deletes the key.
 func (records *records) put(key, value string) ids.Revision {
 	records.mutex.Lock()
@@ -102,6 +117,9 @@
 				event = platform.WatchEvent{Err: io.ErrUnexpectedEOF}
 			} else {
 				event.Entries, event.Revision = service.shared.after(after)
+				if event.Revision.Era() != after.Era() {
+					event = platform.WatchEvent{Err: platform.ErrCompacted}
+				}
 				after = event.Revision
 			}
 			select {
@@ -185,6 +203,9 @@
 	for {
 		select {
 		case event := <-vm.events:
+			if event.Listing {
+				clear(vm.values)
+			}
 			for _, entry := range event.Entries {
 				if vm.values[entry.Key] = string(entry.Value); entry.Value == nil {
 					delete(vm.values, entry.Key)
@@ -272,6 +293,44 @@
 	}
 }
 
+// The service is restored from an older copy while it does not answer a VM. Guards against a VM that keeps the records of before, or
+// gets only a part of the new ones, although its relay has all of them.
+func TestRestoreReachesUnreachableVM(t *testing.T) {
+	const followerVM = 1
+	for name, test := range map[string]struct{ restores, keys, valueBytes int }{
+		"few records":         {1, 2, 10},
+		"several responses":   {1, 40, 500},
+		"two restores":        {2, 40, 500},
+		"one record too long": {1, 2, 12 << 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shared, follower, cutOff := startPair(t)
+			value := make([]byte, test.valueBytes)
+			for index := range value {
+				value[index] = byte('a' + rand.N(26))
+			}
+			var backup ids.Revision
+			for index := range test.keys {
+				backup = shared.put(fmt.Sprint(prefix, "kept", index), string(value))
+			}
+			shared.put(prefix+"lost", "1")
+			follower.await(t, "the records before", func(platform.WatchEvent) bool { return follower.values[prefix+"lost"] == "1" })
+			cutOff(followerVM)
+			for range test.restores {
+				shared.put(prefix+"lost", "2")
+				shared.restore(backup.Number())
+			}
+			shared.put(prefix+"a", "new")
+			follower.await(t, "the records after", func(event platform.WatchEvent) bool {
+				return follower.values[prefix+"a"] == "new"
+			})
+			if _, kept := follower.values[prefix+"lost"]; kept || len(follower.values) != test.keys+1 {
+				t.Errorf("%d records, want %d without the lost one", len(follower.values), test.keys+1)
+			}
+		})
+	}
+}
+
 // The service answers no VM. Guards against VMs that keep retrying it although the relays retry on their behalf, and against VMs
 // that do not notice its return.
 func TestServiceUnreachableForAll(t *testing.T) {
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -65,6 +65,8 @@
 	compressed compressionCache
 	// reported is the revision up to which the watch has reported every change.
 	reported ids.Revision
+	// transfer collects the records of a later era; nil if none is known.
+	transfer *transfer
 	// requestedAt is the time of the last request that asked this VM to watch the service.
 	// respondedAt is the time of the last response that this VM received. Both are 0 before the first one.
 	requestedAt, respondedAt time.Duration
@@ -161,17 +163,25 @@
 	}
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
+	if event.Listing {
+		topic.changeLog.List(event.Entries, event.Revision, confirmed)
+		return
+	}
 	known := topic.changeLog.Revision()
 	if ignored := topic.changeLog.Apply(event.Entries, event.Revision, confirmed); ignored > 0 {
 		eventLog.LimitedEvent("changes_ignored", "prefix", topic.Prefix, "changes", ignored, "revision", event.Revision, "known", known)
 	}
 }
 
-// report sets the revision up to which the watch has reported every change.
+// report sets the revision up to which the watch has reported every change. A transfer of its era is over: the records came from the
+// service.
 func (topic *topic) report(revision ids.Revision) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	topic.reported = revision
+	if topic.transfer != nil && topic.transfer.upTo.Era() <= revision.Era() {
+		topic.transfer = nil
+	}
 }
 
 // age returns the time since the records were last confirmed to match the service.
--- /dev/null
+++ b/io/relay/transfer_test.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/relay"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+// A VM in era 1, at number 10, gets the records of era 2 in two responses, while responses of other VMs and to earlier requests
+// arrive. Guards against records that are skipped or come from two eras, because a response is applied that does not continue what the
+// VM has.
+func TestTransfer(t *testing.T) {
+	at := ids.NewRevision
+	entry := func(key string, revision ids.Revision) config.Entry {
+		return config.Entry{Key: key, Value: []byte("1"), Revision: revision}
+	}
+	update := func(after, upTo ids.Revision, complete bool, entries ...config.Entry) topicUpdate {
+		return topicUpdate{after: after, historyKnown: true, complete: complete, event: platform.WatchEvent{Revision: upTo, Entries: entries}}
+	}
+	first := update(at(2, 0), at(2, 4), false, entry("a", at(2, 2)))
+	second := update(at(2, 4), at(2, 8), true, entry("b", at(2, 7)))
+	for name, test := range map[string]struct {
+		updates []topicUpdate
+		// records is the number of records reported as a listing of era 2, 0 for none.
+		records  int
+		reported ids.Revision
+	}{
+		"in order":                           {[]topicUpdate{first, second}, 2, at(2, 8)},
+		"first response twice":               {[]topicUpdate{first, first, second}, 2, at(2, 8)},
+		"second response without the first":  {[]topicUpdate{second}, 0, at(1, 10)},
+		"earlier era, answer to a transfer":  {[]topicUpdate{first, update(at(2, 4), at(1, 12), true)}, 0, at(1, 10)},
+		"earlier era, older":                 {[]topicUpdate{first, update(at(1, 9), at(1, 9), true), second}, 2, at(2, 8)},
+		"history unknown in between":         {[]topicUpdate{first, {}, second}, 0, at(1, 10)},
+		"another restore in between":         {[]topicUpdate{first, update(at(3, 0), at(3, 3), true, entry("c", at(3, 3))), second}, 1, at(3, 3)},
+		"deleted before the second response": {[]topicUpdate{first, update(at(2, 4), at(2, 8), true, config.Entry{Key: "a", Revision: at(2, 6)}, entry("b", at(2, 7)))}, 1, at(2, 8)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			eventLog := observe.NewEventLog(io.Discard, "vm1")
+			defer eventLog.Close(time.Second)
+			topic := &topic{changeLog: relay.NewChangeLog(nil)}
+			topic.changeLog.List([]config.Entry{entry("old", at(1, 3))}, at(1, 10), 0)
+			watch := &watch{store: &Store{eventLog: eventLog}, topic: topic, reported: at(1, 10), events: make(chan platform.WatchEvent, len(test.updates))}
+			for _, update := range test.updates {
+				watch.handleUpdate(context.Background(), update)
+			}
+			if watch.reported != test.reported {
+				t.Errorf("reported up to %v, want %v", watch.reported, test.reported)
+			}
+			records := 0
+			for len(watch.events) > 0 {
+				if event := <-watch.events; event.Listing {
+					records = len(event.Entries)
+				}
+			}
+			if records != test.records || records > 0 && topic.changeLog.Keys() != records {
+				t.Errorf("%d records reported, %d kept, want %d", records, topic.changeLog.Keys(), test.records)
+			}
+		})
+	}
+}
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -162,13 +162,30 @@
 // handleUpdate reports the changes of an update; false ends the watch. If the relay lacks the history, or its next change is too
 // large for a response, the service must be read.
 func (watch *watch) handleUpdate(ctx context.Context, update topicUpdate) bool {
-	progress := update.event.Revision > watch.reported
+	event := update.event
+	progress := event.Revision > watch.reported
 	watch.behind = !update.historyKnown || !update.complete && !progress
-	if watch.behind || update.event.Revision < watch.reported {
+	if !update.historyKnown {
+		watch.topic.cancelTransfer()
+	}
+	if watch.behind || event.Revision < watch.reported {
 		return true
 	}
-	watch.topic.apply(update.event, watch.store.eventLog)
-	return watch.report(ctx, update.event)
+	switch {
+	case event.Revision.Era() == watch.reported.Era() && update.after > watch.reported:
+		// A source that has not reached the later era answers a request of a transfer: the changes up to update.after are missing.
+		return true
+	case event.Revision.Era() > watch.reported.Era():
+		listing, complete := watch.topic.receive(update)
+		if !complete {
+			return true
+		}
+		watch.store.eventLog.Event("records_replaced", "prefix", watch.topic.Prefix, "revision", listing.Revision, "known", watch.reported,
+			"records", len(listing.Entries))
+		event = listing
+	}
+	watch.topic.apply(event, watch.store.eventLog)
+	return watch.report(ctx, event)
 }
 
 // report emits the event without the entries that were reported before.
