The first holder of the duty after a restore waits until an earlier lease has ended

Cause (same class: a lease of an earlier era): a restored store has lost the lease of the VM with the promotion duty, so that another VM may take the duty at once. The old holder, if the store does not answer it, orders for the rest of its time to live: for up to 1.2 s two VMs replace primaries. Change: a holder reads the era in which the duty was last used. If it is another one than that of its own key, or can't be read, it waits for the time to live before it orders, then records its era. Later holders of the era do not wait. No play has shown two holders that order at once; found by reading.

--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,8 @@
 	// DutyKeyPrefix is the key prefix of the duty.
 	DutyKeyPrefix = "dotterelgw/duty/"
 	dutyKey       = DutyKeyPrefix + "promotion"
+	// dutyEraKey is the key of the latest era of the store in which a holder of the duty has ordered.
+	dutyEraKey = "dotterelgw/duty_era"
 	// dutyTTL is the TTL of the lease, after which the duty of a lost holder is free.
 	dutyTTL = 1500 * time.Millisecond
 	// dutyRenewInterval is the time between two renewals of the lease.
@@ -43,7 +46,11 @@
 	eventLog *observe.EventLog
 	// expiresAt is the boot time in nanoseconds until which this VM holds the duty.
 	expiresAt atomic.Int64
+	// waitUntil is the boot time in nanoseconds before which this VM orders nothing, since a holder of an earlier era may.
+	waitUntil atomic.Int64
 	token     atomic.Int64
+	// eraSettled states whether dutyEraKey names the era of the token.
+	eraSettled bool
 	// holder is the VM that was last seen to hold the duty.
 	holder atomic.Value
 	// vacant receives a value when the duty may be free.
@@ -56,9 +63,13 @@
 	return &duty{self: self, store: store, rank: rank, eventLog: eventLog, vacant: make(chan struct{}, 1)}
 }
 
-// current returns the token and the time left in which it may be used; none is left if this VM does not hold the duty.
+// current returns the token and the time left in which it may be used; none is left if this VM does not hold the duty, or has to wait
+// for the end of an earlier lease.
 func (duty *duty) current() (token Token, left time.Duration) {
-	left = time.Duration(duty.expiresAt.Load()) - clock.Now() - dutyMargin
+	now := clock.Now()
+	if now >= time.Duration(duty.waitUntil.Load()) {
+		left = time.Duration(duty.expiresAt.Load()) - now - dutyMargin
+	}
 	return Token(duty.token.Load()), left
 }
 
@@ -163,11 +174,48 @@
 		return platform.Lease{}, nil
 	}
 	duty.token.Store(int64(revision))
+	wait := duty.waitForEarlierEra(ctx, revision.Era(), ttl)
 	duty.expiresAt.Store(int64(sent + ttl))
-	duty.eventLog.Event("duty_taken", "token", revision, "lease", lease)
+	duty.eventLog.Event("duty_taken", "token", int64(revision), "revision", revision, "lease", lease, "wait_ms", wait.Milliseconds())
 	return lease, nil
 }
 
+// waitForEarlierEra has this VM wait until a lease of an earlier era has ended, unless the duty was used in this one before, and
+// returns how long. A restored store has lost the lease, but its holder orders until it learns of that, or for the rest of the time to
+// live.
+func (duty *duty) waitForEarlierEra(ctx context.Context, era ids.Era, ttl time.Duration) (wait time.Duration) {
+	record, _, err := duty.store.Get(ctx, dutyEraKey)
+	if err != nil {
+		duty.eventLog.LimitedEvent("duty_era_unknown", "err", err)
+	}
+	duty.eraSettled = err == nil && string(record.Value) == formatEra(era)
+	if !duty.eraSettled {
+		wait = ttl
+	}
+	duty.waitUntil.Store(int64(clock.Now() + wait))
+	return wait
+}
+
+// settleEra records the era of the token once the wait for earlier leases is over, so that later holders need not wait.
+func (duty *duty) settleEra(ctx context.Context) {
+	if duty.eraSettled || clock.Now() < time.Duration(duty.waitUntil.Load()) {
+		return
+	}
+	// A store that is slow must not keep this VM from renewing the lease.
+	ctx, cancel := context.WithTimeout(ctx, dutyRenewInterval)
+	defer cancel()
+	record, _, err := duty.store.Get(ctx, dutyEraKey)
+	if err == nil {
+		era := ids.Revision(duty.token.Load()).Era()
+		_, duty.eraSettled, err = duty.store.CompareAndSwap(ctx, dutyEraKey, record.Revision, []byte(formatEra(era)))
+	}
+	if err != nil {
+		duty.eventLog.LimitedEvent("duty_era_unknown", "err", err)
+	}
+}
+
+func formatEra(era ids.Era) string { return strconv.FormatInt(int64(era), 10) }
+
 // renew renews the lease until it ends.
 func (duty *duty) renew(ctx context.Context, lease platform.Lease) {
 	for ctx.Err() == nil {
@@ -176,6 +224,7 @@
 		ttl, err := duty.store.KeepAlive(ctx, lease)
 		if err == nil {
 			duty.expiresAt.Store(int64(sent + ttl))
+			duty.settleEra(ctx)
 			continue
 		}
 		if errors.Is(err, platform.ErrLeaseEnded) || clock.Now() > time.Duration(duty.expiresAt.Load()) {
