VMs keep sharing one secret after the store has lost it in a restore

Cause (same class: a record that is kept while the store loses it): the first VM creates the secret that authenticates datagrams, all read it once. A store restored from a copy of before has none; a VM that starts later creates another, and it and the running VMs reject each other's datagrams for good: no records, rates or observations pass between them. Change: a VM that learns of a later era reads the secret anew, stores its own if there is none and adopts the stored one if it differs; datagrams signed with the one before still count. The secret has a file of its own. Result: TestSecretAfterRestore fails without it in both cases.

--- a/io/mesh/mesh.go
+++ b/io/mesh/mesh.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/hmac"
-	"crypto/rand"
 	"crypto/sha256"
 	"errors"
 	"fmt"
@@ -12,30 +11,21 @@
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
-	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
-	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/observe"
 )
 
 const (
-	// secretKey is the key of the shared secret that authenticates the datagrams of all VMs.
-	secretKey = "dotterelgw/peer_secret"
-	// secretBytes is the length of a new secret.
-	secretBytes = 32
 	// macBytes is the length of the authenticator at the end of a datagram, a truncated HMAC-SHA-256.
 	macBytes = 16
 	// maxDatagram bounds a datagram in bytes.
 	maxDatagram = 8 << 10
 	// maxUnregistered bounds the addresses that are kept of VMs whose registration is not known yet.
 	maxUnregistered = 4096
-	// secretRetry is the pause after a failed attempt to read the secret.
-	secretRetry = 300 * time.Millisecond
 )
 
 // Kind identifies the type of a message and selects its handler.
@@ -54,7 +44,9 @@
 	self     ids.VMID
 	conn     *net.UDPConn
 	eventLog *observe.EventLog
-	secret   atomic.Pointer[[]byte]
+	// secret authenticates sent datagrams, nil before it is known. Received ones may also have the previous secret, as another VM may
+	// learn of a change later.
+	secret, previous atomic.Pointer[[]byte]
 
 	mutex sync.Mutex
 	peers map[ids.VMID]netip.AddrPort
@@ -150,10 +142,18 @@
 }
 
 // sign returns the encoded frame with its authenticator appended.
-func sign(secret, encoded []byte) []byte {
+func sign(secret, encoded []byte) []byte { return append(encoded, authenticator(secret, encoded)...) }
+
+// authentic states whether the datagram ends with the authenticator of its frame.
+func authentic(secret, datagram []byte) bool {
+	end := len(datagram) - macBytes
+	return hmac.Equal(authenticator(secret, datagram[:end]), datagram[end:])
+}
+
+func authenticator(secret, encoded []byte) []byte {
 	mac := hmac.New(sha256.New, secret)
 	mac.Write(encoded)
-	return append(encoded, mac.Sum(nil)[:macBytes]...)
+	return mac.Sum(nil)[:macBytes]
 }
 
 // SetVMs replaces the registered VMs, to which messages can be sent. This VM itself is ignored.
@@ -186,19 +186,9 @@
 	return peers
 }
 
-// Store is the part of the key-value service that holds the shared secret.
-type Store interface {
-	// GetShared returns a record that all VMs share and that never changes; it may come from a cache.
-	GetShared(ctx context.Context, key string) (config.Entry, bool, error)
-	// Get returns the entry and whether it exists, as the service holds it now.
-	Get(ctx context.Context, key string) (config.Entry, bool, error)
-	// CompareAndSwap stores the value if the key's revision is expected; 0 expects that the key is absent.
-	CompareAndSwap(ctx context.Context, key string, expected ids.Revision, value []byte) (ids.Revision, bool, error)
-}
-
 // Run receives datagrams until the context ends.
 func (mesh *Mesh) Run(ctx context.Context, store Store) {
-	go mesh.loadSecret(ctx, store)
+	go mesh.keepSecret(ctx, store)
 	stop := context.AfterFunc(ctx, func() { _ = mesh.conn.Close() })
 	defer stop()
 	var buffer [maxDatagram]byte
@@ -222,9 +212,8 @@
 		return
 	}
 	encoded := datagram[:len(datagram)-macBytes]
-	mac := hmac.New(sha256.New, *secret)
-	mac.Write(encoded)
-	if !hmac.Equal(mac.Sum(nil)[:macBytes], datagram[len(encoded):]) {
+	previous := mesh.previous.Load()
+	if !authentic(*secret, datagram) && (previous == nil || !authentic(*previous, datagram)) {
 		mesh.eventLog.LimitedEvent("datagram_forged", "bytes", len(datagram))
 		return
 	}
@@ -263,40 +252,3 @@
 		mesh.unregistered[sender] = from
 	}
 }
-
-// loadSecret reads the shared secret until it succeeds; the first VM creates it. Only the first attempt may use the shared
-// listing.
-func (mesh *Mesh) loadSecret(ctx context.Context, store Store) {
-	for read := store.GetShared; ctx.Err() == nil; read = store.Get {
-		secret, err := readSecret(ctx, store, read)
-		if err == nil && secret != nil {
-			mesh.secret.Store(&secret)
-			return
-		}
-		if err != nil {
-			mesh.eventLog.LimitedEvent("peer_secret_unknown", "err", err)
-			clock.Sleep(ctx, secretRetry)
-		}
-	}
-}
-
-// readSecret returns the shared secret and creates it if there is none; nil if another VM creates it at the same time.
-func readSecret(ctx context.Context, store Store, read func(context.Context, string) (config.Entry, bool, error)) ([]byte, error) {
-	entry, found, err := read(ctx, secretKey)
-	if err != nil {
-		return nil, fmt.Errorf("reading the peer secret: %w", err)
-	}
-	if found {
-		return entry.Value, nil
-	}
-	secret := make([]byte, secretBytes)
-	_, _ = rand.Read(secret) // never fails, see crypto/rand
-	_, stored, err := store.CompareAndSwap(ctx, secretKey, 0, secret)
-	if err != nil {
-		return nil, fmt.Errorf("creating the peer secret: %w", err)
-	}
-	if !stored {
-		return nil, nil
-	}
-	return secret, nil
-}
--- a/io/mesh/mesh_test.go
+++ b/io/mesh/mesh_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,15 +16,48 @@
 	"dotterelgw/io/observe"
 )
 
-// store is a mesh.Store that always returns the secret.
+// store is a mesh.Store in memory that holds the secret.
 type store struct {
-	mesh.Store
+	mutex  sync.Mutex
+	era    ids.Era
 	secret string
 }
 
+// restore begins the next era with the secret, or without any if it is empty.
+func (store *store) restore(secret string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era, store.secret = store.era+1, secret
+}
+
+// Era implements mesh.Store.Era.
+func (store *store) Era() ids.Era {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.era
+}
+
+// Get implements mesh.Store.Get.
+func (store *store) Get(context.Context, string) (config.Entry, bool, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return config.Entry{Value: []byte(store.secret), Revision: ids.NewRevision(store.era, 1)}, store.secret != "", nil
+}
+
 // GetShared implements mesh.Store.GetShared.
-func (store store) GetShared(context.Context, string) (config.Entry, bool, error) {
-	return config.Entry{Value: []byte(store.secret)}, true, nil
+func (store *store) GetShared(ctx context.Context, key string) (config.Entry, bool, error) {
+	return store.Get(ctx, key)
+}
+
+// CompareAndSwap implements mesh.Store.CompareAndSwap.
+func (store *store) CompareAndSwap(_ context.Context, _ string, _ ids.Revision, value []byte) (ids.Revision, bool, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.secret != "" {
+		return ids.NewRevision(store.era, 1), false, nil
+	}
+	store.secret = string(value)
+	return ids.NewRevision(store.era, 1), true, nil
 }
 
 type greeting struct {
@@ -37,6 +71,12 @@
 
 // start runs a mesh and returns it, its registration and the messages that it receives, each as "sender:text".
 func start(t *testing.T, id ids.VMID, secret string) (*mesh.Mesh, fleet.VM, chan string) {
+	t.Helper()
+	return startWith(t, id, &store{secret: secret})
+}
+
+// startWith is start with the store that holds the secret.
+func startWith(t *testing.T, id ids.VMID, shared *store) (*mesh.Mesh, fleet.VM, chan string) {
 	t.Helper()
 	eventLog := observe.NewEventLog(io.Discard, string(id))
 	network, err := mesh.New(id, "127.0.0.1:0", eventLog)
@@ -48,7 +88,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
-		network.Run(ctx, store{secret: secret})
+		network.Run(ctx, shared)
 		close(ended)
 	}()
 	t.Cleanup(func() {
@@ -151,7 +191,7 @@
 	mesh.Handle(two, kind, func(_ ids.VMID, message greeting) { arrived <- message.Text })
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go two.Run(ctx, store{secret: "secret"})
+	go two.Run(ctx, &store{secret: "secret"})
 	one.SetVMs([]fleet.VM{{ID: "vm2", Peer: two.Address()}})
 	two.SetVMs([]fleet.VM{vmOne})
 	end := time.After(testTimeout)
@@ -167,3 +207,40 @@
 		}
 	}
 }
+
+// The service is restored from a copy of before the secret was created, and a VM starts after that. Guards against running and new VMs
+// that reject each other's datagrams from then on, because the new one created a secret of its own.
+func TestSecretAfterRestore(t *testing.T) {
+	for name, secret := range map[string]string{"lost": "", "created by another VM first": "other"} {
+		t.Run(name, func(t *testing.T) {
+			shared := &store{secret: "secret"}
+			one, vmOne, received := startWith(t, "vm1", shared)
+			// A message to itself arrives once the secret has been read.
+			one.SetVMs([]fleet.VM{{ID: "self", Peer: vmOne.Peer}})
+			await(t, "the secret", func() bool { mesh.Send(one, "self", kind, greeting{}); return len(received) > 0 })
+			shared.restore(secret)
+			await(t, "a secret in the service", func() bool { _, found, _ := shared.Get(context.Background(), ""); return found })
+			two, vmTwo, _ := startWith(t, "vm2", shared)
+			for _, network := range []*mesh.Mesh{one, two} {
+				network.SetVMs([]fleet.VM{vmOne, vmTwo})
+			}
+			for len(received) > 0 {
+				<-received
+			}
+			await(t, "a datagram", func() bool {
+				mesh.Send(two, "vm1", kind, greeting{Text: "hello"})
+				return len(received) > 0 && <-received == "vm2:hello"
+			})
+		})
+	}
+}
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s within %v", what, testTimeout)
+		}
+	}
+}
--- a/io/monitor/peers_test.go
+++ b/io/monitor/peers_test.go
@@ -68,6 +68,9 @@
 	return config.Entry{Value: []byte("secret")}, true, nil
 }
 
+// Era implements mesh.Store.Era.
+func (secretStore) Era() ids.Era { return 0 }
+
 // testVM is a running VM of the test's fleet.
 type testVM struct {
 	*Monitor
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -140,6 +140,17 @@
 	return entry, found, nil
 }
 
+// Era returns the latest era of the records, which come from the service or from other VMs.
+func (store *Store) Era() ids.Era {
+	var latest ids.Era
+	for _, topic := range store.topics {
+		topic.mutex.Lock()
+		latest = max(latest, topic.changeLog.Revision().Era())
+		topic.mutex.Unlock()
+	}
+	return latest
+}
+
 // Watch implements platform.Store.Watch.
 func (store *Store) Watch(ctx context.Context, prefix string, from ids.Revision) (<-chan platform.WatchEvent, error) {
 	topic, ok := store.topics[prefix]
