The wait for an earlier lease counts from when the VM learned of the era

Cause: the first holder of the duty in an era waited for a whole time to live from the moment at which it took the duty, though the store had been restored before that and the earlier lease could not be renewed since. Change: a VM notes when it first sees an era, in the watch of the duty or when it takes it; the wait ends one time to live after that.

--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,6 +52,10 @@
 	token     atomic.Int64
 	// eraSettled states whether dutyEraKey names the era of the token.
 	eraSettled bool
+	// knownEra is the latest era of the store that this VM knows, since the boot time knownSince.
+	mutex      sync.Mutex
+	knownEra   ids.Era
+	knownSince time.Duration
 	// holder is the VM that was last seen to hold the duty.
 	holder atomic.Value
 	// vacant receives a value when the duty may be free.
@@ -107,6 +112,9 @@
 // watchKey follows the key of the duty and signals its removal.
 func (duty *duty) watchKey(ctx context.Context) {
 	for event := range platform.Follow(ctx, duty.store, DutyKeyPrefix, 0) {
+		if event.Err == nil {
+			duty.learnEra(event.Revision.Era())
+		}
 		removed := event.Listing && len(event.Entries) == 0
 		if removed {
 			duty.holder.Store(ids.VMID(""))
@@ -180,19 +188,30 @@
 	return lease, nil
 }
 
+// learnEra records that the store is in the era, and returns since when this VM knows.
+func (duty *duty) learnEra(era ids.Era) (since time.Duration) {
+	duty.mutex.Lock()
+	defer duty.mutex.Unlock()
+	if era > duty.knownEra || duty.knownSince == 0 {
+		duty.knownEra, duty.knownSince = era, clock.Now()
+	}
+	return duty.knownSince
+}
+
 // waitForEarlierEra has this VM wait until a lease of an earlier era has ended, unless the duty was used in this one before, and
 // returns how long. A restored store has lost the lease, but its holder orders until it learns of that, or for the rest of the time to
-// live.
+// live; it has renewed it last before this VM learned of the era.
 func (duty *duty) waitForEarlierEra(ctx context.Context, era ids.Era, ttl time.Duration) (wait time.Duration) {
 	record, _, err := duty.store.Get(ctx, dutyEraKey)
 	if err != nil {
 		duty.eventLog.LimitedEvent("duty_era_unknown", "err", err)
 	}
 	duty.eraSettled = err == nil && string(record.Value) == formatEra(era)
+	now := clock.Now()
 	if !duty.eraSettled {
-		wait = ttl
+		wait = max(duty.learnEra(era)+ttl-now, 0)
 	}
-	duty.waitUntil.Store(int64(clock.Now() + wait))
+	duty.waitUntil.Store(int64(now + wait))
 	return wait
 }
 
--- a/io/promoter/duty_test.go
+++ b/io/promoter/duty_test.go
@@ -9,6 +9,7 @@
 
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/observe"
 	"dotterelgw/io/platform"
@@ -87,9 +88,13 @@
 func TestDutyAfterRestore(t *testing.T) {
 	for name, test := range map[string]struct {
 		record, unreadable string
-		waits              bool
+		// known is the time for which the VM has known the era.
+		known time.Duration
+		waits bool
 	}{
 		"first holder of the era":             {record: "1", waits: true},
+		"era known for a moment":              {record: "1", known: dutyTTL / 2, waits: true},
+		"era known since the lease would end": {record: "1", known: dutyTTL},
 		"first holder of all":                 {waits: true},
 		"later holder of the era":             {record: "2"},
 		"era of an earlier holder not known":  {record: "2", unreadable: dutyEraKey, waits: true},
@@ -103,6 +108,9 @@
 			eventLog := observe.NewEventLog(io.Discard, "vm1")
 			defer eventLog.Close(time.Second)
 			duty := newDuty("vm1", store, func() int { return 0 }, eventLog)
+			if test.known > 0 {
+				duty.knownEra, duty.knownSince = 2, clock.Now()-test.known
+			}
 			lease, err := duty.acquire(context.Background())
 			if err != nil || lease == (platform.Lease{}) {
 				t.Fatalf("lease %v, error %v", lease, err)
