A record of before a restore does not replace a newer one

Cause (same class: an old record relayed or listed after a newer one): the directory applied every listing of servers, also one that was requested earlier or that a restored copy holds from before a server said that it leaves; it then got new work. A listing of an earlier era could reach consumers after other VMs had brought the later one. Change: the directory ignores an event that is older than its registrations; a process that leaves counts as leaving for good; a listing of an era that the VM knows to be over is an error. Result: TestOlderRegistrations and TestListingOfEarlierEra fail without it.

--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -62,6 +62,8 @@
 	missingSince map[ids.BackendServerID]time.Duration
 	// listed states whether the registrations have been read once.
 	listed bool
+	// serversRevision is the revision of the registrations.
+	serversRevision ids.Revision
 	// reachable states by prefix whether the last event of the service was no error.
 	reachable map[string]bool
 	onCatalog []func(*catalog.Catalog)
@@ -172,9 +174,15 @@
 	}
 }
 
-// applyServers applies the changes of the registrations. A registration that cannot be decoded counts as missing.
+// applyServers applies the changes of the registrations. A registration that cannot be decoded counts as missing. Of a watch and
+// Refresh, one may be overtaken by the other, so an event that is older than the registrations is ignored.
 func (directory *Directory) applyServers(event platform.WatchEvent) {
 	directory.mutex.Lock()
+	if event.Revision < directory.serversRevision {
+		directory.mutex.Unlock()
+		return
+	}
+	directory.serversRevision = event.Revision
 	changed := event.Listing && !directory.listed
 	present := make(map[ids.BackendServerID]bool)
 	for _, entry := range event.Entries {
@@ -211,6 +219,8 @@
 	}
 	delete(directory.missingSince, id)
 	previous, known := directory.servers[id]
+	// A process that leaves never stays. Its registration may say so again in a store restored from a copy of before.
+	server.Leaving = server.Leaving || known && previous.Leaving && previous.SameProcess(server)
 	if known && previous == server {
 		return id, false
 	}
--- a/io/directory/directory_test.go
+++ b/io/directory/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -16,14 +17,17 @@
 
 var errFaulty = errors.New("faulty")
 
-// decode returns an error for the value "bad"; any other value is the address.
+// decode returns an error for the value "bad"; any other value is the address, with leavingSuffix if the server is leaving.
 func decode(key string, value []byte) (catalog.Server, error) {
 	if string(value) == "bad" {
 		return catalog.Server{}, errFaulty
 	}
-	return catalog.Server{ID: ids.BackendServerID(key[len("servers/"):]), Group: "g", Address: string(value)}, nil
+	address, leaving := strings.CutSuffix(string(value), leavingSuffix)
+	return catalog.Server{ID: ids.BackendServerID(key[len("servers/"):]), Group: "g", Address: address, Leaving: leaving}, nil
 }
 
+const leavingSuffix = " leaving"
+
 // start returns a directory for which the service is reachable, and the servers that it published last.
 func start(t *testing.T) (*Directory, *[]catalog.Server) {
 	t.Helper()
@@ -121,3 +125,28 @@
 		t.Errorf("age %v, want 5 s", age)
 	}
 }
+
+// The store is restored from a copy of before a server said that it leaves, and a listing that was requested earlier arrives late.
+// Guards against new work for a server that leaves, and against records that replace newer ones.
+func TestOlderRegistrations(t *testing.T) {
+	at := ids.NewRevision
+	for name, test := range map[string]struct {
+		event   platform.WatchEvent
+		leaving bool
+	}{
+		"copy of before it left": {platform.WatchEvent{Listing: true, Revision: at(2, 4), Entries: []config.Entry{entry("servers/a", "1")}}, true},
+		"listing of before":      {platform.WatchEvent{Listing: true, Revision: at(1, 6), Entries: []config.Entry{entry("servers/a", "2")}}, true},
+		"another process":        {platform.WatchEvent{Listing: true, Revision: at(2, 4), Entries: []config.Entry{entry("servers/a", "2")}}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			directory, published := start(t)
+			directory.applyServers(platform.WatchEvent{Listing: true, Revision: at(1, 5), Entries: []config.Entry{entry("servers/a", "1")}})
+			directory.applyServers(platform.WatchEvent{Revision: at(1, 9), Entries: []config.Entry{entry("servers/a", "1"+leavingSuffix)}})
+			directory.applyServers(test.event)
+			directory.publish()
+			if len(*published) != 1 || (*published)[0].Leaving != test.leaving {
+				t.Errorf("servers %+v, want one that is leaving: %t", *published, test.leaving)
+			}
+		})
+	}
+}
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -110,6 +110,9 @@
 	if err != nil {
 		return nil, 0, fmt.Errorf("listing %q from the service: %w", prefix, err)
 	}
+	if era := store.Era(); revision.Era() < era {
+		return nil, 0, fmt.Errorf("listing %q of era %d, the service is in era %d: %w", prefix, revision.Era(), era, platform.ErrRestored)
+	}
 	if topic, ok := store.topics[prefix]; ok {
 		topic.mutex.Lock()
 		defer topic.mutex.Unlock()
--- a/io/relay/transfer_test.go
+++ b/io/relay/transfer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -65,3 +66,16 @@
 		})
 	}
 }
+
+// A VM learned of a later era from another VM while the reply to its own listing was on its way. Guards against consumers getting the
+// records of the earlier era after those of the later one.
+func TestListingOfEarlierEra(t *testing.T) {
+	shared := &records{}
+	shared.put(prefix+"a", "1")
+	known := &topic{changeLog: relay.NewChangeLog(nil)}
+	known.changeLog.List(nil, ids.NewRevision(1, 3), 0)
+	store := &Store{Store: &service{shared: shared, unreachable: func() bool { return false }}, topics: map[string]*topic{prefix: known}}
+	if _, revision, err := store.List(context.Background(), prefix); !errors.Is(err, platform.ErrRestored) {
+		t.Errorf("listing at revision %v, error %v", revision, err)
+	}
+}
