VMs register again as soon as they learn that the store was restored

Cause (same class: a lease and a record that the restore lost): a VM noticed that its registration was gone when it next renewed the lease, up to 3 s later. A VM that starts meanwhile reads few registrations or none and divides rates and connections over too few VMs, for up to 3 s. Change: while it waits for the next renewal, a VM looks every 400 ms whether it knows of a later era than that of its lease, and then registers anew, one VM a millisecond.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -50,10 +50,17 @@
 	platform.LeaseStore
 }
 
+// EraStore is a store that knows the era of the service.
+type EraStore interface {
+	Store
+	// Era returns the latest era of the service that this VM knows.
+	Era() ids.Era
+}
+
 // Fleet holds the registered VMs and keeps this VM registered.
 type Fleet struct {
 	self     VM
-	store    Store
+	store    EraStore
 	eventLog *observe.EventLog
 
 	mutex sync.Mutex
@@ -71,7 +78,7 @@
 }
 
 // New returns a fleet that holds only this VM until Run.
-func New(self VM, store Store, eventLog *observe.EventLog) *Fleet {
+func New(self VM, store EraStore, eventLog *observe.EventLog) *Fleet {
 	return &Fleet{
 		self: self, store: store, eventLog: eventLog, vms: map[ids.VMID]VM{self.ID: self},
 		missingSince: make(map[ids.VMID]time.Duration), changed: make(chan struct{}, 1),
@@ -106,7 +113,11 @@
 		pause = retryInterval
 	}
 	for failures := 0; ctx.Err() == nil; {
-		clock.Sleep(ctx, pause)
+		if failures == 0 {
+			fleet.awaitRenewal(ctx, pause)
+		} else {
+			clock.Sleep(ctx, pause)
+		}
 		err := fleet.renew(ctx)
 		if err == nil {
 			failures, pause = 0, renewInterval
@@ -118,6 +129,30 @@
 	}
 }
 
+// eraCheckInterval is the time between two checks whether the service was restored.
+const eraCheckInterval = 400 * time.Millisecond
+
+// awaitRenewal waits for the pause, or until the service is in a later era than the lease. The service may then have lost the
+// registration, and VMs that start meanwhile would divide rates and connections over too few VMs.
+func (fleet *Fleet) awaitRenewal(ctx context.Context, pause time.Duration) {
+	for end := clock.Now() + pause; clock.Now() < end && ctx.Err() == nil; {
+		clock.Sleep(ctx, min(eraCheckInterval, end-clock.Now()))
+		if fleet.lease != (platform.Lease{}) && fleet.store.Era() > fleet.lease.Era {
+			clock.Sleep(ctx, fleet.renewalDelay())
+			return
+		}
+	}
+}
+
+// renewalDelayPerVM spreads the renewals after a restore, so that 2,400 VMs take 2.4 s for them.
+const renewalDelayPerVM = time.Millisecond
+
+// renewalDelay returns the delay of this VM's renewal after a restore.
+func (fleet *Fleet) renewalDelay() time.Duration {
+	rank := slices.IndexFunc(fleet.VMs(), func(vm VM) bool { return vm.ID == fleet.self.ID })
+	return renewalDelayPerVM * time.Duration(max(rank, 0))
+}
+
 // maxDoublings bounds the shift in the backoff, so that it cannot overflow.
 const maxDoublings = 8
 
