--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -62,7 +62,9 @@
 var stateChangeEvents = map[string]bool{
 	"dependency_lost": true, "dependency_regained": true, "primary_changed": true, "primary_certainty": true,
 	"replacement_begun": true, "replacement_given_up": true, "promotion_ordered": true, "promotion_done": true,
-	"configuration_applied": true, "drain": true, "start": true, "primary_fenced": true, "fence_ended": true, "records_source": true, "relay_role": true, "server_gone": true, "duty_lost": true, "duty_taken": true,
+	"configuration_applied": true, "drain": true, "start": true, "primary_fenced": true, "fence_ended": true, "records_source": true,
+	"relay_role": true, "server_gone": true, "duty_lost": true, "duty_taken": true, "store_restored": true, "records_replaced": true,
+	"changes_ignored": true, "peer_secret_changed": true,
 }
 
 // causes holds an explanation of each refusal reason.
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -10,6 +10,8 @@
 
 // firstLog and secondLog are the logs of two VMs.
 const firstLog = `time=2026-06-24T20:34:30.000Z vm=a-1 event=dependency_lost dependency=backend_server server=s1 failures=2
+time=2026-06-24T20:34:38.150Z vm=a-1 event=store_restored era=2 previous=1
+time=2026-06-24T20:34:38.300Z vm=a-1 event=records_replaced prefix=op/config revision=2.8 known=1.9 records=1
 time=2026-06-24T20:34:38.400Z vm=a-1 event=primary_certainty group=g certain=false primary=s1
 time=2026-06-24T20:34:38.413Z vm=a-1 event=answer_lost request=q1 server=s1 waited_ms=41 writes=true err="i/o timeout"
 time=2026-06-24T20:34:38.413Z vm=a-1 event=refused request=q1 kind=write reason=outcome_unknown outcome=unknown note="from s1"
@@ -30,7 +32,7 @@
 	for _, line := range timeline.Lines {
 		events = append(events, line.Get("event"))
 	}
-	if got := strings.Join(events, " "); got != "replacement_begun primary_certainty answer_lost refused" {
+	if got := strings.Join(events, " "); got != "replacement_begun store_restored records_replaced primary_certainty answer_lost refused" {
 		t.Errorf("events %s", got)
 	}
 	if !strings.HasPrefix(timeline.Cause, "outcome_unknown on a-1: the write was sent and its answer did not come") {
