Names: quota.Accounts, handover.Fence and totals in place of Book, Promise and tally

Terms of the field for names that needed explaining: Book held the accounts of organisations; Promise was the fence by which a VM relies on no primary of an earlier term, and its caller was called Fence already; tally sums up figures. No behaviour changes; names on the wire, in logs and in the store stay.

--- a/core/quota/book.go
+++ b/core/quota/accounts.go
@@ -57,12 +57,12 @@
 	LoanRequest
 }
 
-// Book holds the accounts of all organisations on one VM. It is not safe for concurrent use.
-type Book struct {
-	self     ids.VMID
-	vms      []member.Member
-	budgets  map[ids.OrganisationID]limit.Budget
-	accounts map[ids.OrganisationID]*entry
+// Accounts holds the accounts of all organisations on one VM. It is not safe for concurrent use.
+type Accounts struct {
+	self           ids.VMID
+	vms            []member.Member
+	budgets        map[ids.OrganisationID]limit.Budget
+	byOrganisation map[ids.OrganisationID]*entry
 	// outstanding maps the numbers of requests without a reply to their details. They expire after LoanValidity.
 	outstanding map[uint64]request
 	number      uint64
@@ -97,49 +97,49 @@
 	sent time.Duration
 }
 
-// NewBook returns the book of the VM, which admits nothing until it has budgets and VMs. Downtime is the minimum time for which
+// NewAccounts returns the accounts of the VM, which admit nothing until they have budgets and VMs. Downtime is the minimum time for which
 // the process was down before it started, or MinDowntime if unknown.
-func NewBook(self ids.VMID, downtime time.Duration) *Book {
-	return &Book{self: self, downtime: downtime, accounts: make(map[ids.OrganisationID]*entry), outstanding: make(map[uint64]request)}
+func NewAccounts(self ids.VMID, downtime time.Duration) *Accounts {
+	return &Accounts{self: self, downtime: downtime, byOrganisation: make(map[ids.OrganisationID]*entry), outstanding: make(map[uint64]request)}
 }
 
 // SetBudgets replaces the budgets of all organisations.
-func (book *Book) SetBudgets(now time.Duration, budgets map[ids.OrganisationID]limit.Budget) {
-	book.budgets = budgets
-	for id := range book.accounts {
+func (accounts *Accounts) SetBudgets(now time.Duration, budgets map[ids.OrganisationID]limit.Budget) {
+	accounts.budgets = budgets
+	for id := range accounts.byOrganisation {
 		if _, ok := budgets[id]; !ok {
-			delete(book.accounts, id)
+			delete(accounts.byOrganisation, id)
 		}
 	}
-	book.resize(now)
+	accounts.resize(now)
 }
 
 // SetVMs replaces the VMs that share the budgets.
-func (book *Book) SetVMs(now time.Duration, vms []ids.VMID) {
-	book.vms = book.vms[:0]
+func (accounts *Accounts) SetVMs(now time.Duration, vms []ids.VMID) {
+	accounts.vms = accounts.vms[:0]
 	for _, vm := range vms {
-		book.vms = append(book.vms, member.Member{ID: vm})
+		accounts.vms = append(accounts.vms, member.Member{ID: vm})
 	}
-	book.resize(now)
+	accounts.resize(now)
 }
 
 // resize recomputes the shares of all accounts after a change of budgets or VMs. It does nothing until the VMs are known.
-func (book *Book) resize(now time.Duration) {
-	if len(book.vms) == 0 {
+func (accounts *Accounts) resize(now time.Duration) {
+	if len(accounts.vms) == 0 {
 		return
 	}
-	for id, budget := range book.budgets {
-		account, ok := book.accounts[id]
+	for id, budget := range accounts.budgets {
+		account, ok := accounts.byOrganisation[id]
 		if !ok {
-			account = &entry{Account: NewAccount(book.downtime)}
-			account.lenders.StartAt(slices.IndexFunc(book.vms, func(vm member.Member) bool { return vm.ID == book.self }))
-			book.accounts[id] = account
+			account = &entry{Account: NewAccount(accounts.downtime)}
+			account.lenders.StartAt(slices.IndexFunc(accounts.vms, func(vm member.Member) bool { return vm.ID == accounts.self }))
+			accounts.byOrganisation[id] = account
 		}
-		shares := ShareCount(budget, len(book.vms))
+		shares := ShareCount(budget, len(accounts.vms))
 		account.owners = account.owners[:0]
 		ownsShare := false
-		for _, owner := range member.Top("quota/"+string(id), shares, book.vms) {
-			if owner.ID == book.self {
+		for _, owner := range member.Top("quota/"+string(id), shares, accounts.vms) {
+			if owner.ID == accounts.self {
 				ownsShare = true
 				continue
 			}
@@ -150,14 +150,14 @@
 }
 
 // Admit spends an operation of the organisation if one is available, and counts it as an arrival.
-func (book *Book) Admit(now time.Duration, organisation ids.OrganisationID) bool {
-	account, ok := book.accounts[organisation]
+func (accounts *Accounts) Admit(now time.Duration, organisation ids.OrganisationID) bool {
+	account, ok := accounts.byOrganisation[organisation]
 	return ok && account.Admit(now, true)
 }
 
 // StartWait registers an operation as waiting for a loan. It returns false if no loan is to be expected.
-func (book *Book) StartWait(now time.Duration, organisation ids.OrganisationID) bool {
-	account, ok := book.accounts[organisation]
+func (accounts *Accounts) StartWait(now time.Duration, organisation ids.OrganisationID) bool {
+	account, ok := accounts.byOrganisation[organisation]
 	if !ok || now < account.backoffUntil {
 		return false
 	}
@@ -166,8 +166,8 @@
 }
 
 // AdmitWaiting spends an operation for one that is waiting. Last marks the last attempt, which ends the wait even if it fails.
-func (book *Book) AdmitWaiting(now time.Duration, organisation ids.OrganisationID, last bool) bool {
-	account, ok := book.accounts[organisation]
+func (accounts *Accounts) AdmitWaiting(now time.Duration, organisation ids.OrganisationID, last bool) bool {
+	account, ok := accounts.byOrganisation[organisation]
 	if !ok {
 		return false
 	}
@@ -182,8 +182,8 @@
 }
 
 // RetryAfter returns the time in which the whole budget of the organisation earns one operation.
-func (book *Book) RetryAfter(organisation ids.OrganisationID) time.Duration {
-	account, ok := book.accounts[organisation]
+func (accounts *Accounts) RetryAfter(organisation ids.OrganisationID) time.Duration {
+	account, ok := accounts.byOrganisation[organisation]
 	if !ok {
 		return noLoanBackoff
 	}
@@ -191,10 +191,10 @@
 }
 
 // PlanRequests returns the requests to send to other VMs now, and registers them as outstanding.
-func (book *Book) PlanRequests(now time.Duration) []OutgoingRequest {
-	book.expireRequests(now)
+func (accounts *Accounts) PlanRequests(now time.Duration) []OutgoingRequest {
+	accounts.expireRequests(now)
 	items := make(map[ids.VMID][]LoanRequestItem)
-	for id, account := range book.accounts {
+	for id, account := range accounts.byOrganisation {
 		if toRequest := account.toRequest(now); toRequest > 0 {
 			for _, lender := range account.lenders.Split(now, toRequest, account.share.Rate, account.owners) {
 				items[lender.VM] = append(items[lender.VM], LoanRequestItem{Organisation: id, Amount: lender.Amount})
@@ -203,27 +203,27 @@
 	}
 	var requests []OutgoingRequest
 	for peer, toRequest := range items {
-		book.number++
-		book.outstanding[book.number] = request{to: peer, sent: now}
-		requests = append(requests, OutgoingRequest{To: peer, LoanRequest: LoanRequest{Number: book.number, Items: toRequest}})
+		accounts.number++
+		accounts.outstanding[accounts.number] = request{to: peer, sent: now}
+		requests = append(requests, OutgoingRequest{To: peer, LoanRequest: LoanRequest{Number: accounts.number, Items: toRequest}})
 	}
 	return requests
 }
 
 // expireRequests drops requests that got no reply within LoanValidity.
-func (book *Book) expireRequests(now time.Duration) {
-	for number, outstanding := range book.outstanding {
+func (accounts *Accounts) expireRequests(now time.Duration) {
+	for number, outstanding := range accounts.outstanding {
 		if now-outstanding.sent > LoanValidity {
-			delete(book.outstanding, number)
+			delete(accounts.outstanding, number)
 		}
 	}
 }
 
 // Lend takes operations for another VM from this VM's shares and returns the reply to its request.
-func (book *Book) Lend(now time.Duration, loanRequest LoanRequest) Loan {
+func (accounts *Accounts) Lend(now time.Duration, loanRequest LoanRequest) Loan {
 	loan := Loan{Number: loanRequest.Number}
 	for _, item := range loanRequest.Items {
-		if account, ok := book.accounts[item.Organisation]; ok {
+		if account, ok := accounts.byOrganisation[item.Organisation]; ok {
 			amount, remaining := account.Lend(now, item.Amount)
 			loan.Items = append(loan.Items, LoanItem{Organisation: item.Organisation, Amount: amount, Remaining: remaining})
 		}
@@ -233,14 +233,14 @@
 
 // Receive adds a loan. An unsolicited or duplicate loan is ignored. At low demand it reports whether waiting operations need
 // more than was lent, so that other VMs should be sent requests at once.
-func (book *Book) Receive(now time.Duration, sender ids.VMID, loan Loan) (needMore bool) {
-	outstanding, ok := book.outstanding[loan.Number]
+func (accounts *Accounts) Receive(now time.Duration, sender ids.VMID, loan Loan) (needMore bool) {
+	outstanding, ok := accounts.outstanding[loan.Number]
 	if !ok || outstanding.to != sender {
 		return false
 	}
-	delete(book.outstanding, loan.Number)
+	delete(accounts.outstanding, loan.Number)
 	for _, item := range loan.Items {
-		if account, ok := book.accounts[item.Organisation]; ok {
+		if account, ok := accounts.byOrganisation[item.Organisation]; ok {
 			account.lenders.Update(now, sender, item.Remaining)
 			account.Receive(now, outstanding.sent, item.Amount)
 			low := account.borrower.Demand(now) <= lowDemand
--- a/core/quota/fleet_test.go
+++ b/core/quota/fleet_test.go
@@ -28,12 +28,12 @@
 	loan        *quota.Loan
 }
 
-// simulation runs the books of a fleet with a simulated network and clock.
+// simulation runs the accounts of a fleet with a simulated network and clock.
 type simulation struct {
-	random *rand.Rand
-	books  map[ids.VMID]*quota.Book
-	vms    []ids.VMID
-	budget limit.Budget
+	random   *rand.Rand
+	accounts map[ids.VMID]*quota.Accounts
+	vms      []ids.VMID
+	budget   limit.Budget
 	// downtime is the downtime that each new process is told.
 	downtime time.Duration
 	// partitioned holds the VMs that can't exchange datagrams with others.
@@ -58,7 +58,7 @@
 
 func newSimulation(seed int64, vms int, budget limit.Budget) *simulation {
 	simulation := &simulation{
-		random: rand.New(rand.NewSource(seed)), books: make(map[ids.VMID]*quota.Book), partitioned: make(map[ids.VMID]bool),
+		random: rand.New(rand.NewSource(seed)), accounts: make(map[ids.VMID]*quota.Accounts), partitioned: make(map[ids.VMID]bool),
 		budget: budget, downtime: quota.MinDowntime, byVM: make(map[ids.VMID]int),
 		single: limit.NewBucket(limit.Share{Rate: budget.Rate, Burst: budget.Burst}, 0),
 	}
@@ -71,12 +71,12 @@
 	return simulation
 }
 
-// restart replaces the book of the VM by a new one, as a restart of its process does.
+// restart replaces the accounts of the VM by new ones, as a restart of its process does.
 func (simulation *simulation) restart(vm ids.VMID, now time.Duration) {
-	book := quota.NewBook(vm, simulation.downtime)
-	book.SetVMs(now, simulation.vms)
-	book.SetBudgets(now, map[ids.OrganisationID]limit.Budget{organisation: simulation.budget})
-	simulation.books[vm] = book
+	accounts := quota.NewAccounts(vm, simulation.downtime)
+	accounts.SetVMs(now, simulation.vms)
+	accounts.SetBudgets(now, map[ids.OrganisationID]limit.Budget{organisation: simulation.budget})
+	simulation.accounts[vm] = accounts
 }
 
 // run simulates a period with the given demand of each VM in operations a second.
@@ -100,11 +100,11 @@
 	if simulation.single.Take(now, 1) == 0 {
 		simulation.refusedBySingleBucket++
 	}
-	book := simulation.books[vm]
+	accounts := simulation.accounts[vm]
 	switch {
-	case book.Admit(now, organisation):
+	case accounts.Admit(now, organisation):
 		simulation.admit(now, vm)
-	case book.StartWait(now, organisation):
+	case accounts.StartWait(now, organisation):
 		simulation.waiting = append(simulation.waiting, waiting{vm: vm, end: step + waitTicks})
 		simulation.plan(step, now, vm)
 	default:
@@ -118,7 +118,7 @@
 }
 
 func (simulation *simulation) plan(step int, now time.Duration, vm ids.VMID) {
-	for _, ask := range simulation.books[vm].PlanRequests(now) {
+	for _, ask := range simulation.accounts[vm].PlanRequests(now) {
 		simulation.send(message{at: step + 1 + simulation.random.Intn(2), from: vm, to: ask.To, loanRequest: &ask.LoanRequest})
 	}
 }
@@ -138,10 +138,10 @@
 		case one.at > step:
 			later = append(later, one)
 		case one.loanRequest != nil:
-			loan := simulation.books[one.to].Lend(now, *one.loanRequest)
+			loan := simulation.accounts[one.to].Lend(now, *one.loanRequest)
 			simulation.send(message{at: step + 1 + simulation.random.Intn(2), from: one.to, to: one.from, loan: &loan})
 		default:
-			if simulation.books[one.to].Receive(now, one.from, *one.loan) {
+			if simulation.accounts[one.to].Receive(now, one.from, *one.loan) {
 				simulation.plan(step, now, one.to)
 			}
 		}
@@ -155,7 +155,7 @@
 	for _, one := range simulation.waiting {
 		last := step >= one.end
 		switch {
-		case simulation.books[one.vm].AdmitWaiting(now, organisation, last):
+		case simulation.accounts[one.vm].AdmitWaiting(now, organisation, last):
 			simulation.admit(now, one.vm)
 		case last:
 			simulation.refused++
@@ -337,33 +337,33 @@
 // Guards against a duplicate loan that is added twice, and against one that was not requested or comes from another VM.
 func TestForeignLoans(t *testing.T) {
 	simulation := newSimulation(1, 2, limit.Budget{Rate: 100, Burst: 100})
-	book := simulation.books["vm0"]
+	accounts := simulation.accounts["vm0"]
 	now := 100 * time.Second
-	if !book.StartWait(now, organisation) {
+	if !accounts.StartWait(now, organisation) {
 		t.Fatal("the operation may not wait for a loan")
 	}
-	requests := book.PlanRequests(now)
+	requests := accounts.PlanRequests(now)
 	if len(requests) != 1 {
 		t.Fatalf("%d requests, want 1", len(requests))
 	}
 	loan := quota.Loan{Number: requests[0].Number, Items: []quota.LoanItem{{Organisation: organisation, Amount: 1}}}
 	unsolicited := loan
 	unsolicited.Number += 7
-	before := count(book, now)
+	before := count(accounts, now)
 	for range 2 {
-		book.Receive(now, "vm2", loan)
-		book.Receive(now, "vm1", unsolicited)
-		book.Receive(now, "vm1", loan)
+		accounts.Receive(now, "vm2", loan)
+		accounts.Receive(now, "vm1", unsolicited)
+		accounts.Receive(now, "vm1", loan)
 	}
-	if after := count(book, now); before+after != before+1 {
+	if after := count(accounts, now); before+after != before+1 {
 		t.Errorf("%d operations after one loan of 1", after)
 	}
 }
 
 // count spends all available operations and returns their number.
-func count(book *quota.Book, now time.Duration) int {
+func count(accounts *quota.Accounts, now time.Duration) int {
 	spent := 0
-	for book.Admit(now, organisation) {
+	for accounts.Admit(now, organisation) {
 		spent++
 	}
 	return spent
--- a/io/load/result/summary.go
+++ b/io/load/result/summary.go
@@ -27,12 +27,12 @@
 			result.Reasons[reasonLabel(request)]++
 		}
 	}
-	total := newTally("all")
+	total := newTotals("all")
 	worst := 2.0
 	for _, organisation := range spec.Organisations {
 		requests := byOrganisation[organisation.Name]
 		within := history.WithinRate(requests, organisation.Contract.Rate, organisation.Contract.Burst)
-		counts := newTally(organisation.Name)
+		counts := newTotals(organisation.Name)
 		for index, request := range requests {
 			if request.Intended >= warmup {
 				counts.add(request, within[index], time.Duration(spec.Objective))
@@ -59,56 +59,56 @@
 	return cmp.Or(request.SQLState, "no answer") + " " + cmp.Or(request.Reason, "other") + " (" + string(request.Outcome) + ")"
 }
 
-// tally accumulates the figures of one organisation.
-type tally struct {
+// totals accumulates the figures of one organisation.
+type totals struct {
 	Organisation
 	all, reads, writes              *Recorder
 	withinObjective, rightlyRefused int
 }
 
-func newTally(name string) *tally {
-	return &tally{Organisation: Organisation{Name: name}, all: NewRecorder(), reads: NewRecorder(), writes: NewRecorder()}
+func newTotals(name string) *totals {
+	return &totals{Organisation: Organisation{Name: name}, all: NewRecorder(), reads: NewRecorder(), writes: NewRecorder()}
 }
 
-func (tally *tally) add(request *history.Request, within bool, objective time.Duration) {
-	tally.Requests++
+func (totals *totals) add(request *history.Request, within bool, objective time.Duration) {
+	totals.Requests++
 	switch request.Outcome {
 	case history.OK:
-		tally.OK++
+		totals.OK++
 		latency := request.Latency()
-		tally.all.Record(latency)
+		totals.all.Record(latency)
 		if request.Writes() {
-			tally.writes.Record(latency)
+			totals.writes.Record(latency)
 		} else {
-			tally.reads.Record(latency)
+			totals.reads.Record(latency)
 		}
 		if latency <= objective {
-			tally.withinObjective++
+			totals.withinObjective++
 		}
 	case history.Refused:
-		tally.Refused++
+		totals.Refused++
 		if within {
-			tally.RefusedWithinRate++
+			totals.RefusedWithinRate++
 		}
 	case history.Failed:
-		tally.Failed++
+		totals.Failed++
 	case history.Unknown:
-		tally.Unknown++
+		totals.Unknown++
 	}
 	if request.RefusedForRate() {
-		tally.RefusedForRate++
+		totals.RefusedForRate++
 		if within {
-			tally.WronglyRefused++
+			totals.WronglyRefused++
 		} else {
-			tally.rightlyRefused++
+			totals.rightlyRefused++
 		}
 	}
 }
 
-func (tally *tally) summary() Organisation {
-	tally.ServiceLevel = share(tally.withinObjective, tally.Requests-tally.rightlyRefused)
-	tally.Latency, tally.Reads, tally.Writes = tally.all.Latency(), tally.reads.Latency(), tally.writes.Latency()
-	return tally.Organisation
+func (totals *totals) summary() Organisation {
+	totals.ServiceLevel = share(totals.withinObjective, totals.Requests-totals.rightlyRefused)
+	totals.Latency, totals.Reads, totals.Writes = totals.all.Latency(), totals.reads.Latency(), totals.writes.Latency()
+	return totals.Organisation
 }
 
 // perSecond returns the figures of each second. Requests belong to the second of their scheduled start.
--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -37,49 +37,49 @@
 func (group *Group) evaluate(at position.Position, waited bool) (handover.WriteState, <-chan struct{}) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	writeState := group.promise.Durability(clock.Now(), at, waited)
+	writeState := group.fence.Durability(clock.Now(), at, waited)
 	if writeState == handover.Durable && group.acknowledged.Less(at) {
 		group.acknowledged = at
 	}
 	return writeState, group.changed
 }
 
-// Fence promises the VM that replaces the primary not to rely on any primary of an earlier term. It returns the position
+// Fence keeps this VM, on request of the VM that replaces the primary, from relying on any primary of an earlier term. It returns the position
 // of the last write that this VM acknowledged.
 func (group *Group) Fence(term ids.Term) position.Position {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	group.fenced = clock.Now()
-	if held, _ := group.promise.MinTerm(); held < term {
+	if held, _ := group.fence.MinTerm(); held < term {
 		group.monitor.eventLog.Event("primary_fenced", "group", group.id, "term", term, "primary", group.leader,
 			"acknowledged_term", group.acknowledged.Term, "acknowledged", group.acknowledged.Log)
 	}
-	group.promise.Renew(group.fenced, term)
+	group.fence.Renew(group.fenced, term)
 	group.tracker.Revoke(group.fenced)
-	group.tracker.RequireTerm(group.promise.MinTerm())
+	group.tracker.RequireTerm(group.fence.MinTerm())
 	return group.acknowledged
 }
 
-// Release ends the promise for the term because no server was promoted.
+// Release ends the fence for the term because no server was promoted.
 func (group *Group) Release(term ids.Term) {
-	group.resolve("nobody_promoted", term, func() { group.promise.Release(term) })
+	group.resolve("nobody_promoted", term, func() { group.fence.Release(term) })
 }
 
 // PrimaryPromoted records that the primary of the term starts with the log up to start.
 func (group *Group) PrimaryPromoted(term ids.Term, start position.Position) {
-	group.resolve("successor_leads", term, func() { group.promise.PrimaryPromoted(term, start) })
+	group.resolve("successor_leads", term, func() { group.fence.PrimaryPromoted(term, start) })
 }
 
-// resolve applies the change to the promise and wakes those who wait for its end.
+// resolve applies the change to the fence and wakes those who wait for its end.
 func (group *Group) resolve(outcome string, term ids.Term, change func()) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	before, _ := group.promise.MinTerm()
+	before, _ := group.fence.MinTerm()
 	change()
-	if after, _ := group.promise.MinTerm(); before != 0 && after == 0 {
+	if after, _ := group.fence.MinTerm(); before != 0 && after == 0 {
 		group.monitor.eventLog.Event("fence_ended", "group", group.id, "term", term, "outcome", outcome,
 			"held_ms", (clock.Now() - group.fenced).Milliseconds())
 	}
-	group.tracker.RequireTerm(group.promise.MinTerm())
+	group.tracker.RequireTerm(group.fence.MinTerm())
 	group.wake()
 }
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -35,8 +35,8 @@
 	acknowledged position.Position
 	// fenced is the time at which the primary was last fenced.
 	fenced time.Duration
-	// promise is what this VM promised to the VM that replaces the primary.
-	promise handover.Promise
+	// fence keeps this VM from earlier primaries while another VM replaces the primary.
+	fence handover.Fence
 }
 
 func newGroup(id ids.GroupID, monitor *Monitor) *Group {
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -144,7 +144,7 @@
 }
 
 // broadcastAttempts is the number of times that a notice is sent, as datagrams may be lost. A VM that receives none of
-// them waits until its promise expires.
+// them waits until its fence expires.
 const broadcastAttempts = 3
 
 func (promoter *Promoter) broadcast(ctx context.Context, kind mesh.Kind, message notice) {
--- a/io/quota/quota.go
+++ b/io/quota/quota.go
@@ -32,7 +32,7 @@
 
 	mutex sync.Mutex
 	// accounts holds the budgets of all organisations on this VM.
-	accounts *quota.Book
+	accounts *quota.Accounts
 	// loanReceived is closed and replaced when a loan arrives.
 	loanReceived chan struct{}
 }
@@ -40,7 +40,7 @@
 // New returns a limiter that admits nothing until it knows the configuration and the VMs. Before its start the process
 // was not running for minDowntime or longer.
 func New(self ids.VMID, network *mesh.Mesh, minDowntime time.Duration) *Limiter {
-	limiter := &Limiter{mesh: network, accounts: quota.NewBook(self, minDowntime), loanReceived: make(chan struct{})}
+	limiter := &Limiter{mesh: network, accounts: quota.NewAccounts(self, minDowntime), loanReceived: make(chan struct{})}
 	mesh.Handle(network, kindBorrow, limiter.handleBorrow)
 	mesh.Handle(network, kindLend, limiter.handleLoan)
 	return limiter
