Names: core/statemachine and io/failover in place of core/chart and io/orderer

core/chart loads and runs state machines; io/orderer carries out what core/failover decides, so it has its name, and its Orderer is the Executor. Names in metrics, logs, stored records and the hash that ranks watchers stay (orderer), since mixed fleets compare them. No behaviour changes.

--- a/core/chart/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package chart loads state charts from TOML and runs state machines on them.
-package chart
--- a/core/failover/coordinator.go
+++ b/core/failover/coordinator.go
@@ -4,9 +4,9 @@
 	_ "embed"
 	"time"
 
-	"dotterelgw/core/chart"
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/statemachine"
 )
 
 const (
@@ -42,7 +42,7 @@
 type Coordinator struct {
 	self    ids.VMID
 	group   config.GroupRecord
-	machine *chart.Machine
+	machine *statemachine.Machine
 
 	// record is the newest known term record and revision its revision, 0 if there is none.
 	record   config.TermRecord
@@ -77,7 +77,7 @@
 	choose func([]Status) Status
 }
 
-var actions = map[chart.Action]func(*Coordinator, time.Duration) []Command{
+var actions = map[statemachine.Action]func(*Coordinator, time.Duration) []Command{
 	"claim":      (*Coordinator).claim,
 	"initialise": (*Coordinator).initialise,
 	"note":       (*Coordinator).awaitOrderer,
@@ -92,16 +92,16 @@
 
 // NewCoordinator returns the coordinator of the VM self for the group, started at the time now.
 func NewCoordinator(self ids.VMID, group config.GroupRecord, now time.Duration) (*Coordinator, error) {
-	known := make([]chart.Action, 0, len(actions))
+	known := make([]statemachine.Action, 0, len(actions))
 	for action := range actions {
 		known = append(known, action)
 	}
-	loaded, err := chart.Load(promotionChart, known...)
+	loaded, err := statemachine.Load(promotionChart, known...)
 	if err != nil {
 		return nil, err
 	}
 	return &Coordinator{
-		self: self, group: group, machine: chart.NewMachine(loaded), quorum: FenceQuorum(len(group.Servers)),
+		self: self, group: group, machine: statemachine.NewMachine(loaded), quorum: FenceQuorum(len(group.Servers)),
 		choose: mostAdvanced, repairedAt: map[ids.BackendServerID]time.Duration{}, stepSince: now,
 	}, nil
 }
@@ -123,7 +123,7 @@
 }
 
 // fire applies the event to the state machine and carries out the actions of the transition.
-func (coordinator *Coordinator) fire(now time.Duration, event chart.Event) []Command {
+func (coordinator *Coordinator) fire(now time.Duration, event statemachine.Event) []Command {
 	before := coordinator.machine.State()
 	due, err := coordinator.machine.Fire(event)
 	if err != nil {
@@ -167,7 +167,7 @@
 }
 
 // due returns the event that the input of a steady group requires, or an empty string if there is none.
-func (coordinator *Coordinator) due(now time.Duration) chart.Event {
+func (coordinator *Coordinator) due(now time.Duration) statemachine.Event {
 	tickInput := coordinator.tickInput
 	coordinator.planned = false
 	if coordinator.revision == 0 {
@@ -196,7 +196,7 @@
 }
 
 // afterRankDelay returns primary_lost once the delay for this watcher's rank has elapsed.
-func (coordinator *Coordinator) afterRankDelay(now time.Duration) chart.Event {
+func (coordinator *Coordinator) afterRankDelay(now time.Duration) statemachine.Event {
 	if coordinator.lostSince == 0 {
 		coordinator.lostSince = now
 	}
@@ -229,7 +229,7 @@
 }
 
 // expectedStep maps each state that waits for a record to be stored to the step of that record.
-var expectedStep = map[chart.State]string{
+var expectedStep = map[statemachine.State]string{
 	"initialising": Steady, "claiming": Fencing, "recording": Promoting, "completing": Steady,
 }
 
--- a/core/chart/chart_test.go
+++ b/core/statemachine/chart_test.go
@@ -1,4 +1,4 @@
-package chart_test
+package statemachine_test
 
 import (
 	"os"
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"dotterelgw/core/chart"
+	"dotterelgw/core/statemachine"
 )
 
 // TestLoad guards against loading an invalid or incomplete chart, which would fail only at run time. The first line of
@@ -25,7 +25,7 @@
 			}
 			first, _, _ := strings.Cut(string(source), "\n")
 			want, fails := strings.CutPrefix(first, "# error: ")
-			_, err = chart.Load(source, "lock")
+			_, err = statemachine.Load(source, "lock")
 			if fails && (err == nil || !strings.Contains(err.Error(), want)) {
 				t.Errorf("error %v, want %q", err, want)
 			}
@@ -43,18 +43,18 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	loaded, err := chart.Load(source, "lock")
+	loaded, err := statemachine.Load(source, "lock")
 	if err != nil {
 		t.Fatal(err)
 	}
-	machine := chart.NewMachine(loaded)
+	machine := statemachine.NewMachine(loaded)
 	if actions, err := machine.Fire("knock"); len(actions) != 0 || err != nil || machine.State() != "open" {
 		t.Errorf("ignored event: %v, %v, %v", actions, err, machine.State())
 	}
 	if _, err := machine.Fire("ring"); err == nil || machine.State() != "open" {
 		t.Errorf("unknown event: %v, %v", err, machine.State())
 	}
-	if actions, err := machine.Fire("leave"); !slices.Equal(actions, []chart.Action{"lock"}) || err != nil || !machine.Final() {
+	if actions, err := machine.Fire("leave"); !slices.Equal(actions, []statemachine.Action{"lock"}) || err != nil || !machine.Final() {
 		t.Errorf("leave: %v, %v, %v", actions, err, machine.State())
 	}
 }
@@ -62,21 +62,21 @@
 // TestNamed checks that the embedded charts load and that a connection with a missing response is closed when it is
 // released.
 func TestNamed(t *testing.T) {
-	actions := map[string][]chart.Action{
+	actions := map[string][]statemachine.Action{
 		"connection": {"offer", "close", "cancel", "discard_all"},
 		"vm":         {"announce_leaving", "close_listener", "end_sessions", "close_connections"},
 		"session": {
 			"report_ready", "send_refusal", "send_protocol_error", "send_stopping", "send_withdrawn", "roll_back", "close",
 		},
 	}
-	for _, name := range chart.Names() {
-		if _, err := chart.Named(name, actions[name]...); err != nil {
+	for _, name := range statemachine.Names() {
+		if _, err := statemachine.Named(name, actions[name]...); err != nil {
 			t.Error(err)
 		}
 	}
-	connection, _ := chart.Named("connection", actions["connection"]...)
-	machine := chart.NewMachine(connection)
-	for _, event := range []chart.Event{"logged_in", "acquired", "response_missing", "released"} {
+	connection, _ := statemachine.Named("connection", actions["connection"]...)
+	machine := statemachine.NewMachine(connection)
+	for _, event := range []statemachine.Event{"logged_in", "acquired", "response_missing", "released"} {
 		if _, err := machine.Fire(event); err != nil {
 			t.Fatal(err)
 		}
@@ -84,7 +84,7 @@
 	if !machine.Final() {
 		t.Errorf("a connection with a missing response is %s after its release", machine.State())
 	}
-	if _, err := chart.Named("unknown"); err == nil {
+	if _, err := statemachine.Named("unknown"); err == nil {
 		t.Error("unknown chart loaded")
 	}
 }
--- /dev/null
+++ b/core/statemachine/doc.go
@@ -0,0 +1,2 @@
+// Package statemachine loads state charts from TOML and runs state machines on them.
+package statemachine
--- a/core/chart/machine.go
+++ b/core/statemachine/machine.go
@@ -1,4 +1,4 @@
-package chart
+package statemachine
 
 import (
 	"fmt"
--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -11,8 +11,8 @@
 
 	"github.com/juju/errors"
 
-	"dotterelgw/core/chart"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/statemachine"
 	"dotterelgw/io/backend/wire"
 )
 
@@ -40,7 +40,7 @@
 	conn    net.Conn
 	raw     syscall.RawConn
 	reader  *wire.Reader
-	machine *chart.Machine
+	machine *statemachine.Machine
 	request Request
 	poolKey poolKey
 	// idleSince is the time at which the connection was opened or last released.
--- a/io/backend/lifecycle.go
+++ b/io/backend/lifecycle.go
@@ -4,33 +4,33 @@
 	"context"
 	"fmt"
 
-	"dotterelgw/core/chart"
+	"dotterelgw/core/statemachine"
 	"dotterelgw/io/backend/wire"
 )
 
-// States, events and actions of the state chart "connection" in core/chart.
+// States, events and actions of the state chart "connection" in core/statemachine.
 const (
-	stateIdle chart.State = "idle"
+	stateIdle statemachine.State = "idle"
 
-	loggedIn        chart.Event = "logged_in"
-	acquired        chart.Event = "acquired"
-	answered        chart.Event = "answered"
-	settingsChanged chart.Event = "settings_changed"
-	released        chart.Event = "released"
-	resetDone       chart.Event = "reset"
-	responseMissing chart.Event = "response_missing"
-	broken          chart.Event = "broken"
-	expired         chart.Event = "expired"
+	loggedIn        statemachine.Event = "logged_in"
+	acquired        statemachine.Event = "acquired"
+	answered        statemachine.Event = "answered"
+	settingsChanged statemachine.Event = "settings_changed"
+	released        statemachine.Event = "released"
+	resetDone       statemachine.Event = "reset"
+	responseMissing statemachine.Event = "response_missing"
+	broken          statemachine.Event = "broken"
+	expired         statemachine.Event = "expired"
 
-	actionOffer      chart.Action = "offer"
-	actionClose      chart.Action = "close"
-	actionDiscardAll chart.Action = "discard_all"
-	actionCancel     chart.Action = "cancel"
+	actionOffer      statemachine.Action = "offer"
+	actionClose      statemachine.Action = "close"
+	actionDiscardAll statemachine.Action = "discard_all"
+	actionCancel     statemachine.Action = "cancel"
 )
 
 // connectionChart is the state chart of every connection. It is embedded in the program, so an invalid chart is a bug.
-var connectionChart = func() *chart.Chart {
-	loaded, err := chart.Named("connection", actionOffer, actionClose, actionDiscardAll, actionCancel)
+var connectionChart = func() *statemachine.Chart {
+	loaded, err := statemachine.Named("connection", actionOffer, actionClose, actionDiscardAll, actionCancel)
 	if err != nil {
 		panic(fmt.Sprintf("loading the chart of connections: %v", err))
 	}
@@ -38,10 +38,10 @@
 }()
 
 // State returns the connection's state in the chart. Only the goroutine that uses the connection may call it.
-func (conn *Conn) State() chart.State { return conn.machine.State() }
+func (conn *Conn) State() statemachine.State { return conn.machine.State() }
 
 // fire applies the event and runs the resulting actions, except for offer, which the pool carries out.
-func (conn *Conn) fire(event chart.Event) {
+func (conn *Conn) fire(event statemachine.Event) {
 	actions, err := conn.machine.Fire(event)
 	if err != nil {
 		// A closed connection accepts no events, so there is nothing left to do.
--- a/io/backend/login.go
+++ b/io/backend/login.go
@@ -9,8 +9,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
-	"dotterelgw/core/chart"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/statemachine"
 	"dotterelgw/io/backend/wire"
 )
 
@@ -47,7 +47,7 @@
 	conn := &Conn{
 		conn: raw, request: request, poolKey: request.poolKey(),
 		reader: wire.NewReader(raw, maxResponseBytes), prepared: make(map[string]struct{}),
-		machine: chart.NewMachine(connectionChart),
+		machine: statemachine.NewMachine(connectionChart),
 	}
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		conn.raw, _ = tcp.SyscallConn()
--- /dev/null
+++ b/io/failover/doc.go
@@ -0,0 +1,2 @@
+// Package failover watches database groups and promotes replicas of lost or leaving primaries.
+package failover
--- a/io/orderer/orderer.go
+++ b/io/failover/executor.go
@@ -1,4 +1,4 @@
-package orderer
+package failover
 
 import (
 	"context"
@@ -68,8 +68,8 @@
 	revision ids.Revision
 }
 
-// Orderer runs the supervisors of the groups that this VM watches. It is safe for concurrent use.
-type Orderer struct {
+// Executor runs the supervisors of the groups that this VM watches. It is safe for concurrent use.
+type Executor struct {
 	self       ids.VMID
 	store      Store
 	groups     Groups
@@ -93,21 +93,23 @@
 }
 
 // Option changes the defaults of New.
-type Option func(*Orderer)
+type Option func(*Executor)
 
 // WithLogger sets the logger.
-func WithLogger(logger log.Logger) Option { return func(orderer *Orderer) { orderer.logger = logger } }
+func WithLogger(logger log.Logger) Option {
+	return func(executor *Executor) { executor.logger = logger }
+}
 
 // WithClock replaces the clock, which returns the time since process start.
 func WithClock(now func() time.Duration) Option {
-	return func(orderer *Orderer) { orderer.now = now }
+	return func(executor *Executor) { executor.now = now }
 }
 
 var processStart = time.Now()
 
-// New returns the orderer of this VM. The function members returns the live VMs, including this one.
-func New(self ids.VMID, store Store, groups Groups, peers Peers, topMembers TopMembers, members func() []member.Member, options ...Option) *Orderer {
-	orderer := &Orderer{
+// New returns the executor of this VM. The function members returns the live VMs, including this one.
+func New(self ids.VMID, store Store, groups Groups, peers Peers, topMembers TopMembers, members func() []member.Member, options ...Option) *Executor {
+	executor := &Executor{
 		self: self, store: store, groups: groups, peers: peers, topMembers: topMembers, members: members,
 		now:         func() time.Duration { return time.Since(processStart) },
 		logger:      log.NewNopLogger(),
@@ -118,52 +120,52 @@
 		watchers:    map[ids.GroupID][]member.Member{},
 	}
 	for _, option := range options {
-		option(orderer)
+		option(executor)
 	}
-	return orderer
+	return executor
 }
 
 // Apply adds a group or updates its record.
-func (orderer *Orderer) Apply(record config.GroupRecord) {
-	orderer.mutex.Lock()
-	defer orderer.mutex.Unlock()
-	known, ok := orderer.records[record.Group]
-	orderer.records[record.Group] = record
+func (executor *Executor) Apply(record config.GroupRecord) {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	known, ok := executor.records[record.Group]
+	executor.records[record.Group] = record
 	if ok && slices.Equal(known.Servers, record.Servers) {
 		return
 	}
-	if supervisor := orderer.supervisors[record.Group]; supervisor != nil {
+	if supervisor := executor.supervisors[record.Group]; supervisor != nil {
 		// The coordinator was made for the old servers; the next assignment starts a new one.
 		supervisor.cancel()
-		delete(orderer.supervisors, record.Group)
+		delete(executor.supervisors, record.Group)
 	}
 }
 
 // ApplyTerm updates the term record of a group, unless the revision is not newer.
-func (orderer *Orderer) ApplyTerm(id ids.GroupID, record config.TermRecord, revision ids.Revision) {
-	orderer.mutex.Lock()
-	defer orderer.mutex.Unlock()
-	if revision <= orderer.terms[id].revision {
+func (executor *Executor) ApplyTerm(id ids.GroupID, record config.TermRecord, revision ids.Revision) {
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	if revision <= executor.terms[id].revision {
 		return
 	}
-	orderer.terms[id] = termEntry{record, revision}
-	if supervisor := orderer.supervisors[id]; supervisor != nil {
+	executor.terms[id] = termEntry{record, revision}
+	if supervisor := executor.supervisors[id]; supervisor != nil {
 		supervisor.post(func() { supervisor.applyTerm(record, revision) })
 	}
 }
 
 // Run watches groups until the context ends.
-func (orderer *Orderer) Run(ctx context.Context) error {
-	orderer.mutex.Lock()
-	orderer.ctx = ctx
-	orderer.mutex.Unlock()
+func (executor *Executor) Run(ctx context.Context) error {
+	executor.mutex.Lock()
+	executor.ctx = ctx
+	executor.mutex.Unlock()
 	ticker := time.NewTicker(assignInterval)
 	defer ticker.Stop()
 	for {
-		orderer.assign()
+		executor.assign()
 		select {
 		case <-ctx.Done():
-			orderer.running.Wait()
+			executor.running.Wait()
 			return nil
 		case <-ticker.C:
 		}
@@ -172,9 +174,9 @@
 
 // assign starts and ends supervisors so that this VM supervises the groups of which it is a watcher. A promotion in
 // progress is completed first.
-func (orderer *Orderer) assign() {
+func (executor *Executor) assign() {
 	var eligible []member.Member
-	all := orderer.members()
+	all := executor.members()
 	for _, entry := range all {
 		if !entry.Leaving {
 			eligible = append(eligible, entry)
@@ -183,74 +185,74 @@
 	if len(eligible) == 0 {
 		eligible = all
 	}
-	orderer.mutex.Lock()
-	defer orderer.mutex.Unlock()
-	defer func() { orderer.counters.watched.Update(int64(len(orderer.supervisors))) }()
-	if !slices.Equal(eligible, orderer.rankedMembers) {
-		orderer.rankedMembers = eligible
-		clear(orderer.watchers)
+	executor.mutex.Lock()
+	defer executor.mutex.Unlock()
+	defer func() { executor.counters.watched.Update(int64(len(executor.supervisors))) }()
+	if !slices.Equal(eligible, executor.rankedMembers) {
+		executor.rankedMembers = eligible
+		clear(executor.watchers)
 	}
-	for id, record := range orderer.records {
-		watchers, known := orderer.watchers[id]
+	for id, record := range executor.records {
+		watchers, known := executor.watchers[id]
 		if !known {
-			watchers = orderer.topMembers("orderer/"+string(id), failover.WatcherCount, eligible)
-			orderer.watchers[id] = watchers
+			watchers = executor.topMembers("orderer/"+string(id), failover.WatcherCount, eligible)
+			executor.watchers[id] = watchers
 		}
 		rank := -1
 		for index, watcher := range watchers {
-			if watcher.ID == orderer.self {
+			if watcher.ID == executor.self {
 				rank = index
 			}
 		}
-		current := orderer.supervisors[id]
+		current := executor.supervisors[id]
 		switch {
 		case rank >= 0 && current == nil:
-			if err := orderer.startSupervisor(record, watchers, rank); err != nil {
-				_ = orderer.logger.Log("msg", "cannot watch group", "group", id, "err", err)
+			if err := executor.startSupervisor(record, watchers, rank); err != nil {
+				_ = executor.logger.Log("msg", "cannot watch group", "group", id, "err", err)
 			}
 		case rank >= 0:
 			current.post(func() { current.watchers, current.rank = watchers, rank })
 		case current != nil && !current.active.Load():
 			current.cancel()
-			delete(orderer.supervisors, id)
-			orderer.groups.SetWatched(id, false)
+			delete(executor.supervisors, id)
+			executor.groups.SetWatched(id, false)
 		}
 	}
 }
 
 // startSupervisor creates the supervisor of a group and starts it.
-func (orderer *Orderer) startSupervisor(record config.GroupRecord, watchers []member.Member, rank int) error {
-	coordinator, err := failover.NewCoordinator(orderer.self, record, orderer.now())
+func (executor *Executor) startSupervisor(record config.GroupRecord, watchers []member.Member, rank int) error {
+	coordinator, err := failover.NewCoordinator(executor.self, record, executor.now())
 	if err != nil {
 		return fmt.Errorf("plan of %s: %w", record.Group, err)
 	}
-	ctx, cancel := context.WithCancel(orderer.ctx)
+	ctx, cancel := context.WithCancel(executor.ctx)
 	supervisor := &supervisor{
-		orderer: orderer, group: record, coordinator: coordinator, watchers: watchers, rank: rank, ctx: ctx, cancel: cancel,
+		executor: executor, group: record, coordinator: coordinator, watchers: watchers, rank: rank, ctx: ctx, cancel: cancel,
 		inbox: make(chan func(), 64), inFlight: map[call]bool{}, received: map[ids.VMID]receivedEvidence{},
 	}
-	if known, ok := orderer.terms[record.Group]; ok {
+	if known, ok := executor.terms[record.Group]; ok {
 		supervisor.applyTerm(known.record, known.revision)
 	}
-	orderer.supervisors[record.Group] = supervisor
-	orderer.groups.SetWatched(record.Group, true)
-	orderer.running.Add(1)
+	executor.supervisors[record.Group] = supervisor
+	executor.groups.SetWatched(record.Group, true)
+	executor.running.Add(1)
 	go supervisor.run()
 	return nil
 }
 
 // Evidence answers a request of another watcher; it implements Evidence of the peer protocol. The reply is empty for a
 // group that this VM does not watch.
-func (orderer *Orderer) Evidence(_ context.Context, request *peerpb.EvidenceRequest) (*peerpb.EvidenceReply, error) {
+func (executor *Executor) Evidence(_ context.Context, request *peerpb.EvidenceRequest) (*peerpb.EvidenceReply, error) {
 	id := ids.GroupID(request.GetGroup())
-	orderer.mutex.Lock()
-	_, watches := orderer.supervisors[id]
-	orderer.mutex.Unlock()
+	executor.mutex.Lock()
+	_, watches := executor.supervisors[id]
+	executor.mutex.Unlock()
 	reply := &peerpb.EvidenceReply{}
 	if !watches {
 		return reply, nil
 	}
-	for _, evidence := range orderer.groups.Evidence(id) {
+	for _, evidence := range executor.groups.Evidence(id) {
 		silent := evidence.Silent.Milliseconds()
 		if evidence.Status.Server == "" && silent == 0 {
 			silent = -1
--- a/io/orderer/orderer_test.go
+++ b/io/failover/executor_test.go
@@ -1,4 +1,4 @@
-package orderer_test
+package failover_test
 
 import (
 	"context"
--- a/io/orderer/fleet_test.go
+++ b/io/failover/fleet_test.go
@@ -1,4 +1,4 @@
-package orderer_test
+package failover_test
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	"dotterelgw/core/member"
 	"dotterelgw/core/position"
 	"dotterelgw/core/route"
+	"dotterelgw/io/failover"
 	"dotterelgw/io/group"
-	"dotterelgw/io/orderer"
 	"dotterelgw/io/peer/peerpb"
 	"dotterelgw/standin/database"
 )
@@ -61,20 +61,20 @@
 	return store.entry.Revision, true, nil
 }
 
-// peers connects the orderers of the test's VMs without a network.
-type peers map[string]*orderer.Orderer
+// peers connects the executors of the test's VMs without a network.
+type peers map[string]*failover.Executor
 
 type client struct {
 	peerpb.PeerClient
-	orderer *orderer.Orderer
+	executor *failover.Executor
 }
 
 func (client client) Evidence(ctx context.Context, request *peerpb.EvidenceRequest, _ ...grpc.CallOption) (*peerpb.EvidenceReply, error) {
-	return client.orderer.Evidence(ctx, request)
+	return client.executor.Evidence(ctx, request)
 }
 
 func (peers peers) Peer(address string) (peerpb.PeerClient, error) {
-	return client{orderer: peers[address]}, nil
+	return client{executor: peers[address]}, nil
 }
 
 // fleet holds three VMs and a group of three stand-in servers, of which a is the primary.
@@ -134,7 +134,7 @@
 		groups := group.New(group.WithLogin(group.Login{VM: one.ID}))
 		groups.Apply(fleet.record)
 		fleet.groups = append(fleet.groups, groups)
-		all[one.Address] = orderer.New(one.ID, fleet.store, groups, all, member.Top, func() []member.Member { return members })
+		all[one.Address] = failover.New(one.ID, fleet.store, groups, all, member.Top, func() []member.Member { return members })
 		all[one.Address].Apply(fleet.record)
 	}
 	for _, one := range members {
--- a/io/orderer/metrics.go
+++ b/io/failover/metrics.go
@@ -1,8 +1,8 @@
-package orderer
+package failover
 
 import "github.com/rcrowley/go-metrics"
 
-// counters counts the operations of this VM's orderer.
+// counters counts the operations of this VM's executor.
 type counters struct {
 	watched   metrics.Gauge   // groups that this VM watches
 	claims    metrics.Counter // terms claimed by compare-and-swap
@@ -23,5 +23,5 @@
 
 // WithMetrics registers the counters with the registry.
 func WithMetrics(registry metrics.Registry) Option {
-	return func(orderer *Orderer) { orderer.counters = newCounters(registry) }
+	return func(executor *Executor) { executor.counters = newCounters(registry) }
 }
--- a/io/orderer/supervisor.go
+++ b/io/failover/supervisor.go
@@ -1,4 +1,4 @@
-package orderer
+package failover
 
 import (
 	"context"
@@ -35,12 +35,12 @@
 // supervisor watches one group and runs its promotions. Its goroutine owns the coordinator; other goroutines pass their results
 // through the inbox.
 type supervisor struct {
-	orderer *Orderer
-	group   config.GroupRecord
-	ctx     context.Context
-	cancel  context.CancelFunc
-	inbox   chan func()
-	active  atomic.Bool
+	executor *Executor
+	group    config.GroupRecord
+	ctx      context.Context
+	cancel   context.CancelFunc
+	inbox    chan func()
+	active   atomic.Bool
 
 	coordinator     *failover.Coordinator
 	watchers        []member.Member
@@ -60,7 +60,7 @@
 }
 
 func (supervisor *supervisor) run() {
-	defer supervisor.orderer.running.Done()
+	defer supervisor.executor.running.Done()
 	defer supervisor.cancel()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -76,7 +76,7 @@
 		}
 		if state := supervisor.coordinator.State(); state != supervisor.state {
 			record := supervisor.coordinator.Record()
-			_ = supervisor.orderer.logger.Log("msg", "promotion", "group", supervisor.group.Group, "state", state, "term", record.Term,
+			_ = supervisor.executor.logger.Log("msg", "promotion", "group", supervisor.group.Group, "state", state, "term", record.Term,
 				"step", record.Step, "primary", record.Primary, "candidate", record.Candidate)
 			supervisor.state = state
 			if supervisor.coordinator.Active() && !supervisor.active.Load() {
@@ -95,13 +95,13 @@
 }
 
 func (supervisor *supervisor) tick() {
-	own := supervisor.orderer.groups.Evidence(supervisor.group.Group)
+	own := supervisor.executor.groups.Evidence(supervisor.group.Group)
 	if own == nil {
 		return
 	}
 	// io/group polls a new group continuously only after SetWatched.
-	supervisor.orderer.groups.SetWatched(supervisor.group.Group, true)
-	now := supervisor.orderer.now()
+	supervisor.executor.groups.SetWatched(supervisor.group.Group, true)
+	now := supervisor.executor.now()
 	tickInput := failover.TickInput{Own: own, Rank: supervisor.rank, Watchers: len(supervisor.watchers)}
 	for _, watcher := range supervisor.watchers {
 		if other, ok := supervisor.received[watcher.ID]; ok && now-other.receivedAt <= maxEvidenceAge {
@@ -117,7 +117,7 @@
 // requestEvidence requests the evidence of the other watchers.
 func (supervisor *supervisor) requestEvidence() {
 	for _, watcher := range supervisor.watchers {
-		if watcher.ID == supervisor.orderer.self {
+		if watcher.ID == supervisor.executor.self {
 			continue
 		}
 		supervisor.pendingRequests++
@@ -126,7 +126,7 @@
 			supervisor.post(func() {
 				supervisor.pendingRequests--
 				if err == nil {
-					supervisor.received[watcher.ID] = receivedEvidence{evidence: evidenceFromReply(reply), receivedAt: supervisor.orderer.now()}
+					supervisor.received[watcher.ID] = receivedEvidence{evidence: evidenceFromReply(reply), receivedAt: supervisor.executor.now()}
 				}
 			})
 		}()
@@ -134,7 +134,7 @@
 }
 
 func (supervisor *supervisor) fetchEvidence(watcher member.Member) (*peerpb.EvidenceReply, error) {
-	client, err := supervisor.orderer.peers.Peer(watcher.Address)
+	client, err := supervisor.executor.peers.Peer(watcher.Address)
 	if err != nil {
 		return nil, fmt.Errorf("connect to watcher %s: %w", watcher.ID, err)
 	}
@@ -149,8 +149,8 @@
 
 // applyTerm processes a term record from the configuration.
 func (supervisor *supervisor) applyTerm(record config.TermRecord, revision ids.Revision) {
-	supervisor.orderer.groups.ApplyTerm(supervisor.group.Group, record)
-	supervisor.execute(supervisor.coordinator.Applied(supervisor.orderer.now(), record, revision))
+	supervisor.executor.groups.ApplyTerm(supervisor.group.Group, record)
+	supervisor.execute(supervisor.coordinator.Applied(supervisor.executor.now(), record, revision))
 }
 
 // execute runs each of the coordinator's commands in its own goroutine, which passes the result through the inbox. A call that
@@ -181,15 +181,15 @@
 	value, err := config.Encode(command.Record)
 	if err == nil {
 		var stored bool
-		revision, stored, err = supervisor.orderer.store.CompareAndSwap(ctx, config.TermKey(supervisor.group.Group), command.Expected, value)
+		revision, stored, err = supervisor.executor.store.CompareAndSwap(ctx, config.TermKey(supervisor.group.Group), command.Expected, value)
 		if err == nil && stored {
 			result = failover.SwapStored
 			switch command.Record.Step {
 			case failover.Fencing:
-				supervisor.orderer.counters.claims.Inc(1)
+				supervisor.executor.counters.claims.Inc(1)
 			case failover.Steady:
 				if command.Record.Candidate != "" {
-					supervisor.orderer.counters.completed.Inc(1)
+					supervisor.executor.counters.completed.Inc(1)
 				}
 			}
 		} else if err == nil {
@@ -197,13 +197,13 @@
 		}
 	}
 	if err != nil {
-		_ = supervisor.orderer.logger.Log("msg", "writing term record failed, outcome unknown", "group", supervisor.group.Group, "term", command.Record.Term, "err", err)
+		_ = supervisor.executor.logger.Log("msg", "writing term record failed, outcome unknown", "group", supervisor.group.Group, "term", command.Record.Term, "err", err)
 	}
 	supervisor.post(func() {
 		if result == failover.SwapStored {
-			supervisor.orderer.groups.ApplyTerm(supervisor.group.Group, command.Record)
+			supervisor.executor.groups.ApplyTerm(supervisor.group.Group, command.Record)
 		}
-		supervisor.execute(supervisor.coordinator.Swapped(supervisor.orderer.now(), result, command.Record, revision))
+		supervisor.execute(supervisor.coordinator.Swapped(supervisor.executor.now(), result, command.Record, revision))
 	})
 }
 
@@ -212,18 +212,18 @@
 	ctx, cancel := context.WithTimeout(supervisor.ctx, storeTimeout)
 	defer cancel()
 	var record config.TermRecord
-	entry, found, err := supervisor.orderer.store.Get(ctx, config.TermKey(supervisor.group.Group))
+	entry, found, err := supervisor.executor.store.Get(ctx, config.TermKey(supervisor.group.Group))
 	if err == nil && found {
 		record, err = config.Decode[config.TermRecord](entry)
 	}
 	if err != nil {
-		_ = supervisor.orderer.logger.Log("msg", "reading term record failed", "group", supervisor.group.Group, "err", err)
+		_ = supervisor.executor.logger.Log("msg", "reading term record failed", "group", supervisor.group.Group, "err", err)
 	}
 	supervisor.post(func() {
 		if err == nil && found {
-			supervisor.orderer.groups.ApplyTerm(supervisor.group.Group, record)
+			supervisor.executor.groups.ApplyTerm(supervisor.group.Group, record)
 		}
-		supervisor.execute(supervisor.coordinator.Read(supervisor.orderer.now(), record, entry.Revision, err != nil))
+		supervisor.execute(supervisor.coordinator.Read(supervisor.executor.now(), record, entry.Revision, err != nil))
 	})
 }
 
@@ -242,21 +242,21 @@
 	}
 	ctx, cancel := context.WithTimeout(supervisor.ctx, timeout)
 	defer cancel()
-	status, err := supervisor.orderer.groups.Call(ctx, command.Server.Address, query)
+	status, err := supervisor.executor.groups.Call(ctx, command.Server.Address, query)
 	status.Server = command.Server.ID
-	supervisor.orderer.counters.calls.Inc(1)
+	supervisor.executor.counters.calls.Inc(1)
 	var failure *group.ServerError
 	refused := errors.As(err, &failure) && failure.SQLState == sqlStateHigherTermPromised
 	if err != nil {
-		supervisor.orderer.counters.failed.Inc(1)
-		_ = supervisor.orderer.logger.Log("msg", "group function failed", "group", supervisor.group.Group, "server", command.Server.ID, "query", query, "err", err)
+		supervisor.executor.counters.failed.Inc(1)
+		_ = supervisor.executor.logger.Log("msg", "group function failed", "group", supervisor.group.Group, "server", command.Server.ID, "query", query, "err", err)
 	}
 	supervisor.post(func() {
 		delete(supervisor.inFlight, key)
 		if err != nil && !refused {
 			return
 		}
-		now := supervisor.orderer.now()
+		now := supervisor.executor.now()
 		switch command.Kind {
 		case failover.Fence:
 			supervisor.execute(supervisor.coordinator.Fenced(now, command.Term, status, refused))
--- a/io/gateway/gateway.go
+++ b/io/gateway/gateway.go
@@ -20,11 +20,11 @@
 	"dotterelgw/io/admin"
 	"dotterelgw/io/backend"
 	"dotterelgw/io/control"
+	"dotterelgw/io/failover"
 	"dotterelgw/io/frontend"
 	"dotterelgw/io/group"
 	"dotterelgw/io/limiter"
 	"dotterelgw/io/observe"
-	"dotterelgw/io/orderer"
 	"dotterelgw/io/peer"
 	"dotterelgw/io/peer/peerpb"
 	"dotterelgw/io/platform"
@@ -58,7 +58,7 @@
 	recorder   admin.Recorder
 	sessions   *session.Server
 	frontend   *frontend.Frontend
-	orderer    *orderer.Orderer
+	failover   *failover.Executor
 	peers      *peer.Server
 	admin      *admin.Server
 
@@ -120,10 +120,10 @@
 	if err := gateway.assembleFrontend(logger); err != nil {
 		return err
 	}
-	gateway.orderer = orderer.New(vm, gateway.store, gateway.groups, gateway.dialer, member.Top, gateway.controller.Members,
-		orderer.WithMetrics(gateway.metrics), orderer.WithLogger(observe.WithComponent(logger, "orderer")))
+	gateway.failover = failover.New(vm, gateway.store, gateway.groups, gateway.dialer, member.Top, gateway.controller.Members,
+		failover.WithMetrics(gateway.metrics), failover.WithLogger(observe.WithComponent(logger, "orderer")))
 	gateway.peers = peer.NewServer(peer.Handlers{
-		Exchange: gateway.controller.Exchange, Borrow: gateway.limiter.Borrow, Evidence: gateway.orderer.Evidence,
+		Exchange: gateway.controller.Exchange, Borrow: gateway.limiter.Borrow, Evidence: gateway.failover.Evidence,
 		Refusals: gateway.recorder.Refusals, Cancel: gateway.cancel,
 	}, transport)
 	return gateway.assembleAdmin(logger, transport)
--- a/io/gateway/lifecycle.go
+++ b/io/gateway/lifecycle.go
@@ -6,41 +6,41 @@
 	"slices"
 	"sync"
 
-	"dotterelgw/core/chart"
+	"dotterelgw/core/statemachine"
 )
 
-// States, events and actions of the state chart "vm" in core/chart.
+// States, events and actions of the state chart "vm" in core/statemachine.
 const (
-	stateServing chart.State = "serving"
+	stateServing statemachine.State = "serving"
 
-	eventDrain            chart.Event = "drain"
-	eventBalancerInformed chart.Event = "balancer_informed"
-	eventSessionsEnded    chart.Event = "sessions_ended"
+	eventDrain            statemachine.Event = "drain"
+	eventBalancerInformed statemachine.Event = "balancer_informed"
+	eventSessionsEnded    statemachine.Event = "sessions_ended"
 
-	actionAnnounceLeaving  chart.Action = "announce_leaving"
-	actionCloseListener    chart.Action = "close_listener"
-	actionEndSessions      chart.Action = "end_sessions"
-	actionCloseConnections chart.Action = "close_connections"
+	actionAnnounceLeaving  statemachine.Action = "announce_leaving"
+	actionCloseListener    statemachine.Action = "close_listener"
+	actionEndSessions      statemachine.Action = "end_sessions"
+	actionCloseConnections statemachine.Action = "close_connections"
 )
 
 // lifecycle is the state machine of this VM's process. It is safe for concurrent use.
 type lifecycle struct {
 	mutex   sync.Mutex
-	machine *chart.Machine
-	actions map[chart.Action]func()
+	machine *statemachine.Machine
+	actions map[statemachine.Action]func()
 }
 
 // newLifecycle returns a lifecycle in its initial state that runs the given actions.
-func newLifecycle(actions map[chart.Action]func()) (*lifecycle, error) {
-	loaded, err := chart.Named("vm", slices.Collect(maps.Keys(actions))...)
+func newLifecycle(actions map[statemachine.Action]func()) (*lifecycle, error) {
+	loaded, err := statemachine.Named("vm", slices.Collect(maps.Keys(actions))...)
 	if err != nil {
 		return nil, fmt.Errorf("loading the chart of the VM: %w", err)
 	}
-	return &lifecycle{machine: chart.NewMachine(loaded), actions: actions}, nil
+	return &lifecycle{machine: statemachine.NewMachine(loaded), actions: actions}, nil
 }
 
 // fire applies the event and runs the resulting actions.
-func (lifecycle *lifecycle) fire(event chart.Event) error {
+func (lifecycle *lifecycle) fire(event statemachine.Event) error {
 	lifecycle.mutex.Lock()
 	actions, err := lifecycle.machine.Fire(event)
 	lifecycle.mutex.Unlock()
--- a/io/gateway/run.go
+++ b/io/gateway/run.go
@@ -10,8 +10,8 @@
 
 	"github.com/go-kit/log/level"
 
-	"dotterelgw/core/chart"
 	"dotterelgw/core/config"
+	"dotterelgw/core/statemachine"
 )
 
 const (
@@ -39,7 +39,7 @@
 	defer cancelComponents()
 	start("control", func() error { return gateway.controller.Run(componentsCtx) })
 	start("limiter", func() error { return gateway.limiter.Run(componentsCtx) })
-	start("orderer", func() error { return gateway.orderer.Run(componentsCtx) })
+	start("orderer", func() error { return gateway.failover.Run(componentsCtx) })
 	start("servers", func() error { return gateway.allotter.run(componentsCtx) })
 	start("peers", func() error { return gateway.peers.Serve(gateway.listeners.peer) })
 	start("admin", func() error { return gateway.admin.Serve(gateway.listeners.admin) })
@@ -61,7 +61,7 @@
 
 // newLifecycle returns the lifecycle of the process with its actions.
 func (gateway *Gateway) newLifecycle() (*lifecycle, error) {
-	return newLifecycle(map[chart.Action]func(){
+	return newLifecycle(map[statemachine.Action]func(){
 		actionAnnounceLeaving: func() {
 			gateway.controller.Drain()
 			close(gateway.drain)
@@ -72,7 +72,7 @@
 	})
 }
 
-func (gateway *Gateway) fire(event chart.Event) {
+func (gateway *Gateway) fire(event statemachine.Event) {
 	if err := gateway.lifecycle.fire(event); err != nil {
 		level.Error(gateway.logger).Log("msg", "lifecycle event failed", "event", event, "err", err)
 	}
@@ -124,7 +124,7 @@
 			return
 		}
 		gateway.groups.Apply(record)
-		gateway.orderer.Apply(record)
+		gateway.failover.Apply(record)
 		gateway.allotter.setRecord(record)
 		return
 	}
@@ -135,6 +135,6 @@
 			return
 		}
 		gateway.groups.ApplyTerm(group, record)
-		gateway.orderer.ApplyTerm(group, record, entry.Revision)
+		gateway.failover.ApplyTerm(group, record, entry.Revision)
 	}
 }
--- a/io/orderer/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package orderer watches database groups and promotes replicas of lost or leaving primaries.
-package orderer
