A VM reads the store at once if a record of the new era is too long to relay

Cause: while a VM collects the records of a later era from another VM, a response that holds nothing because the next record is too long counted as progress, since its era is later. Change: progress counts against what the transfer has. Result: TestTransfer, next record too long to relay, fails without it.

--- a/io/relay/transfer.go
+++ b/io/relay/transfer.go
@@ -37,8 +37,9 @@
 	return wanted
 }
 
-// receive adds an update of a later era to the transfer. It returns the listing of all records once the update completes them.
-func (topic *topic) receive(update topicUpdate) (listing platform.WatchEvent, complete bool) {
+// receive adds an update of a later era to the transfer, and returns the listing of all records once the update completes them. There is
+// no progress if the next record is too long for a response.
+func (topic *topic) receive(update topicUpdate) (listing platform.WatchEvent, complete, progress bool) {
 	topic.mutex.Lock()
 	defer topic.mutex.Unlock()
 	era := update.event.Revision.Era()
@@ -48,8 +49,9 @@
 	transfer := topic.transfer
 	if update.after > transfer.upTo || update.event.Revision < transfer.upTo {
 		// The response answers a request of an earlier transfer, or was overtaken.
-		return platform.WatchEvent{}, false
+		return platform.WatchEvent{}, false, true
 	}
+	progress = update.complete || update.event.Revision > transfer.upTo
 	for _, entry := range update.event.Entries {
 		if entry.Value == nil {
 			delete(transfer.entries, entry.Key)
@@ -59,14 +61,14 @@
 	}
 	transfer.upTo = update.event.Revision
 	if !update.complete {
-		return platform.WatchEvent{}, false
+		return platform.WatchEvent{}, false, progress
 	}
 	topic.transfer = nil
 	listing = platform.WatchEvent{Listing: true, Revision: update.event.Revision, RequestedAt: update.event.RequestedAt}
 	for _, entry := range transfer.entries {
 		listing.Entries = append(listing.Entries, entry)
 	}
-	return listing, true
+	return listing, true, progress
 }
 
 // cancelTransfer discards what was received of a later era, since the source does not know what changed meanwhile.
--- a/io/relay/transfer_test.go
+++ b/io/relay/transfer_test.go
@@ -16,7 +16,7 @@
 
 // A VM in era 1, at number 10, gets the records of era 2 in two responses, while responses of other VMs and to earlier requests
 // arrive. Guards against records that are skipped or come from two eras, because a response is applied that does not continue what the
-// VM has.
+// VM has, and against a VM that waits for a record which the other VM does not send.
 func TestTransfer(t *testing.T) {
 	at := ids.NewRevision
 	entry := func(key string, revision ids.Revision) config.Entry {
@@ -32,15 +32,24 @@
 		// records is the number of records reported as a listing of era 2, 0 for none.
 		records  int
 		reported ids.Revision
+		// behind states whether the records have to be read from the service.
+		behind bool
 	}{
-		"in order":                           {[]topicUpdate{first, second}, 2, at(2, 8)},
-		"first response twice":               {[]topicUpdate{first, first, second}, 2, at(2, 8)},
-		"second response without the first":  {[]topicUpdate{second}, 0, at(1, 10)},
-		"earlier era, answer to a transfer":  {[]topicUpdate{first, update(at(2, 4), at(1, 12), true)}, 0, at(1, 10)},
-		"earlier era, older":                 {[]topicUpdate{first, update(at(1, 9), at(1, 9), true), second}, 2, at(2, 8)},
-		"history unknown in between":         {[]topicUpdate{first, {}, second}, 0, at(1, 10)},
-		"another restore in between":         {[]topicUpdate{first, update(at(3, 0), at(3, 3), true, entry("c", at(3, 3))), second}, 1, at(3, 3)},
-		"deleted before the second response": {[]topicUpdate{first, update(at(2, 4), at(2, 8), true, config.Entry{Key: "a", Revision: at(2, 6)}, entry("b", at(2, 7)))}, 1, at(2, 8)},
+		"in order":                          {updates: []topicUpdate{first, second}, records: 2, reported: at(2, 8)},
+		"first response twice":              {updates: []topicUpdate{first, first, second}, records: 2, reported: at(2, 8)},
+		"second response without the first": {updates: []topicUpdate{second}, reported: at(1, 10)},
+		"earlier era, answer to a transfer": {updates: []topicUpdate{first, update(at(2, 4), at(1, 12), true)}, reported: at(1, 10)},
+		"earlier era, older":                {updates: []topicUpdate{first, update(at(1, 9), at(1, 9), true), second}, records: 2, reported: at(2, 8)},
+		"history unknown in between":        {updates: []topicUpdate{first, {}, second}, reported: at(1, 10)},
+		"history unknown":                   {updates: []topicUpdate{first, {}}, reported: at(1, 10), behind: true},
+		"next record too long to relay":     {updates: []topicUpdate{first, update(at(2, 4), at(2, 4), false)}, reported: at(1, 10), behind: true},
+		"another restore in between": {
+			updates: []topicUpdate{first, update(at(3, 0), at(3, 3), true, entry("c", at(3, 3))), second}, records: 1, reported: at(3, 3),
+		},
+		"deleted before the second response": {
+			updates: []topicUpdate{first, update(at(2, 4), at(2, 8), true, config.Entry{Key: "a", Revision: at(2, 6)}, entry("b", at(2, 7)))},
+			records: 1, reported: at(2, 8),
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			eventLog := observe.NewEventLog(io.Discard, "vm1")
@@ -51,8 +60,8 @@
 			for _, update := range test.updates {
 				watch.handleUpdate(context.Background(), update)
 			}
-			if watch.reported != test.reported {
-				t.Errorf("reported up to %v, want %v", watch.reported, test.reported)
+			if watch.reported != test.reported || watch.behind != test.behind {
+				t.Errorf("reported up to %v, behind %t, want %v, %t", watch.reported, watch.behind, test.reported, test.behind)
 			}
 			records := 0
 			for len(watch.events) > 0 {
--- a/io/relay/watch.go
+++ b/io/relay/watch.go
@@ -176,7 +176,8 @@
 		// A source that has not reached the later era answers a request of a transfer: the changes up to update.after are missing.
 		return true
 	case event.Revision.Era() > watch.reported.Era():
-		listing, complete := watch.topic.receive(update)
+		listing, complete, progress := watch.topic.receive(update)
+		watch.behind = !progress
 		if !complete {
 			return true
 		}
