--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -321,9 +321,7 @@
 				shared.restore(backup.Number())
 			}
 			shared.put(prefix+"a", "new")
-			follower.await(t, "the records after", func(event platform.WatchEvent) bool {
-				return follower.values[prefix+"a"] == "new"
-			})
+			follower.await(t, "the records after", func(platform.WatchEvent) bool { return follower.values[prefix+"a"] == "new" })
 			if _, kept := follower.values[prefix+"lost"]; kept || len(follower.values) != test.keys+1 {
 				t.Errorf("%d records, want %d without the lost one", len(follower.values), test.keys+1)
 			}
