--- a/review/rig/group.go
+++ b/review/rig/group.go
@@ -68,7 +68,7 @@
 func newGroup(name string, store *standin.Store, record *record) (*group, error) {
 	group := &group{name: name, store: store, record: record, changed: make(chan struct{}), executed: make(map[string]int)}
 	for index := range 3 {
-		database := &database{group: group, address: fmt.Sprintf("127.0.0.%d:0", 10+index), term: 1, primary: index == 0}
+		database := &database{group: group, address: loopback(firstDatabase+index) + ":0", term: 1, primary: index == 0}
 		group.databases = append(group.databases, database)
 		if err := database.start(); err != nil {
 			return nil, err
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -61,6 +61,8 @@
 // scripts holds the scripts by name.
 var scripts = map[string]script{
 	"promotion-away": {length: promotionAwayLength, disrupt: (*deployment).promotionAway, violation: lacksAcknowledged},
+	"stray-entry":    {length: finalFaultLength, disrupt: func(deployed *deployment) error { return deployed.finalFault(true) }, violation: notRecovered},
+	"final-fault":    {length: finalFaultLength, disrupt: func(deployed *deployment) error { return deployed.finalFault(false) }, violation: notRecovered},
 }
 
 // deployment is what a script starts.
@@ -70,6 +72,8 @@
 	promotions *promotions
 	vms        []*vm
 	record     *record
+	// fault is the time of the final fault, back that at which the nodes were started again.
+	fault, back time.Time
 }
 
 // deploy starts the stand-ins and the nodes, and waits until all nodes are ready.
@@ -108,13 +112,7 @@
 }
 
 // end ends all processes.
-func (deployed *deployment) end() {
-	var ended sync.WaitGroup
-	for _, vm := range deployed.vms {
-		ended.Go(vm.kill)
-	}
-	ended.Wait()
-}
+func (deployed *deployment) end() { endAll(deployed.vms) }
 
 // play runs the script and reports whether the rule was broken.
 func play(binary, folder, path string, script script, trouble bool) (broken bool, err error) {
--- a/review/rig/platform.go
+++ b/review/rig/platform.go
@@ -23,7 +23,7 @@
 
 // newPromotions starts the service.
 func newPromotions(group *group, record *record) (*promotions, error) {
-	listener, err := net.Listen("tcp", "127.0.0.2:0")
+	listener, err := net.Listen("tcp", loopback(promotionHost)+":0")
 	if err != nil {
 		return nil, fmt.Errorf("starting the promotion service: %w", err)
 	}
--- a/review/rig/vm.go
+++ b/review/rig/vm.go
@@ -20,14 +20,27 @@
 	readyInterval = 50 * time.Millisecond
 )
 
+// The last parts of the addresses of the databases, the promotion service and the nodes.
+const (
+	firstDatabase = 10
+	promotionHost = 20
+	firstVM       = 30
+)
+
+// loopback returns a loopback address that other runs at the same time are unlikely to use.
+func loopback(host int) string {
+	process := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+process/200%200, 1+process%200, host)
+}
+
 // settingsText is deploy/settings.toml.tmpl filled in for a small deployment.
 const settingsText = `vm = %q
 availability_zone = "maia"
 [listen]
-caller = "127.0.1.%[2]d:0"
-ready = "127.0.1.%[2]d:0"
-peer = "127.0.1.%[2]d:0"
-metrics = "127.0.1.%[2]d:0"
+caller = "%[2]s:0"
+ready = "%[2]s:0"
+peer = "%[2]s:0"
+metrics = "%[2]s:0"
 [store]
 address = %[3]q
 [promotion]
@@ -58,7 +71,7 @@
 func newVM(binary, folder string, number int, store, platform string) (*vm, error) {
 	vm := &vm{name: fmt.Sprintf("front-maia-%d", number), binary: binary}
 	vm.file = filepath.Join(folder, vm.name+".toml")
-	text := fmt.Sprintf(settingsText, vm.name, 10+number, store, platform)
+	text := fmt.Sprintf(settingsText, vm.name, loopback(firstVM+number), store, platform)
 	if err := os.WriteFile(vm.file, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("writing settings: %w", err)
 	}
--- a/review/rig/writer.go
+++ b/review/rig/writer.go
@@ -22,6 +22,8 @@
 	mutex  sync.Mutex
 	writes map[string]time.Time
 	others map[string]int
+	// attempts holds all requests.
+	attempts []attempt
 }
 
 // writer is a client that sends single writes in one session after the other.
@@ -57,8 +59,9 @@
 	}
 	for number := 0; ctx.Err() == nil; number++ {
 		id := fmt.Sprintf("%s%06x%04x", writer.name, writer.next, number)
+		sent := time.Now()
 		outcome := writer.write(conn, lines, id)
-		writer.acks.add(id, outcome)
+		writer.acks.add(id, sent, outcome)
 		writer.record.note("write %s is answered with %s", id, outcome)
 		if outcome == "no answer" {
 			return
@@ -89,13 +92,15 @@
 }
 
 // add records the outcome of a write.
-func (acks *acknowledged) add(id, outcome string) {
+func (acks *acknowledged) add(id string, sent time.Time, outcome string) {
 	acks.mutex.Lock()
 	defer acks.mutex.Unlock()
 	if outcome == "COMPLETE" {
 		acks.writes[id] = time.Now()
+		acks.attempts = append(acks.attempts, attempt{sent: sent, served: 1})
 		return
 	}
+	acks.attempts = append(acks.attempts, attempt{sent: sent})
 	acks.others[outcome]++
 }
 
