A promotion is ordered only while its safety checks hold

Cause: Promoter.promote repeated an order for as long as it held the duty. The checks that make the order safe were made once, before the first one: the replicas are paused, the VMs are fenced, the successor has every acknowledged write. While the promotion service was away for 7 s the fences expired (4 s) and a replica restarted unpaused, so that the old primary acknowledged writes again.

Change: handover.Checks limits an order to 2 s from the start of the fence. An order takes effect within another 2 s or never, so it does before the fences end. Then all checks are made again, or the attempt ends if the primary is back. An order without an answer may still be carried out: until that is over, a failed attempt keeps fences and pauses, and no other server is ordered. A VM without the duty releases no fences.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -220,13 +220,16 @@
 	// Silent is the number of other registered servers that did not respond, without those whose address now belongs to
 	// another server.
 	Silent int
+	// Ordered is the server named by an earlier order that may still take effect; empty if there is none. It is preferred
+	// among servers with equally long logs.
+	Ordered ids.BackendServerID
 }
 
 // Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of the old
 // primary and of at least one other server. Therefore the longest log has all of them if every other server has responded,
 // and any log as long as that of an old primary that stepped down has them too.
 func (fenceResult FenceResult) Successor() (Member, bool) {
-	best := MostAdvanced(fenceResult.Others)
+	best := fenceResult.mostAdvanced()
 	if len(fenceResult.Others) == 0 {
 		return Member{}, false
 	}
@@ -236,6 +239,17 @@
 	return best, true
 }
 
+// mostAdvanced returns the most advanced of the other servers, the one ordered earlier if its log is as long.
+func (fenceResult FenceResult) mostAdvanced() Member {
+	best := MostAdvanced(fenceResult.Others)
+	for _, member := range fenceResult.Others {
+		if member.ID == fenceResult.Ordered && member.Received == best.Received {
+			return member
+		}
+	}
+	return best
+}
+
 // SafetyChecks holds the results of the safety checks between the fence and the promotion.
 type SafetyChecks struct {
 	// Acknowledged is the position of the last write acknowledged by any of the VMs that responded.
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -50,6 +50,8 @@
 	// waitUntil is the boot time in nanoseconds before which this VM orders nothing, since a holder of an earlier era may.
 	waitUntil atomic.Int64
 	token     atomic.Int64
+	// takenAt is the boot time in nanoseconds at which this VM took the duty.
+	takenAt atomic.Int64
 	// eraSettled states whether dutyEraKey names the era of the token.
 	eraSettled bool
 	// knownEra is the latest era of the store that this VM knows, since the boot time knownSince.
@@ -78,6 +80,11 @@
 	return Token(duty.token.Load()), left
 }
 
+// earlierOrder stands for the orders of earlier holders of the duty, the last of which may have been sent just before this VM took it.
+func (duty *duty) earlierOrder() handover.Order {
+	return handover.Order{SentAt: time.Duration(duty.takenAt.Load())}
+}
+
 // lastHolder returns the VM that was last seen to hold the duty, or an empty identifier.
 func (duty *duty) lastHolder() ids.VMID {
 	holder, _ := duty.holder.Load().(ids.VMID)
@@ -182,6 +189,7 @@
 		return platform.Lease{}, nil
 	}
 	duty.token.Store(int64(revision))
+	duty.takenAt.Store(int64(clock.Now()))
 	wait := duty.waitForEarlierEra(ctx, revision.Era(), ttl)
 	duty.expiresAt.Store(int64(sent + ttl))
 	duty.eventLog.Event("duty_taken", "token", int64(revision), "revision", revision, "lease", lease, "wait_ms", wait.Milliseconds())
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
 	"dotterelgw/core/position"
@@ -56,10 +57,11 @@
 }
 
 // awaitFence returns once no VM relies on the old primary any more: each VM has acknowledged the fence, or the lease of
-// its last observation before the fence has expired. It returns the position of the last write acknowledged by any VM
-// that answered, and the number of VMs that did not answer.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (acknowledged position.Position, unanswered int) {
+// its last observation before the fence has expired. It returns the checks that begin with the fence, the position of the last
+// write acknowledged by any VM that answered, and the number of VMs that did not answer.
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (checks handover.Checks, acknowledged position.Position, unanswered int) {
 	began := clock.Now()
+	checks.BegunAt = began
 	acknowledged = group.Fence(term)
 	promoter.mutex.Lock()
 	promoter.number++
@@ -84,7 +86,7 @@
 	promoter.mutex.Unlock()
 	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds(),
 		"acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
-	return acknowledged, len(missing)
+	return checks, acknowledged, len(missing)
 }
 
 // awaitAcks waits for the timeout, or until all VMs have acknowledged, and returns those that have not.
@@ -137,8 +139,12 @@
 	promoter.broadcast(ctx, kindNewPrimary, notice{Group: group.ID(), Term: term, StartTerm: start.Term, StartLog: start.Log})
 }
 
-// release tells all VMs that no server was promoted after the fence.
+// release tells all VMs that no server was promoted after the fence. Without the duty it does nothing, since the next holder may
+// have fenced the primary again.
 func (promoter *Promoter) release(ctx context.Context, group *monitor.Group, term ids.Term) {
+	if !promoter.OnDuty() {
+		return
+	}
 	group.Release(term)
 	promoter.broadcast(ctx, kindReleased, notice{Group: group.ID(), Term: term})
 }
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -21,9 +21,9 @@
 const (
 	// evaluateInterval is the time between two evaluations of the groups.
 	evaluateInterval = 100 * time.Millisecond
-	// settleTime is how long a new holder of the duty leaves replicas paused by its predecessor alone, because the
-	// promotion ordered by the predecessor may still take effect.
-	settleTime = 2 * time.Second
+	// settleTime is how long replicas that a replacement left paused are left alone, because the promotion that was ordered,
+	// maybe by an earlier holder of the duty, may still take effect.
+	settleTime = handover.OrderEffectTime
 )
 
 // Platform promotes backend servers.
@@ -69,6 +69,10 @@
 	// pausedSince is the time since which a replica has been seen paused without a replacement in progress; 0 if none
 	// is.
 	pausedSince time.Duration
+	// order is the last order to promote that may not have taken effect yet. Only the running work changes it.
+	order handover.Order
+	// fenced reports whether the VMs were asked to fence the primary and have not been released. Only the running work changes it.
+	fenced bool
 }
 
 // New returns a promoter that does nothing until Run.
@@ -137,11 +141,11 @@
 	members := groupMembers(group)
 	reason := watched.ReplacementReason(now, members)
 	if reason == "" {
-		promoter.cleanUp(now, watched, group, members)
+		promoter.cleanUp(ctx, now, watched, group, members)
 		return
 	}
 	watched.pausedSince = 0
-	promoter.startWork(watched, func() { promoter.replace(ctx, group, reason) })
+	promoter.startWork(watched, func() { promoter.replace(ctx, group, watched, reason) })
 }
 
 // startWork runs the work on the group in the background. At most one runs per group, since an order to resume receiving
@@ -156,8 +160,8 @@
 	}()
 }
 
-// cleanUp resumes replicas left paused by a replacement that did not complete.
-func (promoter *Promoter) cleanUp(now time.Duration, watched *groupWatch, group *monitor.Group, members []handover.Member) {
+// cleanUp resumes replicas left paused by a replacement that did not complete, and releases the VMs.
+func (promoter *Promoter) cleanUp(ctx context.Context, now time.Duration, watched *groupWatch, group *monitor.Group, members []handover.Member) {
 	term, left := handover.OrphanedPause(members)
 	switch {
 	case !left:
@@ -166,7 +170,11 @@
 		watched.pausedSince = now
 	case now-watched.pausedSince > settleTime:
 		watched.pausedSince = now
-		promoter.startWork(watched, func() { promoter.resume(group, term) })
+		promoter.startWork(watched, func() {
+			watched.order, watched.fenced = handover.Order{}, false
+			promoter.release(ctx, group, term)
+			promoter.resume(group, term)
+		})
 	}
 }
 
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -32,7 +32,7 @@
 )
 
 // replace carries out one attempt to replace the group's primary.
-func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, reason handover.Reason) {
+func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, watched *groupWatch, reason handover.Reason) {
 	// A server that registers after this point counts as joined.
 	registrationsRead := promoter.refresh(ctx)
 	members := groupMembers(group)
@@ -41,16 +41,20 @@
 	term := nextTerm(members)
 	promoter.eventLog.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
 	fenceResult := promoter.fence(group, servers, old, term, registrationsRead)
+	if watched.order.PendingFor(clock.Now()) > 0 {
+		fenceResult.Ordered = watched.order.Server
+	}
 	successor, ok := fenceResult.Successor()
 	if !ok {
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fenceResult.SteppedDown,
 			"answered", len(fenceResult.Others), "silent", fenceResult.Silent)
-		promoter.resume(group, term)
-		clock.Sleep(ctx, retryPause)
+		promoter.abandon(ctx, group, watched, term)
 		return
 	}
 	var safetyChecks handover.SafetyChecks
-	safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
+	var checks handover.Checks
+	watched.fenced = true
+	checks, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
 	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
@@ -58,22 +62,43 @@
 	if cause != "" {
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
 			"position", successor.Received.Log, "acknowledged", safetyChecks.Acknowledged.Log)
-		promoter.release(ctx, group, term)
-		promoter.resume(group, term)
-		clock.Sleep(ctx, retryPause)
+		promoter.abandon(ctx, group, watched, term)
+		return
+	}
+	if watched.order.ConflictsWith(successor.ID, clock.Now()) {
+		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", "order_pending", "successor", successor.ID,
+			"ordered", watched.order.Server)
+		clock.Sleep(ctx, watched.order.PendingFor(clock.Now()))
 		return
 	}
 	// From here on replicas stay paused: a pause ends when the server learns of the primary of the new term, and until
 	// then an old primary that can still reach the server gets no acknowledgement from it.
-	if !promoter.promote(ctx, group, successor) {
+	if !promoter.promote(ctx, group, watched, successor, checks) {
 		return
 	}
+	watched.order, watched.fenced = handover.Order{}, false
 	if old != nil && !fenceResult.SteppedDown && old.ID() != successor.ID {
 		go promoter.stepDown(group, old, term, &handover.FenceResult{})
 	}
 	promoter.announce(ctx, group, term, successor.Received)
 }
 
+// abandon ends an attempt without a promotion: it makes paused servers receive again, and releases the VMs if they were fenced.
+// While an order may still take effect it does neither; the next attempt or cleanUp follows.
+func (promoter *Promoter) abandon(ctx context.Context, group *monitor.Group, watched *groupWatch, term ids.Term) {
+	defer clock.Sleep(ctx, retryPause)
+	now := clock.Now()
+	if pending := max(watched.order.PendingFor(now), promoter.duty.earlierOrder().PendingFor(now)); pending > 0 {
+		promoter.eventLog.Event("order_pending", "group", group.ID(), "server", watched.order.Server, "pending_ms", pending.Milliseconds())
+		return
+	}
+	if watched.fenced {
+		promoter.release(ctx, group, term)
+	}
+	watched.order, watched.fenced = handover.Order{}, false
+	promoter.resume(group, term)
+}
+
 // stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
 // one that was reached late by a resume of an earlier attempt.
 func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
@@ -201,19 +226,23 @@
 		"stepped_down", fenceResult.SteppedDown, "position", status.Received.Log, "err", err)
 }
 
-// promote promotes the server and waits until it acts as primary.
-func (promoter *Promoter) promote(ctx context.Context, group *monitor.Group, successor handover.Member) bool {
+// promote promotes the server and waits until it acts as primary. The order is repeated only for as long as the checks made before
+// it hold; after that, the next attempt makes them again.
+func (promoter *Promoter) promote(ctx context.Context, group *monitor.Group, watched *groupWatch, successor handover.Member, checks handover.Checks) bool {
 	for ctx.Err() == nil {
 		token, left := promoter.duty.current()
-		if left <= 0 {
-			promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", "duty_lost")
+		sentAt := clock.Now()
+		if cause := orderRefusal(left, checks, sentAt); cause != "" {
+			promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
+				"checked_ms", (sentAt - checks.BegunAt).Milliseconds())
 			return false
 		}
 		call, cancel := context.WithTimeout(ctx, min(left, promoteTimeout))
+		watched.order = handover.Order{Server: successor.ID, SentAt: sentAt}
 		err := promoter.platform.Promote(call, group.ID(), successor.ID, token)
 		cancel()
 		promoter.eventLog.Event("promotion_ordered", "group", group.ID(), "server", successor.ID, "token", token,
-			"position", successor.Received.Log, "err", err)
+			"position", successor.Received.Log, "checked_ms", (sentAt - checks.BegunAt).Milliseconds(), "err", err)
 		if promoter.awaitTakeover(ctx, group, successor.ID, err) {
 			return true
 		}
@@ -225,6 +254,18 @@
 	return false
 }
 
+// orderRefusal returns the reason for which no promotion may be ordered now, or an empty string if it may be. left is the time for
+// which this VM holds the duty.
+func orderRefusal(left time.Duration, checks handover.Checks, now time.Duration) string {
+	switch {
+	case left <= 0:
+		return "duty_lost"
+	case !checks.AllowOrder(now):
+		return "checks_expired"
+	}
+	return ""
+}
+
 func reachable(group *monitor.Group, id ids.BackendServerID) bool {
 	for _, server := range group.Servers() {
 		if server.ID() == id {
