A registration with a field missing or out of range names no server

Cause: the decoder required four fields and a colon in the address. Other entries counted as registered servers that never answer, so a replacement took them for silent replicas, which may hold the last write.

An odd entry is logged once and counted; two odd values of a key are the same, so that one that changes all the time is not relayed each time.

--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -34,14 +34,12 @@
 }
 
 // SameServer states whether two values of a registration describe the same server in the same state. Each heartbeat writes a new
-// value, which is no change by itself.
+// value, which is no change by itself. Two values that name no server are the same, so that an entry of another writer that changes all
+// the time is not passed on each time.
 func (format Format) SameServer(key string, one, other []byte) bool {
-	first, err := format.DecodeServer(key, one)
-	if err != nil {
-		return false
-	}
-	second, err := format.DecodeServer(key, other)
-	return err == nil && first == second
+	first, firstErr := format.DecodeServer(key, one)
+	second, secondErr := format.DecodeServer(key, other)
+	return first == second && (firstErr == nil) == (secondErr == nil)
 }
 
 // Directory holds the configuration in force and the registered servers.
@@ -60,6 +58,8 @@
 	servers map[ids.BackendServerID]catalog.Server
 	// missingSince holds the known servers without a valid registration, and when that was seen.
 	missingSince map[ids.BackendServerID]time.Duration
+	// faulty holds the ids of the registrations that name no server.
+	faulty map[ids.BackendServerID]bool
 	// listed states whether the registrations have been read once.
 	listed bool
 	// serversRevision is the revision of the registrations.
@@ -74,7 +74,7 @@
 func New(store platform.Store, format Format, eventLog *observe.EventLog) *Directory {
 	return &Directory{
 		store: store, format: format, eventLog: eventLog, servers: make(map[ids.BackendServerID]catalog.Server),
-		missingSince: make(map[ids.BackendServerID]time.Duration), reachable: make(map[string]bool),
+		missingSince: make(map[ids.BackendServerID]time.Duration), reachable: make(map[string]bool), faulty: make(map[ids.BackendServerID]bool),
 	}
 }
 
@@ -197,6 +197,7 @@
 				directory.markMissing(id)
 			}
 		}
+		maps.DeleteFunc(directory.faulty, func(id ids.BackendServerID, _ bool) bool { return !present[id] })
 	}
 	directory.mutex.Unlock()
 	if changed {
@@ -208,15 +209,17 @@
 func (directory *Directory) applyServer(entry config.Entry) (ids.BackendServerID, bool) {
 	id := ids.BackendServerID(entry.Key[min(len(directory.format.ServerPrefix), len(entry.Key)):])
 	if entry.Value == nil {
+		delete(directory.faulty, id)
 		directory.markMissing(id)
 		return id, false
 	}
 	server, err := directory.format.DecodeServer(entry.Key, entry.Value)
 	if err != nil {
-		directory.eventLog.LimitedEvent("registration_faulty", "server", id, "revision", entry.Revision, "err", err)
+		directory.markFaulty(id, entry.Revision, err)
 		directory.markMissing(id)
 		return id, false
 	}
+	delete(directory.faulty, id)
 	delete(directory.missingSince, id)
 	previous, known := directory.servers[id]
 	// A process that leaves never stays. Its registration may say so again in a store restored from a copy of before.
@@ -232,6 +235,22 @@
 	return id, true
 }
 
+// markFaulty records that a registration names no server, and logs that once until the registration is removed or replaced by a valid
+// one. The mutex is held.
+func (directory *Directory) markFaulty(id ids.BackendServerID, revision ids.Revision, err error) {
+	if !directory.faulty[id] {
+		directory.eventLog.LimitedEvent("registration_faulty", "server", id, "revision", revision, "err", err)
+	}
+	directory.faulty[id] = true
+}
+
+// Faulty returns the number of registrations that name no server.
+func (directory *Directory) Faulty() int {
+	directory.mutex.Lock()
+	defer directory.mutex.Unlock()
+	return len(directory.faulty)
+}
+
 // markMissing records that a server has no valid registration. The mutex is held.
 func (directory *Directory) markMissing(id ids.BackendServerID) {
 	if _, known := directory.servers[id]; !known {
