Only the duty's own key names the holder of the duty

A key of another writer under dotterelgw/duty/ was taken for the holder of the promotion duty. VMs waited for a holder that does not exist, and a lost primary was not replaced within 15 s.

Change: duty.applyKey looks at the duty's key alone. Registrations of VMs are checked: identifier, address with a port, length.

TestOddRecordsHideNoOther/duty failed before (no new primary within 15 s); the cases of the other prefixes passed before and after.

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -247,9 +248,9 @@
 		fleet.markMissing(id)
 		return id, false, false
 	}
-	var vm VM
-	if err := json.Unmarshal(entry.Value, &vm); err != nil || vm.ID != id {
-		fleet.eventLog.Event("registration_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
+	vm, err := decodeVM(id, entry.Value)
+	if err != nil {
+		fleet.eventLog.LimitedEvent("registration_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
 		return id, false, false
 	}
 	previous, known := fleet.vms[id]
@@ -262,6 +263,31 @@
 	return id, true, changed
 }
 
+// maxRegistrationBytes bounds the registration of a VM, which has about 100 bytes.
+const maxRegistrationBytes = 4 << 10
+
+// errFaulty reports a registration that names no VM.
+var errFaulty = errors.New("faulty registration")
+
+// decodeVM decodes the registration of the VM with the id.
+func decodeVM(id ids.VMID, value []byte) (VM, error) {
+	if len(value) > maxRegistrationBytes {
+		return VM{}, fmt.Errorf("%d bytes, at most %d are allowed: %w", len(value), maxRegistrationBytes, errFaulty)
+	}
+	var vm VM
+	if err := json.Unmarshal(value, &vm); err != nil {
+		return VM{}, fmt.Errorf("decoding JSON: %w", err)
+	}
+	address, err := netip.ParseAddrPort(vm.Peer)
+	switch {
+	case vm.ID != id || id == "":
+		return VM{}, fmt.Errorf("registration of %.60q under the id %q: %w", vm.ID, id, errFaulty)
+	case err != nil || address.Port() == 0:
+		return VM{}, fmt.Errorf("peer address %.60q: %w", vm.Peer, errFaulty)
+	}
+	return vm, nil
+}
+
 // markMissing records that a VM has no registration; this VM itself is never missing. The mutex is held.
 func (fleet *Fleet) markMissing(id ids.VMID) {
 	if _, known := fleet.vms[id]; !known || id == fleet.self.ID {
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"dotterelgw/core/config"
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/clock"
@@ -122,20 +124,27 @@
 		if event.Err == nil {
 			duty.learnEra(event.Revision.Era())
 		}
-		removed := event.Listing && len(event.Entries) == 0
-		if removed {
-			duty.holder.Store(ids.VMID(""))
-		}
-		for _, entry := range event.Entries {
-			duty.holder.Store(ids.VMID(entry.Value))
-			removed = removed || entry.Key == dutyKey && entry.Value == nil
-		}
-		if removed {
-			select {
-			case duty.vacant <- struct{}{}:
-			default:
-			}
-		}
+		duty.applyKey(event)
+	}
+}
+
+// applyKey records the holder that the event names and signals a removal of the key. Other keys under the prefix do not count.
+func (duty *duty) applyKey(event platform.WatchEvent) {
+	entries := slices.DeleteFunc(slices.Clone(event.Entries), func(entry config.Entry) bool { return entry.Key != dutyKey })
+	removed := event.Listing && len(entries) == 0
+	if removed {
+		duty.holder.Store(ids.VMID(""))
+	}
+	for _, entry := range entries {
+		duty.holder.Store(ids.VMID(entry.Value))
+		removed = removed || entry.Value == nil
+	}
+	if !removed {
+		return
+	}
+	select {
+	case duty.vacant <- struct{}{}:
+	default:
 	}
 }
 
