A promotion needs the logs of all members of a group but one

Cause: who belongs to a group was known only from registrations, which lapse 3.6 s after a crash, and what was acknowledged only from the memory of the VMs. With the primary and a replica down and the VMs restarted, the last replica looked like the whole group and was promoted alone, although it had received nothing of the last writes.

The suspected take-over of an address is ruled out by the times of the record: the new server started after the order.

Change: the members of a group are a record in the store, kept by the holder of the duty (core/membership). A server leaves it only when the primary and another replica have all that it may have helped to acknowledge. An acknowledged write is in two members, so the logs of all but one are needed. After 30 s without them the group gets a primary again, and the log says so. A member whose address another server took over counts as heard only if that one has answered.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -5,6 +5,7 @@
 
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/membership"
 	"dotterelgw/core/position"
 )
 
@@ -217,26 +218,30 @@
 	Final position.Position
 	// Others holds the state of the other registered servers as they reported it after the fence.
 	Others []Member
-	// Silent is the number of other registered servers that did not respond, without those whose address now belongs to
-	// another server.
-	Silent int
+	// Unheard is the number of members of the group whose log none of the servers that responded has. The old primary counts
+	// unless it stepped down.
+	Unheard int
+	// Overdue is set if the unheard members have been awaited for so long that they count as lost, with the writes that only they have.
+	Overdue bool
 	// Ordered is the server named by an earlier order that may still take effect; empty if there is none. It is preferred
 	// among servers with equally long logs.
 	Ordered ids.BackendServerID
 }
 
-// Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of the old
-// primary and of at least one other server. Therefore the longest log has all of them if every other server has responded,
-// and any log as long as that of an old primary that stepped down has them too.
+// Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of two members, the
+// primary and a replica. Therefore the longest log has all of them if at most one member is unheard, and any log as long as that of an
+// old primary that stepped down has them too.
 func (fenceResult FenceResult) Successor() (Member, bool) {
 	best := fenceResult.mostAdvanced()
-	if len(fenceResult.Others) == 0 {
-		return Member{}, false
-	}
-	if fenceResult.Silent > 0 && (!fenceResult.SteppedDown || best.Received.Less(fenceResult.Final)) {
+	switch {
+	case len(fenceResult.Others) == 0:
 		return Member{}, false
+	case fenceResult.Overdue, fenceResult.Unheard == 0, !fenceResult.SteppedDown && fenceResult.Unheard <= membership.MaxUnheard:
+		return best, true
+	case fenceResult.SteppedDown && !best.Received.Less(fenceResult.Final):
+		return best, true
 	}
-	return best, true
+	return Member{}, false
 }
 
 // mostAdvanced returns the most advanced of the other servers, the one ordered earlier if its log is as long.
@@ -296,7 +301,7 @@
 		return serverJoined
 	case safetyChecks.Unfenced:
 		return receivesAgain
-	case successor.Received.Less(safetyChecks.Acknowledged):
+	case successor.Received.Less(safetyChecks.Acknowledged) && !fenceResult.Overdue:
 		return writeMissing
 	case safetyChecks.Unanswered > 0 && fenceResult.SteppedDown && successor.Received.Less(fenceResult.Final):
 		return writesUnknown
--- /dev/null
+++ b/core/membership/record.go
@@ -0,0 +1,83 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"dotterelgw/core/ids"
+)
+
+// MaxUnheard is the number of members whose logs may be unknown when a server is promoted. An acknowledged write is in the logs of two
+// members at least, the primary and a replica, so the logs of all members but one include it.
+const MaxUnheard = 1
+
+// LossTimeout is the time after which unheard members count as lost for good, so that a group does not stay without a primary for
+// ever. Databases that crash are back within about 10 s.
+const LossTimeout = 30 * time.Second
+
+// maxMembers bounds the record of a group. Members are replaced one at a time, so a record of more would hold servers that are long gone.
+const maxMembers = 32
+
+// Member identifies one process of a server.
+type Member struct {
+	// ID identifies the server.
+	ID ids.BackendServerID
+	// StartedMS is the start time of the process in Unix milliseconds.
+	StartedMS int64
+	// Address is the host and port of the server.
+	Address string
+}
+
+// holdsLogOf reports whether the server has the log of the other one: it is the same process, or it started later at the same address
+// under another identifier. A server that starts again under its identifier starts with an empty log.
+func (member Member) holdsLogOf(other Member) bool {
+	if member.ID == other.ID {
+		return member.StartedMS == other.StartedMS
+	}
+	return member.Address == other.Address && member.StartedMS > other.StartedMS
+}
+
+// Record holds the members of a group: all servers whose logs may be needed to find every acknowledged write.
+type Record struct {
+	// Members holds the members in the order in which they joined.
+	Members []Member
+}
+
+// Equal reports whether both records hold the same members in the same order.
+func (record Record) Equal(other Record) bool { return slices.Equal(record.Members, other.Members) }
+
+// Contains reports whether the server is a member.
+func (record Record) Contains(server Member) bool { return slices.Contains(record.Members, server) }
+
+// Union returns a record of the members of both.
+func (record Record) Union(other Record) Record {
+	return record.with(other.Members...)
+}
+
+// Unheard returns the members whose logs none of the servers that answered has.
+func (record Record) Unheard(answered []Member) []Member {
+	var unheard []Member
+	for _, member := range record.Members {
+		holds := func(server Member) bool { return server.holdsLogOf(member) }
+		if !slices.ContainsFunc(answered, holds) {
+			unheard = append(unheard, member)
+		}
+	}
+	return unheard
+}
+
+// with returns the record with further members. Beyond maxMembers the oldest ones are dropped.
+func (record Record) with(servers ...Member) Record {
+	members := slices.Clone(record.Members)
+	for _, server := range servers {
+		if !slices.Contains(members, server) {
+			members = append(members, server)
+		}
+	}
+	return Record{Members: members[max(len(members)-maxMembers, 0):]}
+}
+
+// without returns the record without the members for which the function returns true.
+func (record Record) without(gone func(Member) bool) Record {
+	return Record{Members: slices.DeleteFunc(slices.Clone(record.Members), gone)}
+}
--- /dev/null
+++ b/core/membership/tracker.go
@@ -0,0 +1,127 @@
+package membership
+
+import (
+	"maps"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
+)
+
+// Server is what is known of a registered server.
+type Server struct {
+	Member
+	// Observed is set if the server has answered; the fields below are of its last answer.
+	Observed bool
+	// Silent is set if the server does not answer now.
+	Silent bool
+	// Primary is set if the server acts as primary.
+	Primary bool
+	// Term is the highest term that the server knows.
+	Term ids.Term
+	// Received is the end of the server's log.
+	Received position.Position
+	// ObservedAt is the time at which the request for the answer was sent.
+	ObservedAt time.Duration
+}
+
+// Tracker keeps the record of one group up to date. It is not safe for concurrent use.
+type Tracker struct {
+	record Record
+	// absences holds the members that do not answer or are not registered.
+	absences map[Member]*absence
+}
+
+// absence is the state of a member that does not answer or is not registered.
+type absence struct {
+	// since is the time since which the member is absent.
+	since time.Duration
+	// registered is set while the member is only silent.
+	registered bool
+	// required is the end of the primary's log at a time after since. It covers every write that the absent member has helped to
+	// acknowledge. It is valid if known is set.
+	required position.Position
+	known    bool
+	// covered is set if another replica has had the required log. The log of the absent member is then not needed.
+	covered bool
+}
+
+// NewTracker returns a tracker that starts with the record.
+func NewTracker(record Record) *Tracker {
+	return &Tracker{record: record, absences: make(map[Member]*absence)}
+}
+
+// Record returns the current record.
+func (tracker *Tracker) Record() Record { return tracker.record }
+
+// Add adds the members of another record, such as one that another VM has stored.
+func (tracker *Tracker) Add(other Record) { tracker.record = tracker.record.Union(other) }
+
+// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers. A member that
+// is no longer registered leaves once the primary and one more member have every write that it may have helped to acknowledge.
+func (tracker *Tracker) Update(now time.Duration, servers []Server) Record {
+	registered := make(map[Member]Server, len(servers))
+	for _, server := range servers {
+		registered[server.Member] = server
+		if server.Observed {
+			tracker.record = tracker.record.with(server.Member)
+		}
+	}
+	primary := newestPrimary(servers)
+	for _, member := range tracker.record.Members {
+		server, isRegistered := registered[member]
+		if isRegistered && !server.Silent {
+			delete(tracker.absences, member)
+			continue
+		}
+		tracker.markAbsent(now, member, isRegistered, primary != nil)
+		if primary != nil {
+			tracker.absences[member].update(*primary, servers)
+		}
+	}
+	tracker.record = tracker.record.without(func(member Member) bool {
+		absence, absent := tracker.absences[member]
+		return absent && !absence.registered && absence.covered
+	})
+	maps.DeleteFunc(tracker.absences, func(member Member, _ *absence) bool { return !tracker.record.Contains(member) })
+	return tracker.record
+}
+
+// markAbsent records that the member is silent or not registered. A silent member may still receive writes from a primary that it
+// reaches. What it may have acknowledged until its registration was gone counts anew, unless there is no primary to compare with.
+func (tracker *Tracker) markAbsent(now time.Duration, member Member, isRegistered, primaryAnswers bool) {
+	current, known := tracker.absences[member]
+	if !known || current.registered && !isRegistered && primaryAnswers {
+		tracker.absences[member] = &absence{since: now, registered: isRegistered}
+		return
+	}
+	current.registered = isRegistered
+}
+
+// update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge.
+func (absence *absence) update(primary Server, servers []Server) {
+	if !absence.known && primary.ObservedAt > absence.since {
+		absence.required, absence.known = primary.Received, true
+	}
+	if !absence.known || absence.covered {
+		return
+	}
+	for _, server := range servers {
+		isReplica := server.Observed && !server.Silent && server.Member != primary.Member
+		if isReplica && !server.Received.Less(absence.required) {
+			absence.covered = true
+		}
+	}
+}
+
+// newestPrimary returns the answering primary of the highest term, nil if there is none.
+func newestPrimary(servers []Server) *Server {
+	var newest *Server
+	for index, server := range servers {
+		leads := server.Observed && !server.Silent && server.Primary
+		if leads && (newest == nil || server.Term > newest.Term) {
+			newest = &servers[index]
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/core/membership/tracker_test.go
@@ -0,0 +1,104 @@
+package membership_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgw/core/ids"
+	"dotterelgw/core/membership"
+	"dotterelgw/core/position"
+)
+
+// state is the state of a server in a step of a test.
+type state struct {
+	// id is the identifier; "a!" is its second process.
+	id      string
+	primary bool
+	log     ids.LogPosition
+	// silent and unknown state that it does not answer, and that it never has.
+	silent, unknown bool
+}
+
+func (state state) server(now time.Duration) membership.Server {
+	id, restarted := strings.CutSuffix(state.id, "!")
+	member := server(ids.BackendServerID(id), 1, "host-"+id)
+	if restarted {
+		member.StartedMS = 2
+	}
+	return membership.Server{
+		Member: member, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: 1,
+		Received: position.Position{Term: 1, Log: state.log}, ObservedAt: now,
+	}
+}
+
+func primary(log ids.LogPosition) state            { return state{id: "a", primary: true, log: log} }
+func replica(id string, log ids.LogPosition) state { return state{id: id, log: log} }
+
+func mute(server state) state {
+	server.silent = true
+	return server
+}
+
+// Guards against a member that leaves the record while it may be the only replica with an acknowledged write, and against one that stays
+// for ever.
+func TestMembersLeave(t *testing.T) {
+	start := []state{primary(5), replica("b", 5), replica("c", 5)}
+	for name, test := range map[string]struct {
+		steps [][]state
+		want  string
+	}{
+		"nothing changes":               {[][]state{start, start}, "a b c"},
+		"gone, another replica current": {[][]state{start, {primary(6), replica("b", 6)}, {primary(7), replica("b", 7)}}, "a b"},
+		"gone, compared before the log moved on": {
+			[][]state{start, {primary(5), replica("b", 5)}, {primary(8), replica("b", 7)}, {primary(9), replica("b", 8)}}, "a b",
+		},
+		"gone, the other replica receives nothing": {
+			[][]state{start, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}}, "a b c",
+		},
+		"gone together with the primary": {[][]state{start, {replica("b", 5)}, {replica("b", 5)}}, "a b c"},
+		"silent, but still registered": {
+			[][]state{start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))}}, "a b c",
+		},
+		"silent and compared, gone after the primary": {
+			[][]state{
+				start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))},
+				{mute(primary(7)), replica("b", 7), mute(replica("c", 5))}, {mute(primary(7)), replica("b", 7)},
+			}, "a b",
+		},
+		"silent, compared, then gone while the other receives nothing": {
+			[][]state{
+				start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))},
+				{primary(9), replica("b", 7)}, {primary(9), replica("b", 7)},
+			}, "a b c",
+		},
+		"restarted under its id": {
+			[][]state{start, {primary(6), replica("b", 6), replica("c!", 0)}, {primary(7), replica("b", 7), replica("c!", 0)}}, "a b c!",
+		},
+		"new server":                {[][]state{start, append([]state{replica("d", 0)}, start...)}, "a b c d"},
+		"entry that never answered": {[][]state{start, append([]state{{id: "d", unknown: true, silent: true}}, start...)}, "a b c"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := membership.NewTracker(membership.Record{})
+			for number, step := range test.steps {
+				now := time.Duration(number+1) * time.Second
+				var servers []membership.Server
+				for _, state := range step {
+					servers = append(servers, state.server(now))
+				}
+				tracker.Update(now, servers)
+			}
+			var names []string
+			for _, member := range tracker.Record().Members {
+				name := string(member.ID)
+				if member.StartedMS == 2 {
+					name += "!"
+				}
+				names = append(names, name)
+			}
+			if got := strings.Join(names, " "); got != test.want {
+				t.Errorf("members %s, want %s", got, test.want)
+			}
+		})
+	}
+}
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -137,7 +137,7 @@
 
 func (monitor *Monitor) newServer(group *Group, info catalog.Server) *Server {
 	server := &Server{
-		group: group, connections: math.MaxInt32, stop: make(chan struct{}), wakeup: make(chan struct{}, 1),
+		group: group, addedAt: clock.Now(), connections: math.MaxInt32, stop: make(chan struct{}), wakeup: make(chan struct{}, 1),
 		Pool: dbpool.New(info, monitor.dialer, defaultConnections),
 	}
 	server.askedAt.Store(int64(clock.Now()))
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -41,6 +41,8 @@
 	wakeup chan struct{}
 	// leavingSince is the boot time in nanoseconds since which the server is known to be leaving; 0 if it is not.
 	leavingSince atomic.Int64
+	// addedAt is the time at which this VM learned of the server.
+	addedAt time.Duration
 	// askedAt is the boot time in nanoseconds at which this VM last polled the server.
 	askedAt atomic.Int64
 
@@ -66,6 +68,9 @@
 // Info returns the server's registration.
 func (server *Server) Info() catalog.Server { return *server.info.Load() }
 
+// KnownFor returns the time since this VM learned of the server.
+func (server *Server) KnownFor() time.Duration { return clock.Now() - server.addedAt }
+
 // ID returns the server's identifier.
 func (server *Server) ID() ids.BackendServerID { return server.Info().ID }
 
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -82,6 +82,11 @@
 	return Token(duty.token.Load()), left
 }
 
+// held returns the token and whether this VM holds the duty, even if it still has to wait for the end of an earlier lease.
+func (duty *duty) held() (token Token, held bool) {
+	return Token(duty.token.Load()), clock.Now() < time.Duration(duty.expiresAt.Load())-dutyMargin
+}
+
 // earlierOrder stands for the orders of earlier holders of the duty, the last of which may have been sent just before this VM took it.
 func (duty *duty) earlierOrder() handover.Order {
 	return handover.Order{SentAt: time.Duration(duty.takenAt.Load())}
--- /dev/null
+++ b/io/promoter/members.go
@@ -0,0 +1,254 @@
+package promoter
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/membership"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/fleet"
+	"dotterelgw/io/observe"
+	"dotterelgw/io/platform"
+)
+
+const (
+	// MembersPrefix is the key prefix of the members of each group. It lies outside the prefix that every VM lists at its start, as
+	// only the holder of the duty needs these records.
+	MembersPrefix = "dotterelgw-members/"
+	// membersInterval is the time between two checks for records to read or write.
+	membersInterval = 60 * time.Millisecond
+	// membersWritePause is the pause after each write, so that the first start of thousands of groups leaves the store's rate
+	// to others.
+	membersWritePause = 10 * time.Millisecond
+	// maxMembersBytes bounds the record of a group: 32 members of about 100 bytes.
+	maxMembersBytes = 16 << 10
+)
+
+// errMembersFaulty reports a record of members that cannot be used.
+var errMembersFaulty = errors.New("faulty record of members")
+
+// membersRecord is the stored form of membership.Record.
+type membersRecord struct {
+	Members []memberRecord `json:"members"`
+}
+
+// memberRecord is the stored form of membership.Member.
+type memberRecord struct {
+	Server    ids.BackendServerID `json:"server"`
+	StartedMS int64               `json:"started_ms"`
+	Address   string              `json:"address"`
+}
+
+func encodeMembers(record membership.Record) ([]byte, error) {
+	stored := membersRecord{Members: []memberRecord{}}
+	for _, member := range record.Members {
+		stored.Members = append(stored.Members, memberRecord{Server: member.ID, StartedMS: member.StartedMS, Address: member.Address})
+	}
+	value, err := json.Marshal(stored)
+	if err != nil {
+		return nil, fmt.Errorf("encoding the members: %w", err)
+	}
+	return value, nil
+}
+
+func decodeMembers(value []byte) (membership.Record, error) {
+	if len(value) > maxMembersBytes {
+		return membership.Record{}, fmt.Errorf("%d bytes: %w", len(value), errMembersFaulty)
+	}
+	var stored membersRecord
+	if err := json.Unmarshal(value, &stored); err != nil {
+		return membership.Record{}, fmt.Errorf("decoding the members: %w", err)
+	}
+	var record membership.Record
+	for _, member := range stored.Members {
+		if member.Server == "" {
+			return membership.Record{}, fmt.Errorf("member without an id: %w", errMembersFaulty)
+		}
+		record.Members = append(record.Members, membership.Member{ID: member.Server, StartedMS: member.StartedMS, Address: member.Address})
+	}
+	return record, nil
+}
+
+// members keeps the members of all groups while this VM holds the duty, and stores changes.
+type members struct {
+	store    fleet.EraStore
+	eventLog *observe.EventLog
+
+	mutex  sync.Mutex
+	groups map[ids.GroupID]*memberState
+	// loadedFor is the token of the duty for which the stored records were read; 0 if they were not.
+	loadedFor Token
+}
+
+// memberState holds the members of one group.
+type memberState struct {
+	tracker *membership.Tracker
+	// stored is the record in the store at the revision, 0 if there is none.
+	stored   membership.Record
+	revision ids.Revision
+}
+
+func newMembers(store fleet.EraStore, eventLog *observe.EventLog) *members {
+	return &members{store: store, eventLog: eventLog, groups: make(map[ids.GroupID]*memberState)}
+}
+
+// group returns the members of the group. The mutex must be held.
+func (members *members) group(id ids.GroupID) *memberState {
+	group, known := members.groups[id]
+	if !known {
+		group = &memberState{tracker: membership.NewTracker(membership.Record{})}
+		members.groups[id] = group
+	}
+	return group
+}
+
+// update brings the members of the group up to date with its registered servers. Before the records have been read it does nothing.
+func (members *members) update(token Token, id ids.GroupID, servers []membership.Server) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	if members.loadedFor == token {
+		members.group(id).tracker.Update(clock.Now(), servers)
+	}
+}
+
+// record returns the members of the group, or false if they have not been read since this VM took the duty with the token.
+func (members *members) record(token Token, id ids.GroupID) (membership.Record, bool) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.group(id).tracker.Record(), members.loadedFor == token
+}
+
+// run reads the records whenever this VM takes the duty, and stores changes, until the context ends. The function duty returns the
+// token and whether this VM holds the duty.
+func (members *members) run(ctx context.Context, duty func() (Token, bool)) {
+	clock.Every(ctx, membersInterval, func() {
+		token, held := duty()
+		if !held {
+			return
+		}
+		err := members.load(ctx, token)
+		if err == nil {
+			err = members.storeChanges(ctx)
+		}
+		if err != nil {
+			members.eventLog.LimitedEvent("members_failed", "token", token, "err", err)
+			clock.Sleep(ctx, dutyRetryPause)
+		}
+	})
+}
+
+// load reads the records of all groups, once for each token. Members that only this VM knows stay.
+func (members *members) load(ctx context.Context, token Token) error {
+	members.mutex.Lock()
+	loaded := members.loadedFor == token
+	members.mutex.Unlock()
+	if loaded {
+		return nil
+	}
+	entries, revision, err := members.store.List(ctx, MembersPrefix)
+	if err != nil {
+		return fmt.Errorf("listing the members: %w", err)
+	}
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	for _, entry := range entries {
+		members.apply(entry)
+	}
+	members.loadedFor = token
+	members.eventLog.Event("members_read", "token", token, "groups", len(entries), "revision", revision)
+	return nil
+}
+
+// apply adds the members of a stored record. A record that cannot be decoded is replaced by the next write. The mutex must be held.
+func (members *members) apply(entry config.Entry) {
+	group := members.group(ids.GroupID(strings.TrimPrefix(entry.Key, MembersPrefix)))
+	record, err := decodeMembers(entry.Value)
+	if err != nil {
+		members.eventLog.LimitedEvent("members_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
+	}
+	group.tracker.Add(record)
+	group.stored, group.revision = record, entry.Revision
+}
+
+// change is a record that is to be stored.
+type change struct {
+	group    ids.GroupID
+	record   membership.Record
+	revision ids.Revision
+}
+
+// storeChanges stores the records that changed, and all records if the store was restored, as it may have lost them.
+func (members *members) storeChanges(ctx context.Context) error {
+	for _, change := range members.changes() {
+		if err := members.storeChange(ctx, change); err != nil {
+			return fmt.Errorf("group %s: %w", change.group, err)
+		}
+		clock.Sleep(ctx, membersWritePause)
+	}
+	return nil
+}
+
+// changes returns the records that are to be stored.
+func (members *members) changes() []change {
+	era := members.store.Era()
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	var changes []change
+	for id, group := range members.groups {
+		record := group.tracker.Record()
+		if !record.Equal(group.stored) || group.revision != 0 && group.revision.Era() < era {
+			changes = append(changes, change{group: id, record: record, revision: group.revision})
+		}
+	}
+	return changes
+}
+
+// storeChange stores the record. If the store holds another one than this VM knows, that one is added to the members first.
+func (members *members) storeChange(ctx context.Context, change change) error {
+	key := MembersPrefix + string(change.group)
+	value, err := encodeMembers(change.record)
+	if err != nil {
+		return err
+	}
+	revision, stored, err := members.store.CompareAndSwap(ctx, key, change.revision, value)
+	if err != nil && !errors.Is(err, platform.ErrRestored) && !errors.Is(err, platform.ErrOutcomeUnknown) {
+		return fmt.Errorf("storing the members: %w", err)
+	}
+	if err == nil && stored {
+		members.markStored(change, revision)
+		return nil
+	}
+	entry, found, err := members.store.Get(ctx, key)
+	if err != nil {
+		return fmt.Errorf("reading the members: %w", err)
+	}
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	if !found {
+		group := members.group(change.group)
+		group.stored, group.revision = membership.Record{}, 0
+		return nil
+	}
+	members.apply(entry)
+	return nil
+}
+
+// markStored records that the store holds the record.
+func (members *members) markStored(change change, revision ids.Revision) {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	group := members.group(change.group)
+	group.stored, group.revision = change.record, revision
+	names := make([]string, 0, len(change.record.Members))
+	for _, member := range change.record.Members {
+		names = append(names, string(member.ID))
+	}
+	members.eventLog.Event("members_stored", "group", change.group, "members", strings.Join(names, ","), "revision", revision)
+}
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"dotterelgw/core/catalog"
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
 	"dotterelgw/core/member"
+	"dotterelgw/core/membership"
 	"dotterelgw/core/position"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -21,6 +23,9 @@
 const (
 	// evaluateInterval is the time between two evaluations of the groups.
 	evaluateInterval = 100 * time.Millisecond
+	// maxMemberPolls is the number of servers that are polled at once in one evaluation of all groups because they are new. The first
+	// holder of the duty learns of all servers at the same time.
+	maxMemberPolls = 30
 	// settleTime is how long replicas that a replacement left paused are left alone, because the promotion that was ordered,
 	// maybe by an earlier holder of the duty, may still take effect.
 	settleTime = handover.OrderEffectTime
@@ -49,6 +54,7 @@
 // Promoter replaces primaries while this VM holds the duty.
 type Promoter struct {
 	duty      *duty
+	members   *members
 	groups    Groups
 	directory Directory
 	platform  Platform
@@ -73,13 +79,16 @@
 	order handover.Order
 	// fenced reports whether the VMs were asked to fence the primary and have not been released. Only the running work changes it.
 	fenced bool
+	// incompleteSince is the time since which too many members are unheard for a promotion; 0 if that is not so. Only the running
+	// work changes it, and evaluate while there is none.
+	incompleteSince time.Duration
 }
 
 // New returns a promoter that does nothing until Run.
-func New(self ids.VMID, store fleet.Store, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog) *Promoter {
+func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog) *Promoter {
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
-		duty: newDuty(self, store, rank, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
+		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
 		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]position.Position),
 	}
 	mesh.Handle(network, kindFence, promoter.handleFence)
@@ -112,11 +121,18 @@
 func (promoter *Promoter) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { promoter.duty.run(ctx) })
+	group.Go(func() { promoter.members.run(ctx, promoter.duty.held) })
 	group.Go(func() {
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, evaluateInterval)
-			if promoter.OnDuty() {
-				for _, group := range promoter.groups.Groups() {
+			token, held := promoter.duty.held()
+			if !held {
+				continue
+			}
+			polls := maxMemberPolls
+			for _, group := range promoter.groups.Groups() {
+				polls -= promoter.updateMembers(token, group, polls)
+				if promoter.OnDuty() {
 					promoter.evaluate(ctx, group)
 				}
 			}
@@ -125,6 +141,20 @@
 	group.Wait()
 }
 
+// updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
+// it polls maxPolls servers at most and returns their number.
+func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
+	for _, server := range group.Servers() {
+		_, observed := group.Observed(server.ID())
+		if !observed && server.KnownFor() < unconfirmedTime && polls < maxPolls {
+			server.PollNow()
+			polls++
+		}
+	}
+	promoter.members.update(token, group.ID(), registeredServers(group))
+	return polls
+}
+
 // evaluate starts a replacement if the group needs one.
 func (promoter *Promoter) evaluate(ctx context.Context, group *monitor.Group) {
 	promoter.mutex.Lock()
@@ -141,6 +171,7 @@
 	members := groupMembers(group)
 	reason := watched.ReplacementReason(now, members)
 	if reason == "" {
+		watched.incompleteSince = 0
 		promoter.cleanUp(ctx, now, watched, group, members)
 		return
 	}
@@ -188,6 +219,25 @@
 	return members
 }
 
+// registeredServers returns the registered servers of the group.
+func registeredServers(group *monitor.Group) []membership.Server {
+	var servers []membership.Server
+	for _, server := range group.Servers() {
+		observed, known := group.Observed(server.ID())
+		servers = append(servers, membership.Server{
+			Member: identityOf(server), Observed: known, Silent: server.SilentFor() > 0, Primary: observed.Role == catalog.RolePrimary,
+			Term: observed.Term, Received: observed.Received, ObservedAt: observed.SentAt,
+		})
+	}
+	return servers
+}
+
+// identityOf returns the process of the server.
+func identityOf(server *monitor.Server) membership.Member {
+	info := server.Info()
+	return membership.Member{ID: info.ID, StartedMS: info.StartedMS, Address: info.Address}
+}
+
 func memberOf(server *monitor.Server, observed leader.Observation, known bool) handover.Member {
 	info := server.Info()
 	return handover.Member{
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -11,6 +11,7 @@
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
+	"dotterelgw/core/membership"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -29,25 +30,37 @@
 	refreshTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed attempt.
 	retryPause = 150 * time.Millisecond
+	// unconfirmedTime is how long a registered server that has never answered counts as a member. The registration of a server that
+	// crashed after its start is gone within 3.6 s, and is dropped 2.5 s later; one that stays is not of a server.
+	unconfirmedTime = 8 * time.Second
 )
 
 // replace carries out one attempt to replace the group's primary.
 func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, watched *groupWatch, reason handover.Reason) {
 	// A server that registers after this point counts as joined.
-	registrationsRead := promoter.refresh(ctx)
+	promoter.refresh(ctx)
+	token, _ := promoter.duty.current()
+	record, known := promoter.members.record(token, group.ID())
+	if !known {
+		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "members_unknown")
+		clock.Sleep(ctx, retryPause)
+		return
+	}
 	members := groupMembers(group)
 	servers := group.Servers()
 	old := findServer(servers, handover.Primary(members))
 	term := nextTerm(members)
 	promoter.eventLog.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
-	fenceResult := promoter.fence(group, servers, old, term, registrationsRead)
+	fenceResult, unheard := promoter.fence(group, servers, old, term, record)
+	fenceResult.Overdue = watched.isOverdue(clock.Now())
 	if watched.order.PendingFor(clock.Now()) > 0 {
 		fenceResult.Ordered = watched.order.Server
 	}
 	successor, ok := fenceResult.Successor()
 	if !ok {
+		watched.markIncomplete(clock.Now())
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fenceResult.SteppedDown,
-			"answered", len(fenceResult.Others), "silent", fenceResult.Silent)
+			"answered", len(fenceResult.Others), "unheard", membersText(unheard), "waited_ms", watched.incompleteFor(clock.Now()).Milliseconds())
 		promoter.abandon(ctx, group, watched, term)
 		return
 	}
@@ -60,6 +73,7 @@
 	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
 	if cause != "" {
+		watched.markIncomplete(clock.Now())
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
 			"position", successor.Received.Log, "acknowledged", safetyChecks.Acknowledged.Log)
 		promoter.abandon(ctx, group, watched, term)
@@ -71,12 +85,16 @@
 		clock.Sleep(ctx, watched.order.PendingFor(clock.Now()))
 		return
 	}
+	if fenceResult.Overdue {
+		promoter.eventLog.Event("members_given_up", "group", group.ID(), "successor", successor.ID, "position", successor.Received.Log,
+			"acknowledged", safetyChecks.Acknowledged.Log, "unheard", membersText(unheard))
+	}
 	// From here on replicas stay paused: a pause ends when the server learns of the primary of the new term, and until
 	// then an old primary that can still reach the server gets no acknowledgement from it.
 	if !promoter.promote(ctx, group, watched, successor, checks) {
 		return
 	}
-	watched.order, watched.fenced = handover.Order{}, false
+	watched.order, watched.fenced, watched.incompleteSince = handover.Order{}, false, 0
 	if old != nil && !fenceResult.SteppedDown && old.ID() != successor.ID {
 		go promoter.stepDown(group, old, term, &handover.FenceResult{})
 	}
@@ -118,8 +136,7 @@
 	return fenced
 }
 
-// refresh reads the registrations again, so that a server that has just joined is counted. It reports whether that
-// succeeded.
+// refresh reads the registrations again, so that a server that has just joined is counted. It reports whether that succeeded.
 func (promoter *Promoter) refresh(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
@@ -167,10 +184,9 @@
 }
 
 // fence prevents the old primary from acknowledging writes: either it steps down, or no other server receives from it
-// any more. A silent primary is asked to step down too, since it may only be hard to reach. If registrationsRead is set,
-// all registrations are known: a server whose address has been taken over by another server then counts as gone before
-// its registration lapses.
-func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term, registrationsRead bool) handover.FenceResult {
+// any more. A silent primary is asked to step down too, since it may only be hard to reach. It also returns the members whose logs
+// remain unknown.
+func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term, record membership.Record) (handover.FenceResult, []membership.Member) {
 	var fenceResult handover.FenceResult
 	var stepped sync.WaitGroup
 	if old != nil {
@@ -188,6 +204,7 @@
 	}
 	var mutex sync.Mutex
 	var calls sync.WaitGroup
+	var answered []membership.Member
 	for _, server := range servers {
 		if server == old {
 			continue
@@ -197,24 +214,62 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil || call.Kind == statement.Pause && status.PausedTerm < term {
-				if !registrationsRead || !replacedAtAddress(err) {
-					fenceResult.Silent++
-				}
 				promoter.eventLog.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
 				return
 			}
 			fenceResult.Others = append(fenceResult.Others, memberOf(server, leader.Observation{Status: status}, true))
+			answered = append(answered, identityOf(server))
 		})
 	}
 	calls.Wait()
 	stepped.Wait()
-	return fenceResult
+	if fenceResult.SteppedDown {
+		answered = append(answered, identityOf(old))
+	}
+	unheard := record.Union(registeredMembers(group, servers)).Unheard(answered)
+	fenceResult.Unheard = len(unheard)
+	return fenceResult, unheard
+}
+
+// registeredMembers returns the registered servers that count as members of the group: those that have answered, and new ones, which may
+// just not have been asked.
+func registeredMembers(group *monitor.Group, servers []*monitor.Server) membership.Record {
+	var record membership.Record
+	for _, server := range servers {
+		if _, observed := group.Observed(server.ID()); observed || server.KnownFor() < unconfirmedTime {
+			record.Members = append(record.Members, identityOf(server))
+		}
+	}
+	return record
+}
+
+// membersText returns the identifiers of the members for the log.
+func membersText(members []membership.Member) string {
+	names := make([]string, 0, len(members))
+	for _, member := range members {
+		names = append(names, string(member.ID))
+	}
+	return strings.Join(names, ",")
+}
+
+// markIncomplete records that an attempt failed because acknowledged writes may be missing.
+func (watch *groupWatch) markIncomplete(now time.Duration) {
+	if watch.incompleteSince == 0 {
+		watch.incompleteSince = now
+	}
+}
+
+// incompleteFor returns the time for which attempts have failed because acknowledged writes may be missing.
+func (watch *groupWatch) incompleteFor(now time.Duration) time.Duration {
+	if watch.incompleteSince == 0 {
+		return 0
+	}
+	return now - watch.incompleteSince
 }
 
-// replacedAtAddress reports whether the error means that another server now has the address.
-func replacedAtAddress(err error) bool {
-	var refused *dbpool.RefusedError
-	return errors.As(err, &refused) && refused.Code == statement.Misrouted
+// isOverdue reports whether unheard members count as lost.
+func (watch *groupWatch) isOverdue(now time.Duration) bool {
+	return watch.incompleteFor(now) >= membership.LossTimeout
 }
 
 // stepDown asks the old primary to act as a replica.
