--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -62,14 +62,20 @@
 		},
 		"silent and compared, gone after the primary": {
 			[][]state{
-				start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))},
-				{mute(primary(7)), replica("b", 7), mute(replica("c", 5))}, {mute(primary(7)), replica("b", 7)},
+				start,
+				{primary(6), replica("b", 6), mute(replica("c", 5))},
+				{primary(7), replica("b", 7), mute(replica("c", 5))},
+				{mute(primary(7)), replica("b", 7), mute(replica("c", 5))},
+				{mute(primary(7)), replica("b", 7)},
 			}, "a b",
 		},
 		"silent, compared, then gone while the other receives nothing": {
 			[][]state{
-				start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))},
-				{primary(9), replica("b", 7)}, {primary(9), replica("b", 7)},
+				start,
+				{primary(6), replica("b", 6), mute(replica("c", 5))},
+				{primary(7), replica("b", 7), mute(replica("c", 5))},
+				{primary(9), replica("b", 7)},
+				{primary(9), replica("b", 7)},
 			}, "a b c",
 		},
 		"restarted under its id": {
