SIGHUP in the first milliseconds of the process no longer ends it

The handler was set when the settings were about to be read, after all packages had been initialised. A SIGHUP before that ended the process, as it does by default.

Change: a package of its own that imports only the standard library sets the handler, so that it is initialised before the packages that take milliseconds. Commands that do not reload reset it.

--- a/cmd/dotterelgw/main.go
+++ b/cmd/dotterelgw/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"dotterelgw/cmd/dotterelgw/hangup"
 	"dotterelgw/io/gateway"
 	"dotterelgw/io/node"
 	"dotterelgw/io/observe"
@@ -71,6 +72,7 @@
 
 // serve runs the proxy until the context ends. It prints the listen addresses to stdout as one line of JSON.
 func serve(ctx context.Context, arguments []string, stdout, stderr io.Writer) error {
+	hangup.Reset()
 	settings, err := settings.Load(arguments)
 	if err != nil {
 		return err
@@ -90,10 +92,7 @@
 	if file == "" || len(arguments) > 0 {
 		return errors.New("node requires -config FILE and no other arguments")
 	}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
-	return platform.Run(ctx, file, stdout, reloads)
+	return platform.Run(ctx, file, stdout, hangup.Signals())
 }
 
 func checkNode(arguments []string, stdout io.Writer) error {
