--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,8 @@
 	$(GO) test -count=1 -parallel 5 ./proof
 	$(GO) test -run '^$$' -fuzz FuzzReader -fuzztime 2s ./platform/lineprotocol
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 2s ./platform/records
+	$(GO) test -run '^$$' -fuzz FuzzDecodeVM -fuzztime 2s ./io/fleet
+	$(GO) test -run '^$$' -fuzz FuzzDecodeMembers -fuzztime 2s ./io/promoter
 
 lint:
 	@out="$$($(GOFUMPT) -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$'))"; if [ -n "$$out" ]; then echo "gofumpt: $$out"; exit 1; fi
