The duty leaves a VM that can't reach the promotion service

The duty is held by a lease in the store, whether or not its holder reaches the promotion service. One closed path stopped the failover of the whole fleet for as long as it lasted.

Change: a holder that could not connect for 1 s ends its lease and takes the duty again only after the other VMs could. It does so once in 10 s at the most, so that the duty stays where it is while the service is away for all. An order that was not sent is no longer counted as pending.

--- a/core/handover/candidate_test.go
+++ b/core/handover/candidate_test.go
@@ -32,3 +32,28 @@
 		})
 	}
 }
+
+// Guards against a lease that stays with a VM that can't reach the promotion service, and against one that moves all the time while the
+// service is away for all VMs.
+func TestLeavesDuty(t *testing.T) {
+	for name, test := range map[string]struct {
+		unsentFor, since time.Duration
+		handedOver       bool
+		leaves           bool
+		retakeDelay      time.Duration
+	}{
+		"one failure":               {unsentFor: time.Second / 10},
+		"failing for a second":      {unsentFor: time.Second, leaves: true},
+		"handed over just before":   {unsentFor: 2 * time.Second, since: 3 * time.Second, handedOver: true, retakeDelay: time.Second},
+		"handed over some time ago": {unsentFor: 2 * time.Second, since: 20 * time.Second, handedOver: true, leaves: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if got := LeavesDuty(test.unsentFor, test.since, test.handedOver); got != test.leaves {
+				t.Errorf("leaves the duty: %t, want %t", got, test.leaves)
+			}
+			if got := RetakeDelay(test.since, test.handedOver); got != test.retakeDelay {
+				t.Errorf("retakes it after %v, want %v", got, test.retakeDelay)
+			}
+		})
+	}
+}
--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -64,12 +64,16 @@
 	holder atomic.Value
 	// vacant receives a value when the duty may be free.
 	vacant chan struct{}
+	// handOver receives a value when this VM should leave the duty to another one.
+	handOver chan struct{}
+	// handedOverAt is the boot time in nanoseconds at which this VM last did so; 0 if it never did.
+	handedOverAt atomic.Int64
 	// rank returns this VM's rank among the candidates, 0 for the first.
 	rank func() int
 }
 
 func newDuty(self ids.VMID, store fleet.Store, rank func() int, eventLog *observe.EventLog) *duty {
-	return &duty{self: self, store: store, rank: rank, eventLog: eventLog, vacant: make(chan struct{}, 1)}
+	return &duty{self: self, store: store, rank: rank, eventLog: eventLog, vacant: make(chan struct{}, 1), handOver: make(chan struct{}, 1)}
 }
 
 // current returns the token and the time left in which it may be used; none is left if this VM does not hold the duty, or has to wait
@@ -105,7 +109,7 @@
 	duty.waitForVacancy(ctx)
 	for ctx.Err() == nil {
 		// Candidates try one after the other, so that not all VMs write to the store at once.
-		clock.Sleep(ctx, handover.CandidateDelay(duty.rank()))
+		clock.Sleep(ctx, handover.CandidateDelay(duty.rank())+handover.RetakeDelay(duty.sinceHandOver()))
 		if duty.lastHolder() != "" {
 			duty.waitForVacancy(ctx)
 			continue
@@ -204,6 +208,11 @@
 	}
 	duty.token.Store(int64(revision))
 	duty.takenAt.Store(int64(clock.Now()))
+	// A request of an earlier turn must not end this one.
+	select {
+	case <-duty.handOver:
+	default:
+	}
 	wait := duty.waitForEarlierEra(ctx, revision.Era(), ttl)
 	duty.expiresAt.Store(int64(sent + ttl))
 	duty.eventLog.Event("duty_taken", "token", int64(revision), "revision", revision, "lease", lease, "wait_ms", wait.Milliseconds())
@@ -260,7 +269,9 @@
 // renew renews the lease until it ends.
 func (duty *duty) renew(ctx context.Context, lease platform.Lease) {
 	for ctx.Err() == nil {
-		clock.Sleep(ctx, dutyRenewInterval)
+		if duty.awaitRenewal(ctx) {
+			break
+		}
 		sent := clock.Now()
 		ttl, err := duty.store.KeepAlive(ctx, lease)
 		if err == nil {
@@ -278,6 +289,35 @@
 	duty.revoke(context.WithoutCancel(ctx), lease)
 }
 
+// awaitRenewal waits until the lease is to be renewed, and reports whether this VM leaves the duty to another one instead.
+func (duty *duty) awaitRenewal(ctx context.Context) (handsOver bool) {
+	timer := time.NewTimer(dutyRenewInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-duty.handOver:
+		duty.handedOverAt.Store(int64(clock.Now()))
+		duty.eventLog.Event("duty_handed_over", "token", duty.token.Load())
+		return true
+	}
+	return false
+}
+
+// sinceHandOver returns the time since this VM last left the duty to another one, or false if it never did.
+func (duty *duty) sinceHandOver() (since time.Duration, did bool) {
+	at := time.Duration(duty.handedOverAt.Load())
+	return clock.Now() - at, at != 0
+}
+
+// leave makes this VM leave the duty to another one soon.
+func (duty *duty) leave() {
+	select {
+	case duty.handOver <- struct{}{}:
+	default:
+	}
+}
+
 // revoke ends a lease, and with it a key whose write was not confirmed. If that fails, the lease expires by itself.
 func (duty *duty) revoke(ctx context.Context, lease platform.Lease) {
 	if err := duty.store.Revoke(ctx, lease); err != nil {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/catalog"
@@ -31,9 +33,13 @@
 	settleTime = handover.OrderEffectTime
 )
 
+// ErrNotSent reports that an order to promote was not sent, so that it can't take effect.
+var ErrNotSent = errors.New("the order was not sent")
+
 // Platform promotes backend servers.
 type Platform interface {
-	// Promote orders that the server become the primary of the group. It has no effect if the server already is.
+	// Promote orders that the server become the primary of the group. It has no effect if the server already is. The error wraps
+	// ErrNotSent if no connection could be opened.
 	Promote(ctx context.Context, group ids.GroupID, server ids.BackendServerID, token Token) error
 }
 
@@ -61,6 +67,9 @@
 	mesh      *mesh.Mesh
 	eventLog  *observe.EventLog
 
+	// unsentSince is the boot time in nanoseconds since which no order could be sent; 0 if the last one was sent.
+	unsentSince atomic.Int64
+
 	mutex   sync.Mutex
 	watches map[ids.GroupID]*groupWatch
 	acks    map[uint64]map[ids.VMID]position.Position
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -293,9 +294,11 @@
 			return false
 		}
 		call, cancel := context.WithTimeout(ctx, min(left, promoteTimeout))
-		watched.order = handover.Order{Server: successor.ID, SentAt: sentAt}
 		err := promoter.platform.Promote(call, group.ID(), successor.ID, token)
 		cancel()
+		if promoter.noteOrder(sentAt, err) {
+			watched.order = handover.Order{Server: successor.ID, SentAt: sentAt}
+		}
 		promoter.eventLog.Event("promotion_ordered", "group", group.ID(), "server", successor.ID, "token", token,
 			"position", successor.Received.Log, "checked_ms", (sentAt - checks.BegunAt).Milliseconds(), "err", err)
 		if promoter.awaitTakeover(ctx, group, successor.ID, err) {
@@ -309,6 +312,22 @@
 	return false
 }
 
+// noteOrder records whether an order was sent, and reports it. A VM that can't reach the promotion service leaves the duty to another.
+func (promoter *Promoter) noteOrder(at time.Duration, err error) (sent bool) {
+	if !errors.Is(err, ErrNotSent) {
+		promoter.unsentSince.Store(0)
+		return true
+	}
+	promoter.unsentSince.CompareAndSwap(0, int64(at))
+	unsentFor := clock.Now() - time.Duration(promoter.unsentSince.Load())
+	since, handedOver := promoter.duty.sinceHandOver()
+	if handover.LeavesDuty(unsentFor, since, handedOver) && len(promoter.mesh.Peers()) > 0 {
+		promoter.unsentSince.Store(0)
+		promoter.duty.leave()
+	}
+	return false
+}
+
 // orderRefusal returns the reason for which no promotion may be ordered now, or an empty string if it may be. left is the time for
 // which this VM holds the duty.
 func orderRefusal(left time.Duration, checks handover.Checks, now time.Duration) string {
