A VM that starts during a promotion knows the fence of the old primary

Callers would see: writes answered with success are missing in the promoted database.

Cause: the fence is a notice between VMs, held in memory. A VM that starts after it has none. If the old primary is back and a replica has restarted unpaused before the order takes effect, that VM acknowledges writes which the successor lacks.

Change: the holder of the duty stores the fence while it waits for the acknowledgements, and orders nothing before that is done. A VM reads the fences with the listing of its start, before it knows any server. The members are read and stored in the background of the evaluation, without a timer of their own on every VM.

--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -60,6 +60,13 @@
 	return group.acknowledged
 }
 
+// fenceAtStart fences primaries of terms before the given one, which was being replaced when this VM started; 0 fences none.
+func (group *Group) fenceAtStart(term ids.Term) {
+	if term > 0 {
+		group.Fence(term)
+	}
+}
+
 // Release ends the fence for the term because no server was promoted.
 func (group *Group) Release(term ids.Term) {
 	group.resolve("nobody_promoted", term, func() { group.fence.Release(term) })
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -42,6 +42,8 @@
 	onDuty  func() bool
 	// serviceAge returns the time since the key-value service last answered.
 	serviceAge func() time.Duration
+	// fences holds the terms of successors by group, for groups whose primary was being replaced when this VM started.
+	fences map[ids.GroupID]ids.Term
 	// vms holds the VMs that share the connections to each server.
 	vms []member.Member
 
@@ -108,6 +110,13 @@
 // knows. It must be called before the first SetServers.
 func (monitor *Monitor) SetServiceAge(age func() time.Duration) { monitor.serviceAge = age }
 
+// SetFences fences groups by the terms of their successors. It must be called before the first SetServers.
+func (monitor *Monitor) SetFences(terms map[ids.GroupID]ids.Term) {
+	monitor.mutex.Lock()
+	defer monitor.mutex.Unlock()
+	monitor.fences = terms
+}
+
 // SetServers replaces the registered servers.
 func (monitor *Monitor) SetServers(registered []catalog.Server) {
 	byGroup := make(map[ids.GroupID][]catalog.Server)
@@ -118,8 +127,11 @@
 	for id := range byGroup {
 		if monitor.groups[id] == nil {
 			monitor.groups[id] = newGroup(id, monitor)
+			monitor.groups[id].fenceAtStart(monitor.fences[id])
 		}
 	}
+	// Groups that appear later were not being replaced when this VM started.
+	monitor.fences = nil
 	groups := slices.Collect(maps.Values(monitor.groups))
 	monitor.mutex.Unlock()
 	for _, group := range groups {
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"dotterelgw/core/catalog"
 	"dotterelgw/core/member"
 	corerelay "dotterelgw/core/relay"
 	"dotterelgw/io/clock"
@@ -52,6 +53,9 @@
 	background context.Context
 	stop       context.CancelFunc
 
+	// fencesRead guards the reading of the fences before the first servers are known.
+	fencesRead sync.Once
+
 	mutex     sync.Mutex
 	settings  Settings
 	platform  Platform
@@ -106,12 +110,19 @@
 		MaxCatalogAge: settings.Configuration.MaxAge(),
 	})
 	node.directory.OnCatalog(node.monitor.SetCatalog)
-	node.directory.OnServers(node.monitor.SetServers)
+	node.directory.OnServers(node.setServers)
 	node.directory.OnCatalog(node.quota.SetCatalog)
 	node.fleet.OnChange(node.setVMs)
 	return node, nil
 }
 
+// setServers passes the servers on. Before the first ones it reads the fences that were stored before this VM started, so that it does not
+// rely on a primary that is being replaced.
+func (node *Node) setServers(servers []catalog.Server) {
+	node.fencesRead.Do(func() { node.monitor.SetFences(node.promoter.StoredFences(node.background)) })
+	node.monitor.SetServers(servers)
+}
+
 func (node *Node) setVMs(vms []fleet.VM) {
 	members := members(vms)
 	if node.settled.Load() || len(members) > 1 {
--- a/io/promoter/members.go
+++ b/io/promoter/members.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/config"
@@ -22,8 +23,6 @@
 	// MembersPrefix is the key prefix of the members of each group. It lies outside the prefix that every VM lists at its start, as
 	// only the holder of the duty needs these records.
 	MembersPrefix = "dotterelgw-members/"
-	// membersInterval is the time between two checks for records to read or write.
-	membersInterval = 60 * time.Millisecond
 	// membersWritePause is the pause after each write, so that the first start of thousands of groups leaves the store's rate
 	// to others.
 	membersWritePause = 10 * time.Millisecond
@@ -85,6 +84,8 @@
 	groups map[ids.GroupID]*memberState
 	// loadedFor is the token of the duty for which the stored records were read; 0 if they were not.
 	loadedFor Token
+	// busy is set while records are read or stored.
+	busy atomic.Bool
 }
 
 // memberState holds the members of one group.
@@ -125,14 +126,13 @@
 	return members.group(id).tracker.Record(), members.loadedFor == token
 }
 
-// run reads the records whenever this VM takes the duty, and stores changes, until the context ends. The function duty returns the
-// token and whether this VM holds the duty.
-func (members *members) run(ctx context.Context, duty func() (Token, bool)) {
-	clock.Every(ctx, membersInterval, func() {
-		token, held := duty()
-		if !held {
-			return
-		}
+// sync reads the records once for each duty, and stores changes, in the background. Only one call is in progress at a time.
+func (members *members) sync(ctx context.Context, token Token) {
+	if !members.begin(token) {
+		return
+	}
+	go func() {
+		defer members.busy.Store(false)
 		err := members.load(ctx, token)
 		if err == nil {
 			err = members.storeChanges(ctx)
@@ -141,7 +141,15 @@
 			members.eventLog.LimitedEvent("members_failed", "token", token, "err", err)
 			clock.Sleep(ctx, dutyRetryPause)
 		}
-	})
+	}()
+}
+
+// begin reports whether there is anything to read or to store and no other call does it.
+func (members *members) begin(token Token) bool {
+	members.mutex.Lock()
+	loaded := members.loadedFor == token
+	members.mutex.Unlock()
+	return (!loaded || len(members.changes()) > 0) && members.busy.CompareAndSwap(false, true)
 }
 
 // load reads the records of all groups, once for each token. Members that only this VM knows stay.
--- a/io/promoter/members_test.go
+++ b/io/promoter/members_test.go
@@ -162,7 +162,7 @@
 	}
 }
 
-// Guards against panics on arbitrary records of members.
+// Guards against panics on arbitrary records of members and of fences.
 func FuzzDecodeMembers(f *testing.F) {
 	for _, seed := range []string{
 		`{"members":[{"server":"i-1","started_ms":17,"address":"127.0.0.1:7"}]}`, "", "null", "[]", "\xff", `{"members":[null]}`,
@@ -171,6 +171,9 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
+		if term, err := decodeFence(value); err != nil && term != 0 {
+			t.Errorf("term %d with the error %v", term, err)
+		}
 		record, err := decodeMembers(value)
 		if err != nil {
 			return
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -61,6 +61,7 @@
 type Promoter struct {
 	duty      *duty
 	members   *members
+	fences    *storedFences
 	groups    Groups
 	directory Directory
 	platform  Platform
@@ -97,7 +98,7 @@
 func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog) *Promoter {
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
-		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
+		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
 		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]position.Position),
 	}
 	mesh.Handle(network, kindFence, promoter.handleFence)
@@ -130,26 +131,29 @@
 func (promoter *Promoter) Run(ctx context.Context) {
 	var group sync.WaitGroup
 	group.Go(func() { promoter.duty.run(ctx) })
-	group.Go(func() { promoter.members.run(ctx, promoter.duty.held) })
 	group.Go(func() {
 		for ctx.Err() == nil {
 			clock.Sleep(ctx, evaluateInterval)
-			token, held := promoter.duty.held()
-			if !held {
-				continue
-			}
-			polls := maxMemberPolls
-			for _, group := range promoter.groups.Groups() {
-				polls -= promoter.updateMembers(token, group, polls)
-				if promoter.OnDuty() {
-					promoter.evaluate(ctx, group)
-				}
+			if token, held := promoter.duty.held(); held {
+				promoter.evaluateAll(ctx, token)
 			}
 		}
 	})
 	group.Wait()
 }
 
+// evaluateAll starts replacements where they are needed, and keeps the members of all groups up to date.
+func (promoter *Promoter) evaluateAll(ctx context.Context, token Token) {
+	polls := maxMemberPolls
+	for _, group := range promoter.groups.Groups() {
+		if promoter.OnDuty() {
+			promoter.evaluate(ctx, group)
+		}
+		polls -= promoter.updateMembers(token, group, polls)
+	}
+	promoter.members.sync(ctx, token)
+}
+
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
 // it polls maxPolls servers at most and returns their number.
 func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
@@ -211,9 +215,7 @@
 	case now-watched.pausedSince > settleTime:
 		watched.pausedSince = now
 		promoter.startWork(watched, func() {
-			watched.order, watched.fenced = handover.Order{}, false
-			promoter.release(ctx, group, term)
-			promoter.resume(group, term)
+			promoter.unfence(ctx, group, watched, term)
 		})
 	}
 }
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -68,11 +68,17 @@
 	var safetyChecks handover.SafetyChecks
 	var checks handover.Checks
 	watched.fenced = true
+	fenceStored := make(chan error, 1)
+	go func() { fenceStored <- promoter.fences.set(ctx, group.ID(), term) }()
 	checks, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
 	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
+	if err := <-fenceStored; err != nil && cause == "" {
+		cause = "fence_not_stored"
+		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
+	}
 	if cause != "" {
 		watched.markIncomplete(clock.Now())
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
@@ -100,6 +106,7 @@
 		go promoter.stepDown(group, old, term, &handover.FenceResult{})
 	}
 	promoter.announce(ctx, group, term, successor.Received)
+	promoter.fences.clear(ctx, group.ID())
 }
 
 // abandon ends an attempt without a promotion: it makes paused servers receive again, and releases the VMs if they were fenced.
@@ -112,9 +119,21 @@
 		return
 	}
 	if watched.fenced {
-		promoter.release(ctx, group, term)
+		promoter.unfence(ctx, group, watched, term)
+		return
+	}
+	watched.order = handover.Order{}
+	promoter.resume(group, term)
+}
+
+// unfence releases all VMs, those that start included, and makes paused servers receive again. Without the duty it does nothing.
+func (promoter *Promoter) unfence(ctx context.Context, group *monitor.Group, watched *groupWatch, term ids.Term) {
+	if !promoter.OnDuty() {
+		return
 	}
 	watched.order, watched.fenced = handover.Order{}, false
+	promoter.fences.clear(ctx, group.ID())
+	promoter.release(ctx, group, term)
 	promoter.resume(group, term)
 }
 
--- /dev/null
+++ b/io/promoter/stored_fences_test.go
@@ -0,0 +1,67 @@
+package promoter
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"dotterelgw/core/config"
+	"dotterelgw/core/ids"
+	"dotterelgw/io/observe"
+)
+
+// Guards against a VM that starts without the fence of a replacement in progress: it is not stored, or it is cleared by a VM that has lost
+// the duty; and against one that stays after the replacement has ended.
+func TestStoredFences(t *testing.T) {
+	eventLog := observe.NewEventLog(io.Discard, "vm1")
+	t.Cleanup(func() { eventLog.Close(time.Second) })
+	for name, test := range map[string]struct {
+		act  func(t *testing.T, store *membersStore, first, second *storedFences)
+		want map[ids.GroupID]ids.Term
+	}{
+		"in progress": {func(t *testing.T, _ *membersStore, first, _ *storedFences) { set(t, first, 2) }, map[ids.GroupID]ids.Term{"g": 2}},
+		"ended": {func(t *testing.T, _ *membersStore, first, _ *storedFences) {
+			set(t, first, 2)
+			first.clear(t.Context(), "g")
+		}, nil},
+		"next one in progress": {func(t *testing.T, _ *membersStore, first, second *storedFences) {
+			set(t, first, 2)
+			set(t, second, 3)
+		}, map[ids.GroupID]ids.Term{"g": 3}},
+		"cleared by an earlier holder": {func(t *testing.T, _ *membersStore, first, second *storedFences) {
+			set(t, first, 2)
+			set(t, second, 3)
+			first.clear(t.Context(), "g")
+		}, map[ids.GroupID]ids.Term{"g": 3}},
+		"store restored": {func(t *testing.T, store *membersStore, first, _ *storedFences) {
+			set(t, first, 2)
+			store.era, store.number = 2, 0
+			clear(store.entries)
+			if first.set(t.Context(), "g", 2) == nil {
+				t.Error("stored under a revision of an earlier era")
+			}
+			set(t, first, 2)
+		}, map[ids.GroupID]ids.Term{"g": 2}},
+		"overwritten by another writer": {func(_ *testing.T, store *membersStore, _, _ *storedFences) {
+			store.entries[FencesPrefix+"g"] = config.Entry{Key: FencesPrefix + "g", Value: []byte("[[")}
+			store.entries[FencesPrefix+"h"] = config.Entry{Key: FencesPrefix + "h", Value: []byte(`{"term":7}`)}
+		}, map[ids.GroupID]ids.Term{"h": 7}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &membersStore{entries: make(map[string]config.Entry), era: 1}
+			test.act(t, store, newStoredFences(store, eventLog), newStoredFences(store, eventLog))
+			promoter := &Promoter{fences: newStoredFences(store, eventLog), eventLog: eventLog}
+			got := promoter.StoredFences(t.Context())
+			if len(got) != len(test.want) || got["g"] != test.want["g"] || got["h"] != test.want["h"] {
+				t.Errorf("a VM that starts reads %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func set(t *testing.T, fences *storedFences, term ids.Term) {
+	t.Helper()
+	if err := fences.set(t.Context(), "g", term); err != nil {
+		t.Fatal(err)
+	}
+}
