Members count as lost only after 30 s in which they could be seen

The 30 s after which unheard members are given up also counted attempts that failed for other reasons, and time in which the store did not answer. After a long outage of the store the first attempt would have promoted a server although the members had had no time to register again. membership.Wait counts only attempts that failed because writes may be missing, while the registrations are known.

A stored fence whose holder is gone was never cleared, as its successor did not know the revision: every VM that starts would have held the fence for 4 s. The holder of the duty reads the fences when it takes the duty, and clears one that is left 2 s after the primary is back.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -279,12 +279,15 @@
 	writesUnknown        = "acknowledged_writes_unknown"
 )
 
+// IsIncomplete reports whether the reason for not promoting a successor is that its log lacks or may lack an acknowledged write.
+func IsIncomplete(cause string) bool { return cause == writeMissing || cause == writesUnknown }
+
 // Confirm returns the server to promote in view of the safety checks, or the reason for which none may be promoted. If the
 // successor lacks or may lack an acknowledged write, an old primary that stepped down is promoted again, since its log has
 // all of them.
 func (fenceResult FenceResult) Confirm(successor Member, safetyChecks SafetyChecks) (Member, string) {
 	cause := fenceResult.UnsafeReason(successor, safetyChecks)
-	if fenceResult.SteppedDown && (cause == writeMissing || cause == writesUnknown) {
+	if fenceResult.SteppedDown && IsIncomplete(cause) {
 		old := fenceResult.Old
 		old.Received = fenceResult.Final
 		return old, ""
--- a/core/membership/record.go
+++ b/core/membership/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"dotterelgw/core/ids"
 )
@@ -11,10 +10,6 @@
 // members at least, the primary and a replica, so the logs of all members but one include it.
 const MaxUnheard = 1
 
-// LossTimeout is the time after which unheard members count as lost for good, so that a group does not stay without a primary for
-// ever. Databases that crash are back within about 10 s.
-const LossTimeout = 30 * time.Second
-
 // maxMembers bounds the record of a group. Members are replaced one at a time, so a record of more would hold servers that are long gone.
 const maxMembers = 32
 
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -89,9 +89,8 @@
 	order handover.Order
 	// fenced reports whether the VMs were asked to fence the primary and have not been released. Only the running work changes it.
 	fenced bool
-	// incompleteSince is the time since which too many members are unheard for a promotion; 0 if that is not so. Only the running
-	// work changes it, and evaluate while there is none.
-	incompleteSince time.Duration
+	// wait measures how long a promotion has waited for members. Only the running work changes it, and evaluate while there is none.
+	wait membership.Wait
 }
 
 // New returns a promoter that does nothing until Run.
@@ -152,6 +151,7 @@
 		polls -= promoter.updateMembers(token, group, polls)
 	}
 	promoter.members.sync(ctx, token)
+	promoter.fences.sync(ctx, token)
 }
 
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
@@ -184,7 +184,7 @@
 	members := groupMembers(group)
 	reason := watched.ReplacementReason(now, members)
 	if reason == "" {
-		watched.incompleteSince = 0
+		watched.wait = membership.Wait{}
 		promoter.cleanUp(ctx, now, watched, group, members)
 		return
 	}
@@ -207,6 +207,10 @@
 // cleanUp resumes replicas left paused by a replacement that did not complete, and releases the VMs.
 func (promoter *Promoter) cleanUp(ctx context.Context, now time.Duration, watched *groupWatch, group *monitor.Group, members []handover.Member) {
 	term, left := handover.OrphanedPause(members)
+	if stored := promoter.fences.term(group.ID()); stored > 0 && handover.Primary(members) != nil {
+		// A holder of the duty before this one has left its fence, which VMs that start would hold.
+		term, left = max(term, stored), true
+	}
 	switch {
 	case !left:
 		watched.pausedSince = 0
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -39,7 +39,7 @@
 // replace carries out one attempt to replace the group's primary.
 func (promoter *Promoter) replace(ctx context.Context, group *monitor.Group, watched *groupWatch, reason handover.Reason) {
 	// A server that registers after this point counts as joined.
-	promoter.refresh(ctx)
+	registrationsKnown := promoter.refresh(ctx)
 	token, _ := promoter.duty.current()
 	record, known := promoter.members.record(token, group.ID())
 	if !known {
@@ -53,15 +53,15 @@
 	term := nextTerm(members)
 	promoter.eventLog.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
 	fenceResult, unheard := promoter.fence(group, servers, old, term, record)
-	fenceResult.Overdue = watched.isOverdue(clock.Now())
+	fenceResult.Overdue = watched.wait.IsOverdue(clock.Now())
 	if watched.order.PendingFor(clock.Now()) > 0 {
 		fenceResult.Ordered = watched.order.Server
 	}
 	successor, ok := fenceResult.Successor()
 	if !ok {
-		watched.markIncomplete(clock.Now())
+		watched.wait.Update(clock.Now(), len(fenceResult.Others) > 0, registrationsKnown)
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fenceResult.SteppedDown,
-			"answered", len(fenceResult.Others), "unheard", membersText(unheard), "waited_ms", watched.incompleteFor(clock.Now()).Milliseconds())
+			"answered", len(fenceResult.Others), "unheard", membersText(unheard), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
 		promoter.abandon(ctx, group, watched, term)
 		return
 	}
@@ -80,7 +80,7 @@
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
 	if cause != "" {
-		watched.markIncomplete(clock.Now())
+		watched.wait.Update(clock.Now(), handover.IsIncomplete(cause), registrationsKnown)
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
 			"position", successor.Received.Log, "acknowledged", safetyChecks.Acknowledged.Log)
 		promoter.abandon(ctx, group, watched, term)
@@ -101,7 +101,7 @@
 	if !promoter.promote(ctx, group, watched, successor, checks) {
 		return
 	}
-	watched.order, watched.fenced, watched.incompleteSince = handover.Order{}, false, 0
+	watched.order, watched.fenced, watched.wait = handover.Order{}, false, membership.Wait{}
 	if old != nil && !fenceResult.SteppedDown && old.ID() != successor.ID {
 		go promoter.stepDown(group, old, term, &handover.FenceResult{})
 	}
@@ -272,26 +272,6 @@
 	return strings.Join(names, ",")
 }
 
-// markIncomplete records that an attempt failed because acknowledged writes may be missing.
-func (watch *groupWatch) markIncomplete(now time.Duration) {
-	if watch.incompleteSince == 0 {
-		watch.incompleteSince = now
-	}
-}
-
-// incompleteFor returns the time for which attempts have failed because acknowledged writes may be missing.
-func (watch *groupWatch) incompleteFor(now time.Duration) time.Duration {
-	if watch.incompleteSince == 0 {
-		return 0
-	}
-	return now - watch.incompleteSince
-}
-
-// isOverdue reports whether unheard members count as lost.
-func (watch *groupWatch) isOverdue(now time.Duration) bool {
-	return watch.incompleteFor(now) >= membership.LossTimeout
-}
-
 // stepDown asks the old primary to act as a replica.
 func (promoter *Promoter) stepDown(group *monitor.Group, old *monitor.Server, term ids.Term, fenceResult *handover.FenceResult) {
 	status, err := promoter.groups.SendControl(old, dbpool.Call{Kind: statement.StepDown, Term: term})
--- a/io/promoter/stored_fences.go
+++ b/io/promoter/stored_fences.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
@@ -40,12 +41,64 @@
 	eventLog *observe.EventLog
 
 	mutex sync.Mutex
-	// revisions holds the revisions of the records that this VM has written.
+	// revisions and terms hold the records that this VM has read or written.
 	revisions map[ids.GroupID]ids.Revision
+	terms     map[ids.GroupID]ids.Term
+	// loadedFor is the token of the duty for which the records were read; 0 if they were not.
+	loadedFor Token
+	// busy is set while records are read.
+	busy atomic.Bool
 }
 
 func newStoredFences(store fleet.EraStore, eventLog *observe.EventLog) *storedFences {
-	return &storedFences{store: store, eventLog: eventLog, revisions: make(map[ids.GroupID]ids.Revision)}
+	return &storedFences{store: store, eventLog: eventLog, revisions: make(map[ids.GroupID]ids.Revision), terms: make(map[ids.GroupID]ids.Term)}
+}
+
+// term returns the term of the group's stored fence, 0 if there is none.
+func (storedFences *storedFences) term(group ids.GroupID) ids.Term {
+	storedFences.mutex.Lock()
+	defer storedFences.mutex.Unlock()
+	return storedFences.terms[group]
+}
+
+// sync reads the fences that earlier holders of the duty have left, once for each duty, in the background.
+func (storedFences *storedFences) sync(ctx context.Context, token Token) {
+	storedFences.mutex.Lock()
+	loaded := storedFences.loadedFor == token
+	storedFences.mutex.Unlock()
+	if loaded || !storedFences.busy.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer storedFences.busy.Store(false)
+		if err := storedFences.load(ctx, token); err != nil {
+			storedFences.eventLog.LimitedEvent("fences_unknown", "token", token, "err", err)
+			clock.Sleep(ctx, dutyRetryPause)
+		}
+	}()
+}
+
+// load reads the fences of all groups. What this VM has written meanwhile is newer.
+func (storedFences *storedFences) load(ctx context.Context, token Token) error {
+	entries, _, err := storedFences.store.List(ctx, FencesPrefix)
+	if err != nil {
+		return fmt.Errorf("listing the fences: %w", err)
+	}
+	storedFences.mutex.Lock()
+	defer storedFences.mutex.Unlock()
+	for _, entry := range entries {
+		group := ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))
+		if entry.Revision <= storedFences.revisions[group] {
+			continue
+		}
+		term, err := decodeFence(entry.Value)
+		if err != nil {
+			storedFences.eventLog.LimitedEvent("fence_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
+		}
+		storedFences.revisions[group], storedFences.terms[group] = entry.Revision, term
+	}
+	storedFences.loadedFor = token
+	return nil
 }
 
 // set stores the fence of the group. It must succeed before a promotion is ordered: a VM that starts after the order would
@@ -93,6 +146,9 @@
 	storedFences.mutex.Lock()
 	defer storedFences.mutex.Unlock()
 	storedFences.revisions[group] = revision
+	if stored {
+		storedFences.terms[group] = term
+	}
 	return stored, err
 }
 
--- a/io/promoter/stored_fences_test.go
+++ b/io/promoter/stored_fences_test.go
@@ -33,6 +33,16 @@
 			set(t, second, 3)
 			first.clear(t.Context(), "g")
 		}, map[ids.GroupID]ids.Term{"g": 3}},
+		"left by a holder that is gone": {func(t *testing.T, _ *membersStore, first, second *storedFences) {
+			set(t, first, 2)
+			if err := second.load(t.Context(), 5); err != nil {
+				t.Fatal(err)
+			}
+			if term := second.term("g"); term != 2 {
+				t.Errorf("the next holder knows of a fence for term %d, want 2", term)
+			}
+			second.clear(t.Context(), "g")
+		}, nil},
 		"store restored": {func(t *testing.T, store *membersStore, first, _ *storedFences) {
 			set(t, first, 2)
 			store.era, store.number = 2, 0
