--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,19 +64,11 @@
 		promoter.abandon(ctx, group, watched, term)
 		return
 	}
-	var safetyChecks handover.SafetyChecks
-	var checks handover.Checks
 	watched.fenced = true
-	fenceStored := make(chan error, 1)
-	go func() { fenceStored <- promoter.fences.set(ctx, group.ID(), term) }()
-	checks, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
-	safetyChecks.Listed = promoter.refresh(ctx)
-	safetyChecks.Joined = joined(servers, group.Servers())
-	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
+	checks, safetyChecks, err := promoter.checkSafety(ctx, group, servers, fenceResult, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
-	if err := <-fenceStored; err != nil && cause == "" {
+	if err != nil && cause == "" {
 		cause = "fence_not_stored"
-		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
 	if cause != "" {
 		watched.wait.Update(clock.Now(), handover.IsIncomplete(cause), registrationsKnown)
@@ -137,36 +128,6 @@
 	promoter.resume(group, term)
 }
 
-// stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
-// one that was reached late by a resume of an earlier attempt.
-func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
-	fenced := true
-	var mutex sync.Mutex
-	var calls sync.WaitGroup
-	for index := range paused {
-		server := findServer(servers, &paused[index])
-		calls.Go(func() {
-			status, err := promoter.groups.SendControl(server, dbpool.Call{Kind: statement.Status})
-			mutex.Lock()
-			defer mutex.Unlock()
-			fenced = fenced && err == nil && status.PausedTerm >= term
-		})
-	}
-	calls.Wait()
-	return fenced
-}
-
-// refresh reads the registrations again, so that a server that has just joined is counted. It reports whether that succeeded.
-func (promoter *Promoter) refresh(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	if err := promoter.directory.Refresh(ctx); err != nil {
-		promoter.eventLog.Event("registrations_unknown", "err", err)
-		return false
-	}
-	return true
-}
-
 // findServer returns the server of the member, nil if there is none.
 func findServer(servers []*monitor.Server, member *handover.Member) *monitor.Server {
 	for _, server := range servers {
@@ -177,16 +138,6 @@
 	return nil
 }
 
-// joined reports whether there are servers now that there were not before.
-func joined(before, now []*monitor.Server) bool {
-	for _, server := range now {
-		if !slices.Contains(before, server) {
-			return true
-		}
-	}
-	return false
-}
-
 func idOf(server *monitor.Server) ids.BackendServerID {
 	if server == nil {
 		return ""
