The model shows what a VM without a notice or without memory can do

That the position counts only from the VMs that answered does no harm now that the members are known.

TestCutOffVM fails: a VM that is cut off from the holder of the duty, but not from the databases, has no fence, and acknowledges writes that the successor lacks after 7 actions.

--- a/core/handover/explore_test.go
+++ b/core/handover/explore_test.go
@@ -202,6 +202,26 @@
 	}
 }
 
+// Guards against a promotion that is safe only because VMs remember what they acknowledged: those that are silent, or that have restarted,
+// do not.
+func TestAcknowledgedPositionsAreNotNeeded(t *testing.T) {
+	broken, states := explore(rules{silentVMs: true}, parse(t, "deaf1 power0 power2 restartVM0 step tick write0 write1"), *exploreDepth+2)
+	if broken != nil {
+		t.Errorf("a write is lost after %s", describe(broken))
+	}
+	t.Logf("%d states", states)
+}
+
+// Guards against a VM that is cut off from the holder of the duty, but not from the databases, and acknowledges writes of the old primary
+// during a promotion.
+func TestCutOffVM(t *testing.T) {
+	broken, states := explore(rules{cutOffVM: true}, parse(t, "power0 power2 step tick write1"), *exploreDepth+1)
+	if broken != nil {
+		t.Errorf("a write is lost after %s", describe(broken))
+	}
+	t.Logf("%d states", states)
+}
+
 // Guards against a model that can't find the faults that were found in real processes: with the rules of before, it must.
 func TestEarlierRulesLoseWrites(t *testing.T) {
 	for name, test := range map[string]struct {
--- a/core/handover/model_test.go
+++ b/core/handover/model_test.go
@@ -31,6 +31,10 @@
 	registeredOnly bool
 	// unmarkedOrders has a VM that starts know nothing of a promotion that has been ordered.
 	unmarkedOrders bool
+	// silentVMs has no VM tell the holder of the duty what it acknowledged. The VMs are fenced all the same.
+	silentVMs bool
+	// cutOffVM cuts the second VM off from the holder of the duty, so that it gets no notice to fence the old primary.
+	cutOffVM bool
 }
 
 // modelDatabase is one database at its address. A restart keeps the log and gives it another identifier.
