--- a/core/handover/model_replacement_test.go
+++ b/core/handover/model_replacement_test.go
@@ -72,14 +72,14 @@
 		model.abandon(term)
 		return
 	}
-	checks := handover.Checks{BegunAt: model.now}
+	window := handover.OrderWindow{BegunAt: model.now}
 	safetyChecks := handover.SafetyChecks{Acknowledged: model.fenceVMs(term), Listed: true}
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
 	switch {
 	case cause != "":
 		model.abandon(term)
 	case !model.order.ConflictsWith(successor.ID, model.now):
-		model.attempt = &attempt{successor: successor, checks: checks, term: term}
+		model.attempt = &attempt{successor: successor, window: window, term: term}
 		model.mark = term
 		model.orderPromotion()
 	}
@@ -134,7 +134,7 @@
 
 // orderPromotion orders the promotion of the attempt, or gives the attempt up if its checks are too old.
 func (model *model) orderPromotion() {
-	if !model.attempt.checks.AllowOrder(model.now) && !model.rules.repeatOrders {
+	if !model.attempt.window.Allows(model.now) && !model.rules.repeatOrders {
 		model.attempt = nil
 		return
 	}
--- a/core/handover/model_test.go
+++ b/core/handover/model_test.go
@@ -58,7 +58,7 @@
 // attempt is a replacement for which a promotion has been ordered.
 type attempt struct {
 	successor handover.Member
-	checks    handover.Checks
+	window    handover.OrderWindow
 	term      ids.Term
 }
 
@@ -295,7 +295,7 @@
 		fmt.Fprint(&text, vm.acknowledged, term, max(until-model.now, 0))
 	}
 	if model.attempt != nil {
-		fmt.Fprint(&text, model.attempt.successor.ID, model.now-model.attempt.checks.BegunAt)
+		fmt.Fprint(&text, model.attempt.successor.ID, model.now-model.attempt.window.BegunAt)
 	}
 	return text.String()
 }
--- a/core/handover/order.go
+++ b/core/handover/order.go
@@ -10,20 +10,22 @@
 	// OrderEffectTime is the time after which an order to promote has either taken effect or never will. It covers the
 	// timeout of the request (700 ms), the promotion (600 ms) and a margin.
 	OrderEffectTime = 2 * time.Second
-	// orderWindow is the time after the start of the safety checks in which a promotion may be ordered. An order sent at
+	// orderWindowDuration is the time after the start of the safety checks in which a promotion may be ordered. An order sent at
 	// its end takes effect before the fences of the VMs expire. Later the old primary may acknowledge writes again that
 	// the successor lacks.
-	orderWindow = FenceDuration - OrderEffectTime
+	orderWindowDuration = FenceDuration - OrderEffectTime
 )
 
-// Checks identifies one round of safety checks, which makes a promotion safe for a limited time.
-type Checks struct {
+// OrderWindow is the time for which the safety checks of one attempt allow an order to promote.
+type OrderWindow struct {
 	// BegunAt is the time before the first VM was asked to fence the old primary.
 	BegunAt time.Duration
 }
 
-// AllowOrder reports whether a promotion may still be ordered. If not, the checks must be made again.
-func (checks Checks) AllowOrder(now time.Duration) bool { return now < checks.BegunAt+orderWindow }
+// Allows reports whether a promotion may still be ordered. If not, the checks must be made again.
+func (orderWindow OrderWindow) Allows(now time.Duration) bool {
+	return now < orderWindow.BegunAt+orderWindowDuration
+}
 
 // Order is the last order to promote that was sent for a group. The zero value means that there was none.
 type Order struct {
--- a/core/handover/order_test.go
+++ b/core/handover/order_test.go
@@ -10,14 +10,14 @@
 
 // Guards against an order to promote that takes effect after the fences of the VMs have expired.
 func TestOrderTakesEffectWithinTheFence(t *testing.T) {
-	checks := handover.Checks{BegunAt: 10 * second}
-	fenceEnd := checks.BegunAt + handover.FenceDuration
-	for now := checks.BegunAt; now < fenceEnd+second; now += second / 100 {
-		if checks.AllowOrder(now) && now+handover.OrderEffectTime > fenceEnd {
-			t.Fatalf("an order is allowed %v after the fence, which lasts for %v", now-checks.BegunAt, handover.FenceDuration)
+	window := handover.OrderWindow{BegunAt: 10 * second}
+	fenceEnd := window.BegunAt + handover.FenceDuration
+	for now := window.BegunAt; now < fenceEnd+second; now += second / 100 {
+		if window.Allows(now) && now+handover.OrderEffectTime > fenceEnd {
+			t.Fatalf("an order is allowed %v after the fence, which lasts for %v", now-window.BegunAt, handover.FenceDuration)
 		}
 	}
-	if !checks.AllowOrder(checks.BegunAt + second) {
+	if !window.Allows(window.BegunAt + second) {
 		t.Error("no order is allowed 1 s after the fence")
 	}
 }
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -57,11 +57,11 @@
 }
 
 // awaitFence returns once no VM relies on the old primary any more: each VM has acknowledged the fence, or the lease of
-// its last observation before the fence has expired. It returns the checks that begin with the fence, the position of the last
+// its last observation before the fence has expired. It returns the time for which an order is allowed, which begins with the fence, the position of the last
 // write acknowledged by any VM that answered, and the number of VMs that did not answer.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (checks handover.Checks, acknowledged position.Position, unanswered int) {
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (window handover.OrderWindow, acknowledged position.Position, unanswered int) {
 	began := clock.Now()
-	checks.BegunAt = began
+	window.BegunAt = began
 	acknowledged = group.Fence(term)
 	promoter.mutex.Lock()
 	promoter.number++
@@ -86,7 +86,7 @@
 	promoter.mutex.Unlock()
 	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds(),
 		"acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
-	return checks, acknowledged, len(missing)
+	return window, acknowledged, len(missing)
 }
 
 // awaitAcks waits for the timeout, or until all VMs have acknowledged, and returns those that have not.
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -65,7 +65,7 @@
 		return
 	}
 	watched.fenced = true
-	checks, safetyChecks, err := promoter.checkSafety(ctx, group, servers, fenceResult, term)
+	window, safetyChecks, err := promoter.checkSafety(ctx, group, servers, fenceResult, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
 	if err != nil && cause == "" {
 		cause = "fence_not_stored"
@@ -89,7 +89,7 @@
 	}
 	// From here on replicas stay paused: a pause ends when the server learns of the primary of the new term, and until
 	// then an old primary that can still reach the server gets no acknowledgement from it.
-	if !promoter.promote(ctx, group, watched, successor, checks) {
+	if !promoter.promote(ctx, group, watched, successor, window) {
 		return
 	}
 	watched.order, watched.fenced, watched.wait = handover.Order{}, false, membership.Wait{}
@@ -234,13 +234,13 @@
 
 // promote promotes the server and waits until it acts as primary. The order is repeated only for as long as the checks made before
 // it hold; after that, the next attempt makes them again.
-func (promoter *Promoter) promote(ctx context.Context, group *monitor.Group, watched *groupWatch, successor handover.Member, checks handover.Checks) bool {
+func (promoter *Promoter) promote(ctx context.Context, group *monitor.Group, watched *groupWatch, successor handover.Member, window handover.OrderWindow) bool {
 	for ctx.Err() == nil {
 		token, left := promoter.duty.current()
 		sentAt := clock.Now()
-		if cause := orderRefusal(left, checks, sentAt); cause != "" {
+		if cause := orderRefusal(left, window, sentAt); cause != "" {
 			promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
-				"checked_ms", (sentAt - checks.BegunAt).Milliseconds())
+				"checked_ms", (sentAt - window.BegunAt).Milliseconds())
 			return false
 		}
 		call, cancel := context.WithTimeout(ctx, min(left, promoteTimeout))
@@ -250,7 +250,7 @@
 			watched.order = handover.Order{Server: successor.ID, SentAt: sentAt}
 		}
 		promoter.eventLog.Event("promotion_ordered", "group", group.ID(), "server", successor.ID, "token", token,
-			"position", successor.Received.Log, "checked_ms", (sentAt - checks.BegunAt).Milliseconds(), "err", err)
+			"position", successor.Received.Log, "checked_ms", (sentAt - window.BegunAt).Milliseconds(), "err", err)
 		if promoter.awaitTakeover(ctx, group, successor.ID, err) {
 			return true
 		}
@@ -280,11 +280,11 @@
 
 // orderRefusal returns the reason for which no promotion may be ordered now, or an empty string if it may be. left is the time for
 // which this VM holds the duty.
-func orderRefusal(left time.Duration, checks handover.Checks, now time.Duration) string {
+func orderRefusal(left time.Duration, window handover.OrderWindow, now time.Duration) string {
 	switch {
 	case left <= 0:
 		return "duty_lost"
-	case !checks.AllowOrder(now):
+	case !window.Allows(now):
 		return "checks_expired"
 	}
 	return ""
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -14,17 +14,17 @@
 
 // checkSafety fences the old primary on all VMs, those that start included, and makes the checks without which nothing may be promoted.
 // The error is set if the fence could not be stored.
-func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, fenceResult handover.FenceResult, term ids.Term) (checks handover.Checks, safetyChecks handover.SafetyChecks, err error) {
+func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, fenceResult handover.FenceResult, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks, err error) {
 	stored := make(chan error, 1)
 	go func() { stored <- promoter.fences.set(ctx, group.ID(), term) }()
-	checks, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
+	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
 	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
 	if err = <-stored; err != nil {
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
-	return checks, safetyChecks, err
+	return window, safetyChecks, err
 }
 
 // stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
