--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -57,8 +57,8 @@
 }
 
 // awaitFence returns once no VM relies on the old primary any more: each VM has acknowledged the fence, or the lease of
-// its last observation before the fence has expired. It returns the time for which an order is allowed, which begins with the fence, the position of the last
-// write acknowledged by any VM that answered, and the number of VMs that did not answer.
+// its last observation before the fence has expired. It returns the time for which an order is allowed, which begins with
+// the fence, the position of the last write acknowledged by any VM that answered, and the number of VMs that did not answer.
 func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (window handover.OrderWindow, acknowledged position.Position, unanswered int) {
 	began := clock.Now()
 	window.BegunAt = began
