Members that another holder of the duty removed stay removed

A server that had left meanwhile was a member again, unheard, and a promotion in that moment would have waited for it, up to 30 s.

Change: what a VM had stored gives way to the records that it reads; only what it could not store stays.

TestRemovedMembersStayRemoved failed before ("a b c" in place of "a c").

--- a/io/promoter/members.go
+++ b/io/promoter/members.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -152,7 +153,8 @@
 	return (!loaded || len(members.changes()) > 0) && members.busy.CompareAndSwap(false, true)
 }
 
-// load reads the records of all groups, once for each token. Members that only this VM knows stay.
+// load reads the records of all groups, once for each token. What this VM had stored gives way to them, since another holder may have
+// removed members; what it could not store stays.
 func (members *members) load(ctx context.Context, token Token) error {
 	members.mutex.Lock()
 	loaded := members.loadedFor == token
@@ -166,6 +168,7 @@
 	}
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
+	maps.DeleteFunc(members.groups, func(_ ids.GroupID, group *memberState) bool { return group.tracker.Record().Equal(group.stored) })
 	for _, entry := range entries {
 		members.apply(entry)
 	}
--- a/io/promoter/members_test.go
+++ b/io/promoter/members_test.go
@@ -145,6 +145,45 @@
 	}
 }
 
+// Guards against members that a VM brings back because it held the duty before another holder removed them: they are gone for good, and a
+// promotion would wait for them.
+func TestRemovedMembersStayRemoved(t *testing.T) {
+	eventLog := observe.NewEventLog(io.Discard, "vm1")
+	t.Cleanup(func() { eventLog.Close(time.Second) })
+	for name, test := range map[string]struct {
+		// unstored is a server that joined last, before the first holder could store it.
+		unstored ids.BackendServerID
+		want     string
+	}{"all stored": {"", "a c"}, "one not stored": {"d", "a b c d"}} {
+		t.Run(name, func(t *testing.T) {
+			store := &membersStore{entries: make(map[string]config.Entry), era: 1}
+			first := newMembers(store, eventLog)
+			if err := first.load(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+			first.update(1, "g", observed("a", "b", "c"))
+			if err := first.storeChanges(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			if test.unstored != "" {
+				first.update(1, "g", observed(test.unstored))
+			}
+			value, err := encodeMembers(membership.Record{Members: []membership.Member{observed("a")[0].Member, observed("c")[0].Member}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			store.number++
+			store.entries[MembersPrefix+"g"] = config.Entry{Key: MembersPrefix + "g", Value: value, Revision: ids.NewRevision(1, store.number)}
+			if err := first.load(t.Context(), 2); err != nil {
+				t.Fatal(err)
+			}
+			if record, _ := first.record(2, "g"); names(record) != test.want {
+				t.Errorf("members %q, want %q", names(record), test.want)
+			}
+		})
+	}
+}
+
 // Guards against decisions by members that were read for an earlier duty.
 func TestMembersOfAnEarlierDuty(t *testing.T) {
 	eventLog := observe.NewEventLog(io.Discard, "vm1")
