TestRun of the load engine measures a longer freeze

Traced by its output: beside load the server is frozen, and the last answer before it read, up to 8 ms late.

--- a/io/load/engine/engine_test.go
+++ b/io/load/engine/engine_test.go
@@ -60,7 +60,7 @@
 switches = { lose_answer_after_commit = 2 }
 [[failures]]
 at = "300ms"
-until = "350ms"
+until = "500ms"
 target = "g1-a"
 switches = { frozen = true }
 [[proxies]]
@@ -91,7 +91,9 @@
 	if len(measured.Violations) != 0 || len(measured.Notes) != 1 || !measured.Replica.Measured || !measured.Complete {
 		t.Errorf("violations %v, notes %v", measured.Violations, measured.Notes)
 	}
-	if frozen := measured.Failures[1]; frozen.Error != "" || frozen.GapMS < 45 || !frozen.Recovered {
+	frozen := measured.Failures[1]
+	frozenMS := 1000 * (frozen.Until - frozen.At)
+	if frozen.Error != "" || frozenMS <= 0 || frozen.GapMS < minGapShare*frozenMS || !frozen.Recovered {
 		t.Errorf("failures %+v", measured.Failures)
 	}
 	moved := 0
@@ -105,6 +107,10 @@
 	}
 }
 
+// minGapShare is the part of a freeze that the gap between two answers must cover. Beside a busy machine the server is frozen, and the last
+// answer read, up to 8 ms late.
+const minGapShare = 0.9
+
 // Guards against stale reads that the checker misses. A replica with stopped replay serves as the second proxy, so
 // sessions that move to it do not see their own writes.
 func TestRunFindsStaleReads(t *testing.T) {
