Fences that a VM reads at its start are listed by a call of their own

What could be seen: a VM that starts during a promotion reads the fences from the listing that all its records share for 500 ms, so a fence stored meanwhile is missed, and the VM relies on the old primary although the order to promote is out.

Change: WithSharedListing takes prefixes that are excluded; the node excludes the fences. One more read of the store at each start and whenever a VM takes the duty.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -97,7 +97,7 @@
 		mesh:    network, quota: quota.New(settings.VM, network, settings.Restart.Away()),
 	}
 	node.role.Store(&corerelay.Role{})
-	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format, settings.Configuration), eventLog, relay.WithSharedListing(recordPrefix))
+	node.records = relay.New(platform.Store, network, func() corerelay.Role { return *node.role.Load() }, topics(platform.Format, settings.Configuration), eventLog, relay.WithSharedListing(recordPrefix, promoter.FencesPrefix))
 	node.directory = directory.New(node.records, platform.Format, eventLog)
 	metrics.NewRegisteredFunctionalGauge("registrations_faulty", registry, func() int64 { return int64(node.directory.Faulty()) })
 	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, eventLog)
--- a/io/relay/listing.go
+++ b/io/relay/listing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,8 @@
 	service fleet.Store
 	// prefix is the common prefix of the keys; empty disables the shared listing.
 	prefix string
+	// excluded holds prefixes under the common one that are listed by calls of their own.
+	excluded []string
 
 	mutex    sync.Mutex
 	entries  []config.Entry
@@ -31,7 +34,8 @@
 
 // covers states whether the key or prefix lies under the common prefix.
 func (listing *listing) covers(prefix string) bool {
-	return listing.prefix != "" && strings.HasPrefix(prefix, listing.prefix)
+	isExcluded := func(excluded string) bool { return strings.HasPrefix(prefix, excluded) }
+	return listing.prefix != "" && strings.HasPrefix(prefix, listing.prefix) && !slices.ContainsFunc(listing.excluded, isExcluded)
 }
 
 // list returns the records under the prefix, and the time at which they were requested.
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -83,9 +83,10 @@
 // Option changes a setting of the store.
 type Option func(*Store)
 
-// WithSharedListing serves listings of all prefixes under a common one from one shared call, as they come together at the start.
-func WithSharedListing(prefix string) Option {
-	return func(store *Store) { store.listing.prefix = prefix }
+// WithSharedListing serves listings of all prefixes under a common one from one shared call, as they come together at the start. Such a
+// listing may be older than the call; the excluded prefixes are listed by calls of their own.
+func WithSharedListing(prefix string, excluded ...string) Option {
+	return func(store *Store) { store.listing.prefix, store.listing.excluded = prefix, excluded }
 }
 
 // New returns a store that relays the topics. The function role returns the current role of this VM.
