A VM acknowledges writes only while it knows that no order to promote is pending

What callers could see: writes answered with success are missing after a promotion.

Cause: the lease of the primary rests on one replica that receives; a restart ends the pause that would have shown the promotion, and the lease did not tell restarted servers from others.

Change: the tracker keeps the latest time at which no order was pending: told by the holder of the duty, read from the stored fences, or shown by servers that have not restarted since it was last known. Leases and acknowledgements end 1.5 s after it. The holder waits as long from the storing of the fence for VMs that do not answer, and asks an old primary that stepped down again.

Ruled out: VMs that need a lease of their own in the store (no write in a store outage); waiting for a status after each write (latency); a time since the last restart alone (a successor that this VM does not reach may still be ordered).

--- a/core/handover/explore_test.go
+++ b/core/handover/explore_test.go
@@ -215,11 +215,43 @@
 // Guards against a VM that is cut off from the holder of the duty, but not from the databases, and acknowledges writes of the old primary
 // during a promotion.
 func TestCutOffVM(t *testing.T) {
-	broken, states := explore(rules{cutOffVM: true}, parse(t, "power0 power2 step tick write1"), *exploreDepth+1)
-	if broken != nil {
-		t.Errorf("a write is lost after %s", describe(broken))
+	for name, test := range map[string]struct {
+		actions string
+		depth   int
+	}{
+		"servers restart":                   {"power0 power2 step tick write1", *exploreDepth + 1},
+		"servers and the holder restart":    {"power0 power1 power2 restartVM0 step effect tick write1", *exploreDepth},
+		"a replica receives nothing":        {"deaf1 power0 power2 step tick write0 write1", *exploreDepth + 1},
+		"the promotion service is away":     {"service power0 power2 step tick write1", *exploreDepth + 2},
+		"the VM restarts before it is cut":  {"power0 power2 restartVM1 step tick write1", *exploreDepth + 1},
+		"all servers restart, time goes on": {"power0 power1 power2 step tick write1", *exploreDepth + 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			broken, states := explore(rules{cutOffVM: true}, parse(t, test.actions), test.depth)
+			if broken != nil {
+				t.Errorf("a write is lost after %s", describe(broken))
+			}
+			t.Logf("%d states", states)
+		})
+	}
+}
+
+// Guards against a VM that is cut off from the holder of the duty and never acknowledges writes again although nothing is being replaced.
+func TestCutOffVMServes(t *testing.T) {
+	for name, sequence := range map[string]string{
+		"no fault":                   "write1",
+		"a replica is down":          "power2 tick write1",
+		"a replica has restarted":    "power2 power2 tick write1",
+		"all servers have restarted": "power0 power0 power1 power1 power2 power2 write1 tick tick write1",
+		"a replica was promoted":     "power0 step tick power0 tick write1 tick tick write1",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if model := play(rules{cutOffVM: true}, parse(t, sequence)); len(model.acknowledged) == 0 || model.violation != "" {
+				t.Errorf("%d writes acknowledged, %s", len(model.acknowledged), model.violation)
+			}
+		})
 	}
-	t.Logf("%d states", states)
 }
 
 // Guards against a model that can't find the faults that were found in real processes: with the rules of before, it must.
@@ -229,9 +261,10 @@
 		actions string
 		depth   int
 	}{
-		"orders are repeated on outdated checks":     {rules{repeatOrders: true}, "service power0 power2 step tick write0", 12},
-		"only registered servers are members":        {rules{registeredOnly: true}, "deaf1 power0 power2 restartVM0 step tick write0", 10},
-		"a VM that starts does not know of an order": {rules{unmarkedOrders: true}, "power0 power2 restartVM1 step write1 tick", 8},
+		"orders are repeated on outdated checks":        {rules{repeatOrders: true, alwaysAssured: true}, "service power0 power2 step tick write0", 12},
+		"only registered servers are members":           {rules{registeredOnly: true, alwaysAssured: true}, "deaf1 power0 power2 restartVM0 step tick write0", 10},
+		"a VM that starts does not know of an order":    {rules{unmarkedOrders: true, alwaysAssured: true}, "power0 power2 restartVM1 step write1 tick", 8},
+		"a VM that is cut off does not miss the holder": {rules{cutOffVM: true, alwaysAssured: true}, "power0 power2 step tick write1", 7},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/core/handover/fence.go
+++ b/core/handover/fence.go
@@ -65,19 +65,21 @@
 	return fence.term, fence.until
 }
 
-// Durability returns the durability of a write at the position. expired is set if the write waited for a fence that expired.
-func (fence *Fence) Durability(now time.Duration, at position.Position, expired bool) WriteState {
+// Durability returns the durability of a write at the position. expired is set if the write waited for a fence that expired. Until
+// assuredUntil no server without the write can be promoted unless this VM is fenced first.
+func (fence *Fence) Durability(now time.Duration, at position.Position, expired bool, assuredUntil time.Duration) WriteState {
 	switch {
 	case at.Term < fence.startedTerm && fence.start.Less(at):
 		return PossiblyLost
 	case at.Term < fence.startedTerm:
 		return Durable
-	case at.Term >= fence.term:
-		return Durable
-	case now < fence.until:
+	case at.Term < fence.term && now < fence.until:
 		return Pending
-	case expired:
+	case at.Term < fence.term && expired:
 		return PossiblyLost
+	case now >= assuredUntil:
+		// A VM that can't reach this one may be replacing the primary.
+		return Pending
 	}
 	return Durable
 }
--- a/core/handover/fence_test.go
+++ b/core/handover/fence_test.go
@@ -15,13 +15,20 @@
 func TestFence(t *testing.T) {
 	const term ids.Term = 2
 	for name, test := range map[string]struct {
-		act     func(fence *handover.Fence)
-		now     time.Duration
-		at      position.Position
-		expired bool
-		want    handover.WriteState
-		inForce bool
+		act       func(fence *handover.Fence)
+		now       time.Duration
+		at        position.Position
+		expired   bool
+		unassured bool
+		want      handover.WriteState
+		inForce   bool
 	}{
+		"not assured":                          {act: func(*handover.Fence) {}, unassured: true, at: at(5), want: handover.Pending, inForce: true},
+		"not assured, nobody promoted":         {act: func(fence *handover.Fence) { fence.Release(term) }, unassured: true, at: at(5), want: handover.Pending},
+		"not assured, fence expired":           {act: func(*handover.Fence) {}, now: handover.FenceDuration, unassured: true, at: at(5), want: handover.Pending},
+		"not assured, waited for it":           {act: func(*handover.Fence) {}, now: handover.FenceDuration, expired: true, unassured: true, at: at(5), want: handover.PossiblyLost},
+		"not assured, successor has it":        {act: func(fence *handover.Fence) { fence.PrimaryPromoted(term, at(5)) }, unassured: true, at: at(5), want: handover.Durable},
+		"not assured, write of new term":       {act: func(*handover.Fence) {}, unassured: true, at: position.Position{Term: 2, Log: 5}, want: handover.Pending, inForce: true},
 		"no replacement":                       {act: func(*handover.Fence) {}, at: at(5), want: handover.Durable},
 		"replacement in progress":              {act: func(*handover.Fence) {}, at: at(5), want: handover.Pending, inForce: true},
 		"write of the new primary":             {act: func(*handover.Fence) {}, at: position.Position{Term: 2, Log: 5}, want: handover.Durable, inForce: true},
@@ -44,7 +51,11 @@
 				fence.Renew(0, term)
 			}
 			test.act(&fence)
-			if got := fence.Durability(test.now, test.at, test.expired); got != test.want {
+			assuredUntil := test.now + time.Second
+			if test.unassured {
+				assuredUntil = test.now
+			}
+			if got := fence.Durability(test.now, test.at, test.expired, assuredUntil); got != test.want {
 				t.Errorf("verdict %d, want %d", got, test.want)
 			}
 			if minTerm, until := fence.MinTerm(); (minTerm > 1 && test.now < until) != test.inForce {
--- a/core/handover/model_test.go
+++ b/core/handover/model_test.go
@@ -33,8 +33,10 @@
 	unmarkedOrders bool
 	// silentVMs has no VM tell the holder of the duty what it acknowledged. The VMs are fenced all the same.
 	silentVMs bool
-	// cutOffVM cuts the second VM off from the holder of the duty, so that it gets no notice to fence the old primary.
+	// cutOffVM cuts the second VM off from the holder of the duty and from the store, so that it gets no notice to fence the old primary.
 	cutOffVM bool
+	// alwaysAssured has the VMs take for granted that they would know of an order to promote.
+	alwaysAssured bool
 }
 
 // modelDatabase is one database at its address. A restart keeps the log and gives it another identifier.
@@ -51,9 +53,13 @@
 	tracker      *leader.Tracker
 	fence        handover.Fence
 	acknowledged position.Position
+	// learnedAt holds when the VM learned of each server.
+	learnedAt map[ids.BackendServerID]time.Duration
 }
 
-func newModelVM() *modelVM { return &modelVM{tracker: leader.NewTracker()} }
+func newModelVM() *modelVM {
+	return &modelVM{tracker: leader.NewTracker(), learnedAt: make(map[ids.BackendServerID]time.Duration)}
+}
 
 // attempt is a replacement for which a promotion has been ordered.
 type attempt struct {
@@ -92,6 +98,8 @@
 	}
 	for index := range model.vms {
 		model.vms[index] = newModelVM()
+		model.listServers(model.vms[index])
+		model.vms[index].tracker.Assure(model.now)
 	}
 	model.updateMembers()
 	return model
@@ -199,18 +207,26 @@
 // restartVM ends the memory of a VM. The first VM holds the duty; its successor reads the members anew.
 func (model *model) restartVM(index int) {
 	vm := newModelVM()
-	if model.mark != 0 && !model.rules.unmarkedOrders {
-		vm.fence.Renew(model.now, model.mark)
-		vm.tracker.RequireTerm(vm.fence.MinTerm())
-	}
+	model.listServers(vm)
+	model.readFence(vm)
 	model.vms[index] = vm
 	if index == 0 {
 		model.members, model.attempt, model.order = nil, nil, handover.Order{Server: "", SentAt: model.now}
 	}
 }
 
-// write has a caller write through the VM, which polls the group before.
-func (model *model) write(vm *modelVM) {
+// readFence has a VM that starts learn from the store whether an order to promote may be pending.
+func (model *model) readFence(vm *modelVM) {
+	if model.mark == 0 || model.rules.unmarkedOrders {
+		vm.tracker.Assure(model.now)
+		return
+	}
+	vm.fence.Renew(model.now, model.mark)
+	vm.tracker.RequireTerm(vm.fence.MinTerm())
+}
+
+// listServers has the VM learn of the registered servers.
+func (model *model) listServers(vm *modelVM) {
 	var registered []catalog.Server
 	for index, database := range model.databases {
 		if database.registered {
@@ -218,12 +234,31 @@
 			registered = append(registered, catalog.Server{ID: identity.ID, Address: identity.Address, StartedMS: identity.StartedMS})
 		}
 	}
-	vm.tracker.SetServers(registered)
+	vm.tracker.SetServers(model.now, registered)
+	learnedBefore := vm.learnedAt
+	vm.learnedAt = make(map[ids.BackendServerID]time.Duration)
+	for _, server := range registered {
+		vm.learnedAt[server.ID] = model.now
+		if at, known := learnedBefore[server.ID]; known {
+			vm.learnedAt[server.ID] = at
+		}
+	}
+}
+
+// write has a caller write through the VM, which polls the group before. A VM that is cut off learns nothing from the others.
+func (model *model) write(vm *modelVM) {
+	model.listServers(vm)
 	for index, database := range model.databases {
 		if database.up {
 			vm.tracker.Observe(model.id(index), leader.Observation{Status: database.status(), SentAt: model.now})
 		}
 	}
+	if model.rules.alwaysAssured {
+		vm.tracker.Assure(model.now)
+	}
+	if model.mark == 0 && (!model.rules.cutOffVM || vm == model.vms[0]) {
+		vm.tracker.Assure(model.now)
+	}
 	server, _, known := vm.tracker.Primary()
 	if !known || vm.tracker.LeaseExpiry() <= model.now {
 		return
@@ -236,7 +271,7 @@
 		model.writes++
 		database.log = append(database.log, model.writes)
 		at := database.received()
-		if model.replicate() && vm.fence.Durability(model.now, at, false) == handover.Durable {
+		if model.replicate() && vm.fence.Durability(model.now, at, false, vm.tracker.AssuredUntil()) == handover.Durable {
 			model.acknowledged = append(model.acknowledged, model.writes)
 			vm.acknowledged = at
 		}
@@ -292,7 +327,12 @@
 	fmt.Fprint(&text, model.databases, model.serviceAway, model.mark, model.accepted, model.stored, model.members == nil, order, model.order.Server, model.acknowledged)
 	for _, vm := range model.vms {
 		term, until := vm.fence.MinTerm()
-		fmt.Fprint(&text, vm.acknowledged, term, max(until-model.now, 0))
+		fmt.Fprint(&text, vm.acknowledged, term, max(until-model.now, 0), vm.tracker.AssuredUntil() > model.now)
+		for index := range model.databases {
+			// Whether the server was known at the last assurance, and for how long.
+			learnedAt, known := vm.learnedAt[model.id(index)]
+			fmt.Fprint(&text, known, learnedAt <= vm.tracker.AssuredAt(), min(model.now-learnedAt, handover.FenceDuration))
+		}
 	}
 	if model.attempt != nil {
 		fmt.Fprint(&text, model.attempt.successor.ID, model.now-model.attempt.window.BegunAt)
--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -24,11 +24,15 @@
 	history      History
 	primaryID    ids.BackendServerID
 	term         ids.Term
+	// assuredAt is the latest time at which no order to promote a server is known to have been pending.
+	assuredAt time.Duration
 }
 
 // trackedServer is a registered server with its last observation.
 type trackedServer struct {
 	registration catalog.Server
+	// since is the time from which on the answers of the server show every pause: it was registered by then.
+	since time.Duration
 	// latest is valid only if observed is set.
 	latest   Observation
 	observed bool
@@ -39,8 +43,9 @@
 	return &Tracker{servers: make(map[ids.BackendServerID]*trackedServer)}
 }
 
-// SetServers replaces the registered servers. The last observation of a server that has restarted is discarded.
-func (tracker *Tracker) SetServers(servers []catalog.Server) {
+// SetServers replaces the registered servers, which were read at the time or before. The last observation of a server that has
+// restarted is discarded.
+func (tracker *Tracker) SetServers(now time.Duration, servers []catalog.Server) {
 	next := make(map[ids.BackendServerID]*trackedServer, len(servers))
 	for _, registration := range servers {
 		if server, ok := tracker.servers[registration.ID]; ok && server.registration.SameProcess(registration) {
@@ -48,7 +53,7 @@
 			next[registration.ID] = server
 			continue
 		}
-		next[registration.ID] = &trackedServer{registration: registration}
+		next[registration.ID] = &trackedServer{registration: registration, since: now}
 	}
 	tracker.servers = next
 	tracker.selectPrimary()
@@ -60,8 +65,12 @@
 	if !ok || server.observed && observation.SentAt < server.latest.SentAt {
 		return
 	}
+	if server.restartsWith(observation) {
+		server.since = observation.SentAt
+	}
 	server.latest, server.observed = observation, true
 	tracker.selectPrimary()
+	tracker.extendAssurance()
 	// The lease may cover the primary's last observation only now that another server has confirmed it.
 	if primary, ok := tracker.servers[tracker.primaryID]; ok {
 		tracker.Sample(tracker.primaryID, primary.latest.SentAt, primary.latest.Received)
@@ -110,7 +119,8 @@
 
 // LeaseExpiry returns the end of the primary's lease: the time up to which no other server can have acknowledged a write.
 // It is 0 if there is no lease. A lease requires observations of the primary and of one other server. Since a replacement
-// fences either the primary or all other servers before it promotes one, at least one of the two would report it.
+// fences either the primary or all other servers before it promotes one, at least one of the two would report it, unless it has
+// restarted since. Therefore the lease also requires that no order was pending.
 func (tracker *Tracker) LeaseExpiry() time.Duration {
 	notBefore := tracker.notBefore
 	if tracker.term < tracker.minTerm {
@@ -121,7 +131,7 @@
 		return 0
 	}
 	if len(tracker.servers) == 1 {
-		return primary.latest.SentAt + LeaseDuration
+		return min(primary.latest.SentAt, tracker.assuredAt) + LeaseDuration
 	}
 	replicaSentAt := time.Duration(-1)
 	for id, server := range tracker.servers {
@@ -136,7 +146,7 @@
 	if replicaSentAt < 0 || confirmedAt < notBefore {
 		return 0
 	}
-	return confirmedAt + LeaseDuration
+	return min(confirmedAt, tracker.assuredAt) + LeaseDuration
 }
 
 // Sample records that the server had the position at a time not earlier than sentAt. It has no effect unless the server is
--- a/core/leader/tracker_test.go
+++ b/core/leader/tracker_test.go
@@ -96,7 +96,8 @@
 		},
 		"only server of its group": {
 			func(tracker *leader.Tracker) {
-				tracker.SetServers(servers("a"))
+				tracker.SetServers(0, servers("a"))
+				tracker.Assure(second)
 				tracker.Observe("a", primary(1, 5, second))
 			},
 			second + leader.LeaseDuration,
@@ -107,14 +108,14 @@
 				tracker.Observe("b", replica(1, 0, second))
 				restarted := servers("a", "b", "c")
 				restarted[0].StartedMS = 2
-				tracker.SetServers(restarted)
+				tracker.SetServers(0, restarted)
 			},
 			0,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := leader.NewTracker()
-			tracker.SetServers(servers("a", "b", "c"))
+			tracker.SetServers(0, servers("a", "b", "c"))
 			test.observe(tracker)
 			if got := tracker.LeaseExpiry(); got != test.want {
 				t.Errorf("lease until %v, want %v", got, test.want)
@@ -126,7 +127,7 @@
 // Guards against using a position of a replaced or unconfirmed primary as one that covers all acknowledged writes.
 func TestFloor(t *testing.T) {
 	tracker := leader.NewTracker()
-	tracker.SetServers(servers("a", "b", "c"))
+	tracker.SetServers(0, servers("a", "b", "c"))
 	tracker.Observe("a", primary(1, 5, second))
 	if _, ok := tracker.MinReadPosition(0); ok {
 		t.Error("minimum position known although the primary is unconfirmed")
@@ -157,7 +158,7 @@
 // two orders of magnitude later than usual.
 func TestLag(t *testing.T) {
 	tracker := leader.NewTracker()
-	tracker.SetServers(servers("a", "b"))
+	tracker.SetServers(0, servers("a", "b"))
 	tracker.Observe("b", replica(1, 0, second))
 	for step := range 10 {
 		at := second + time.Duration(step)*100*time.Millisecond
@@ -196,7 +197,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			tracker := leader.NewTracker()
-			tracker.SetServers(servers("a", "b", "c"))
+			tracker.SetServers(0, servers("a", "b", "c"))
 			confirm(tracker, 1, second)
 			tracker.RequireTerm(2, until)
 			test.act(tracker)
@@ -215,7 +216,7 @@
 func TestPrimaryUnderAnotherIdentifier(t *testing.T) {
 	for range 20 {
 		tracker := leader.NewTracker()
-		tracker.SetServers(servers("a", "b", "c"))
+		tracker.SetServers(0, servers("a", "b", "c"))
 		tracker.Observe("a", primary(1, 5, second))
 		tracker.Observe("b", primary(1, 5, 4*second))
 		tracker.Observe("c", replica(1, 0, 4*second))
--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -10,10 +10,15 @@
 )
 
 // Acknowledge records the success of a write at the position and reports whether it may be sent to the caller. While the
-// primary is being replaced it waits, at most until the deadline, until it is known whether the successor holds the
-// write.
+// primary is being replaced, or may be without the knowledge of this VM, it waits, at most until the deadline, until it is known whether
+// the successor holds the write.
 func (group *Group) Acknowledge(deadline time.Time, at position.Position) bool {
 	writeState, changed := group.evaluate(at, false)
+	if writeState != handover.Pending {
+		return writeState == handover.Durable
+	}
+	group.awaitsDecision(at, 1)
+	defer group.awaitsDecision(at, -1)
 	for writeState == handover.Pending {
 		timer := time.NewTimer(min(time.Until(deadline), undecidedRecheckInterval))
 		select {
@@ -29,6 +34,20 @@
 	return writeState == handover.Durable
 }
 
+// awaitsDecision counts a write that waits until it may be acknowledged.
+func (group *Group) awaitsDecision(at position.Position, count int) {
+	group.mutex.Lock()
+	group.waiting += count
+	fenced, _ := group.fence.MinTerm()
+	assuredAge := clock.Now() - group.tracker.AssuredAt()
+	group.mutex.Unlock()
+	if count > 0 {
+		group.monitor.eventLog.LimitedEvent("acknowledgement_waits", "group", group.id, "term", at.Term, "position", at.Log, "fenced_term", fenced,
+			"assured_age_ms", assuredAge.Milliseconds())
+		group.RequestPoll()
+	}
+}
+
 // undecidedRecheckInterval is the longest time between two checks of a write that waits for the end of a replacement.
 const undecidedRecheckInterval = 100 * time.Millisecond
 
@@ -37,7 +56,7 @@
 func (group *Group) evaluate(at position.Position, waited bool) (handover.WriteState, <-chan struct{}) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	writeState := group.fence.Durability(clock.Now(), at, waited)
+	writeState := group.fence.Durability(clock.Now(), at, waited, group.tracker.AssuredUntil())
 	if writeState == handover.Durable && group.acknowledged.Less(at) {
 		group.acknowledged = at
 	}
@@ -60,13 +79,33 @@
 	return group.acknowledged
 }
 
-// fenceAtStart fences primaries of terms before the given one, which was being replaced when this VM started; 0 fences none.
-func (group *Group) fenceAtStart(term ids.Term) {
+// fenceAtStart fences primaries of terms before the given one, which was being replaced when this VM started. If the term is 0, none was
+// at the time at which the fences were read.
+func (group *Group) fenceAtStart(term ids.Term, readAt time.Duration) {
 	if term > 0 {
 		group.Fence(term)
+		return
+	}
+	group.Assure(readAt)
+}
+
+// Assure records that no order to promote a server of the group was pending at the time.
+func (group *Group) Assure(at time.Duration) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.tracker.Assure(at)
+	if group.waiting > 0 {
+		group.wake()
 	}
 }
 
+// assuredAt returns the latest time at which no order to promote a server of the group is known to have been pending.
+func (group *Group) assuredAt() time.Duration {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.tracker.AssuredAt()
+}
+
 // Release ends the fence for the term because no server was promoted.
 func (group *Group) Release(term ids.Term) {
 	group.resolve("nobody_promoted", term, func() { group.fence.Release(term) })
--- a/io/monitor/fencing_test.go
+++ b/io/monitor/fencing_test.go
@@ -7,6 +7,7 @@
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/position"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/observe"
 )
 
@@ -29,6 +30,7 @@
 			eventLog := observe.NewEventLog(io.Discard, "vm1")
 			defer eventLog.Close(time.Second)
 			group := newGroup("g", New(t.Context(), nil, "z", eventLog))
+			group.Assure(clock.Now())
 			if !group.Acknowledge(time.Now().Add(time.Second), at(3)) {
 				t.Fatal("without a replacement: not acknowledged")
 			}
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -33,6 +33,8 @@
 	observedFor, collectedFor interest
 	// acknowledged is the position of the last write that this VM acknowledged.
 	acknowledged position.Position
+	// waiting is the number of writes that wait until they may be acknowledged.
+	waiting int
 	// fenced is the time at which the primary was last fenced.
 	fenced time.Duration
 	// fence keeps this VM from earlier primaries while another VM replaces the primary.
@@ -290,8 +292,8 @@
 		"age_ms", (now - observation.SentAt).Milliseconds())
 }
 
-// setServers replaces the group's servers and returns the added and the removed ones.
-func (group *Group) setServers(registered []catalog.Server) (added, removed []*Server) {
+// setServers replaces the group's servers, which were read at the time or before, and returns the added and the removed ones.
+func (group *Group) setServers(readAt time.Duration, registered []catalog.Server) (added, removed []*Server) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
 	next := make(map[ids.BackendServerID]*Server, len(registered))
@@ -311,7 +313,7 @@
 		}
 	}
 	group.servers = next
-	group.tracker.SetServers(registered)
+	group.tracker.SetServers(readAt, registered)
 	group.wake()
 	return added, removed
 }
--- a/io/monitor/messages.go
+++ b/io/monitor/messages.go
@@ -36,6 +36,9 @@
 type queryReply struct {
 	Number uint64       `cbor:"number"`
 	Groups []groupState `cbor:"groups"`
+	// AssuredUS holds, for each of the groups, how long ago in microseconds no order to promote a server of it was pending. VMs of earlier
+	// versions leave it out.
+	AssuredUS []int64 `cbor:"assured_us,omitempty"`
 	// Last marks the last part.
 	Last bool `cbor:"last"`
 }
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -42,8 +42,10 @@
 	onDuty  func() bool
 	// serviceAge returns the time since the key-value service last answered.
 	serviceAge func() time.Duration
-	// fences holds the terms of successors by group, for groups whose primary was being replaced when this VM started.
-	fences map[ids.GroupID]ids.Term
+	// fences holds the terms of successors by group, for groups whose primary was being replaced when this VM started. They were read at
+	// fencesReadAt, 0 if they could not be read.
+	fences       map[ids.GroupID]ids.Term
+	fencesReadAt time.Duration
 	// vms holds the VMs that share the connections to each server.
 	vms []member.Member
 
@@ -110,15 +112,16 @@
 // knows. It must be called before the first SetServers.
 func (monitor *Monitor) SetServiceAge(age func() time.Duration) { monitor.serviceAge = age }
 
-// SetFences fences groups by the terms of their successors. It must be called before the first SetServers.
-func (monitor *Monitor) SetFences(terms map[ids.GroupID]ids.Term) {
+// SetFences fences groups by the terms of their successors, which were stored at the time; 0 means that they are not known. It must be
+// called before the first SetServers.
+func (monitor *Monitor) SetFences(terms map[ids.GroupID]ids.Term, readAt time.Duration) {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	monitor.fences = terms
+	monitor.fences, monitor.fencesReadAt = terms, readAt
 }
 
-// SetServers replaces the registered servers.
-func (monitor *Monitor) SetServers(registered []catalog.Server) {
+// SetServers replaces the registered servers, which were read at the time or before.
+func (monitor *Monitor) SetServers(readAt time.Duration, registered []catalog.Server) {
 	byGroup := make(map[ids.GroupID][]catalog.Server)
 	for _, server := range registered {
 		byGroup[server.Group] = append(byGroup[server.Group], server)
@@ -127,15 +130,15 @@
 	for id := range byGroup {
 		if monitor.groups[id] == nil {
 			monitor.groups[id] = newGroup(id, monitor)
-			monitor.groups[id].fenceAtStart(monitor.fences[id])
+			monitor.groups[id].fenceAtStart(monitor.fences[id], monitor.fencesReadAt)
 		}
 	}
-	// Groups that appear later were not being replaced when this VM started.
-	monitor.fences = nil
+	// Groups that appear later were not being replaced when this VM started. Whether they are now is not known.
+	monitor.fences, monitor.fencesReadAt = nil, 0
 	groups := slices.Collect(maps.Values(monitor.groups))
 	monitor.mutex.Unlock()
 	for _, group := range groups {
-		added, removed := group.setServers(byGroup[group.id])
+		added, removed := group.setServers(readAt, byGroup[group.id])
 		for _, server := range added {
 			server.updateAllotment()
 			go monitor.watch(server)
--- a/io/monitor/peers.go
+++ b/io/monitor/peers.go
@@ -164,10 +164,12 @@
 		} else {
 			group.collectForPeers()
 		}
-		reply.Groups = append(reply.Groups, group.encode(clock.Now()))
+		now := clock.Now()
+		reply.Groups = append(reply.Groups, group.encode(now))
+		reply.AssuredUS = append(reply.AssuredUS, (now - group.assuredAt()).Microseconds())
 		if len(reply.Groups) == groupsPerReply {
 			mesh.Send(monitor.sharing.Mesh, sender, kindReply, reply)
-			reply.Groups = nil
+			reply.Groups, reply.AssuredUS = nil, nil
 		}
 	}
 	reply.Last = true
@@ -181,10 +183,15 @@
 	if !known {
 		return
 	}
-	for _, shared := range reply.Groups {
-		if group := monitor.Group(shared.Group); group != nil {
-			group.record(shared, sent)
+	for index, shared := range reply.Groups {
+		group := monitor.Group(shared.Group)
+		if group == nil {
+			continue
+		}
+		if index < len(reply.AssuredUS) {
+			group.Assure(sent - time.Duration(max(reply.AssuredUS[index], 0))*time.Microsecond)
 		}
+		group.record(shared, sent)
 	}
 	if reply.Last {
 		monitor.sent.answered(reply.Number)
--- a/io/monitor/peers_test.go
+++ b/io/monitor/peers_test.go
@@ -15,6 +15,7 @@
 	"dotterelgw/core/member"
 	"dotterelgw/core/observer"
 	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/mesh"
@@ -144,7 +145,9 @@
 	for _, one := range running {
 		one.network.SetVMs(registered)
 		one.SetVMs(vms)
-		one.SetServers(servers)
+		readAt := clock.Now()
+		one.SetFences(nil, readAt)
+		one.SetServers(readAt, servers)
 	}
 	asking := running[user.ID]
 	certain := func() time.Duration { return asking.Group(testGroup).LeaseExpiry() }
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -119,8 +119,9 @@
 // setServers passes the servers on. Before the first ones it reads the fences that were stored before this VM started, so that it does not
 // rely on a primary that is being replaced.
 func (node *Node) setServers(servers []catalog.Server) {
+	readAt := clock.Now()
 	node.fencesRead.Do(func() { node.monitor.SetFences(node.promoter.StoredFences(node.background)) })
-	node.monitor.SetServers(servers)
+	node.monitor.SetServers(readAt, servers)
 }
 
 func (node *Node) setVMs(vms []fleet.VM) {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -147,6 +147,7 @@
 	for _, group := range promoter.groups.Groups() {
 		if promoter.OnDuty() {
 			promoter.evaluate(ctx, group)
+			promoter.assure(token, group)
 		}
 		polls -= promoter.updateMembers(token, group, polls)
 	}
@@ -154,6 +155,19 @@
 	promoter.fences.sync(ctx, token)
 }
 
+// assure records that no order to promote a server of the group is pending, if no fence is stored. Other VMs learn of it from this one.
+func (promoter *Promoter) assure(token Token, group *monitor.Group) {
+	now := clock.Now()
+	promoter.mutex.Lock()
+	watched := promoter.watches[group.ID()]
+	replacing := watched == nil || watched.running || watched.order.PendingFor(now) > 0
+	promoter.mutex.Unlock()
+	term, known := promoter.fences.termFor(token, group.ID())
+	if !replacing && known && term == 0 && promoter.OnDuty() {
+		group.Assure(now)
+	}
+}
+
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
 // it polls maxPolls servers at most and returns their number.
 func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -4,10 +4,14 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
+	"dotterelgw/core/catalog"
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
 	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/monitor"
 )
@@ -15,18 +19,39 @@
 // checkSafety fences the old primary on all VMs, those that start included, and makes the checks without which nothing may be promoted.
 // The error is set if the fence could not be stored.
 func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, fenceResult handover.FenceResult, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks, err error) {
+	var storedAt time.Duration
 	stored := make(chan error, 1)
-	go func() { stored <- promoter.fences.set(ctx, group.ID(), term) }()
+	go func() {
+		err := promoter.fences.set(ctx, group.ID(), term)
+		storedAt = clock.Now()
+		stored <- err
+	}()
 	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
-	safetyChecks.Listed = promoter.refresh(ctx)
-	safetyChecks.Joined = joined(servers, group.Servers())
-	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
 	if err = <-stored; err != nil {
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
+	if safetyChecks.Unanswered > 0 {
+		// A VM that did not answer may have read the store just before the fence was there, and relies on that for a lease.
+		clock.Sleep(ctx, max(storedAt+leader.LeaseDuration-clock.Now(), 0))
+	}
+	safetyChecks.Listed = promoter.refresh(ctx)
+	safetyChecks.Joined = joined(servers, group.Servers())
+	switch {
+	case !fenceResult.SteppedDown:
+		safetyChecks.Unfenced = !promoter.stillFenced(servers, fenceResult.Others, term)
+	case safetyChecks.Unanswered > 0:
+		safetyChecks.Unfenced = !promoter.stillSteppedDown(servers, fenceResult)
+	}
 	return window, safetyChecks, err
 }
 
+// stillSteppedDown reports whether the old primary still acts as a replica. One that restarted may lead again, and a VM that was not
+// fenced may have acknowledged its writes since.
+func (promoter *Promoter) stillSteppedDown(servers []*monitor.Server, fenceResult handover.FenceResult) bool {
+	status, err := promoter.groups.SendControl(findServer(servers, &fenceResult.Old), dbpool.Call{Kind: statement.Status})
+	return err == nil && status.Role == catalog.RoleReplica
+}
+
 // stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
 // one that was reached late by a resume of an earlier attempt.
 func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
--- a/io/promoter/stored_fences.go
+++ b/io/promoter/stored_fences.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
@@ -61,6 +62,13 @@
 	return storedFences.terms[group]
 }
 
+// termFor returns the term of the group's stored fence, or false if the fences have not been read since this VM took the duty with the token.
+func (storedFences *storedFences) termFor(token Token, group ids.GroupID) (term ids.Term, known bool) {
+	storedFences.mutex.Lock()
+	defer storedFences.mutex.Unlock()
+	return storedFences.terms[group], storedFences.loadedFor == token
+}
+
 // sync reads the fences that earlier holders of the duty have left, once for each duty, in the background.
 func (storedFences *storedFences) sync(ctx context.Context, token Token) {
 	storedFences.mutex.Lock()
@@ -152,16 +160,17 @@
 	return stored, err
 }
 
-// StoredFences returns the terms of the successors for all groups whose primary is being replaced. It retries until it succeeds, or
-// until fences that were stored before the process started have expired.
-func (promoter *Promoter) StoredFences(ctx context.Context) map[ids.GroupID]ids.Term {
+// StoredFences returns the terms of the successors for all groups whose primary is being replaced, and the time at which they were read. It
+// retries until it succeeds, or until fences that were stored before the process started have expired; the time is then 0.
+func (promoter *Promoter) StoredFences(ctx context.Context) (terms map[ids.GroupID]ids.Term, readAt time.Duration) {
 	for began := clock.Now(); ctx.Err() == nil && clock.Now()-began < handover.FenceDuration; clock.Sleep(ctx, retryPause) {
+		readAt = clock.Now()
 		entries, _, err := promoter.fences.store.List(ctx, FencesPrefix)
 		if err != nil {
 			promoter.eventLog.LimitedEvent("fences_unknown", "err", err)
 			continue
 		}
-		terms := make(map[ids.GroupID]ids.Term)
+		terms = make(map[ids.GroupID]ids.Term)
 		for _, entry := range entries {
 			term, err := decodeFence(entry.Value)
 			if err != nil {
@@ -171,9 +180,9 @@
 				terms[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = term
 			}
 		}
-		return terms
+		return terms, readAt
 	}
-	return nil
+	return nil, 0
 }
 
 // maxFenceBytes bounds the record of a fence, which has about 20 bytes.
