The holder of the duty waits for VMs that have just registered

What callers could see: acknowledged writes are missing after a promotion, as with a VM that is cut off.

Change: the holder lists the registered VMs after it has stored the fence and counts those that it does not know as unanswered.

Evidence: the model with the rule off (unknownVM) loses a write; with it none.

--- a/core/handover/explore_test.go
+++ b/core/handover/explore_test.go
@@ -264,6 +264,7 @@
 		"orders are repeated on outdated checks":        {rules{repeatOrders: true, alwaysAssured: true}, "service power0 power2 step tick write0", 12},
 		"only registered servers are members":           {rules{registeredOnly: true, alwaysAssured: true}, "deaf1 power0 power2 restartVM0 step tick write0", 10},
 		"a VM that starts does not know of an order":    {rules{unmarkedOrders: true, alwaysAssured: true}, "power0 power2 restartVM1 step write1 tick", 8},
+		"the holder does not wait for a VM that starts": {rules{unknownVM: true}, "power0 power2 restartVM1 step write1 tick", 8},
 		"a VM that is cut off does not miss the holder": {rules{cutOffVM: true, alwaysAssured: true}, "power0 power2 step tick write1", 7},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/handover/model_replacement_test.go
+++ b/core/handover/model_replacement_test.go
@@ -117,6 +117,9 @@
 func (model *model) fenceVMs(term ids.Term) position.Position {
 	var acknowledged position.Position
 	for index, vm := range model.vms {
+		if model.rules.unknownVM && index > 0 {
+			continue
+		}
 		if model.rules.cutOffVM && index > 0 {
 			// Its last observation of the old primary expires meanwhile.
 			model.now += leader.LeaseDuration
--- a/core/handover/model_test.go
+++ b/core/handover/model_test.go
@@ -35,6 +35,8 @@
 	silentVMs bool
 	// cutOffVM cuts the second VM off from the holder of the duty and from the store, so that it gets no notice to fence the old primary.
 	cutOffVM bool
+	// unknownVM has the holder of the duty not know of the second VM, which has just registered, and not wait for it.
+	unknownVM bool
 	// alwaysAssured has the VMs take for granted that they would know of an order to promote.
 	alwaysAssured bool
 }
@@ -329,9 +331,13 @@
 		term, until := vm.fence.MinTerm()
 		fmt.Fprint(&text, vm.acknowledged, term, max(until-model.now, 0), vm.tracker.AssuredUntil() > model.now)
 		for index := range model.databases {
-			// Whether the server was known at the last assurance, and for how long.
+			// How long the VM has known the server matters only if it was not known at the last assurance.
 			learnedAt, known := vm.learnedAt[model.id(index)]
-			fmt.Fprint(&text, known, learnedAt <= vm.tracker.AssuredAt(), min(model.now-learnedAt, handover.FenceDuration))
+			if !known || learnedAt <= vm.tracker.AssuredAt() || model.rules.alwaysAssured {
+				fmt.Fprint(&text, known)
+				continue
+			}
+			fmt.Fprint(&text, min(model.now-learnedAt, handover.FenceDuration))
 		}
 	}
 	if model.attempt != nil {
--- a/core/leader/assurance.go
+++ b/core/leader/assurance.go
@@ -21,6 +21,12 @@
 // orders nothing before then, unless this VM has acknowledged its fence.
 func (tracker *Tracker) AssuredUntil() time.Duration { return tracker.assuredAt + LeaseDuration }
 
+// NeedsAssurance reports whether the assurance ends within the time although the primary is confirmed for longer.
+func (tracker *Tracker) NeedsAssurance(now, within time.Duration) bool {
+	confirmedAt, confirmed := tracker.confirmedAt()
+	return confirmed && now < confirmedAt+LeaseDuration && tracker.AssuredUntil() < now+within && tracker.assuredAt < confirmedAt
+}
+
 // extendAssurance moves the assurance forward by what the servers have answered.
 func (tracker *Tracker) extendAssurance() {
 	tracker.assuredAt = max(tracker.assuredAt, tracker.pairReceivedAt(), tracker.allReceivedAt())
--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -122,16 +122,25 @@
 // fences either the primary or all other servers before it promotes one, at least one of the two would report it, unless it has
 // restarted since. Therefore the lease also requires that no order was pending.
 func (tracker *Tracker) LeaseExpiry() time.Duration {
+	confirmedAt, confirmed := tracker.confirmedAt()
+	if !confirmed {
+		return 0
+	}
+	return min(confirmedAt, tracker.assuredAt) + LeaseDuration
+}
+
+// confirmedAt returns the time at which the primary led and another server received its log, or false if there is none.
+func (tracker *Tracker) confirmedAt() (time.Duration, bool) {
 	notBefore := tracker.notBefore
 	if tracker.term < tracker.minTerm {
 		notBefore = max(notBefore, tracker.minTermUntil)
 	}
 	primary, ok := tracker.servers[tracker.primaryID]
 	if !ok || primary.latest.SentAt < notBefore {
-		return 0
+		return 0, false
 	}
 	if len(tracker.servers) == 1 {
-		return min(primary.latest.SentAt, tracker.assuredAt) + LeaseDuration
+		return primary.latest.SentAt, true
 	}
 	replicaSentAt := time.Duration(-1)
 	for id, server := range tracker.servers {
@@ -139,14 +148,11 @@
 			replicaSentAt = max(replicaSentAt, server.latest.SentAt)
 		}
 		if server.observed && server.latest.Term > tracker.term {
-			return 0
+			return 0, false
 		}
 	}
 	confirmedAt := min(primary.latest.SentAt, replicaSentAt)
-	if replicaSentAt < 0 || confirmedAt < notBefore {
-		return 0
-	}
-	return min(confirmedAt, tracker.assuredAt) + LeaseDuration
+	return confirmedAt, replicaSentAt >= 0 && confirmedAt >= notBefore
 }
 
 // Sample records that the server had the position at a time not earlier than sentAt. It has no effect unless the server is
--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/config"
@@ -72,7 +73,10 @@
 	listed bool
 	// lease is the lease of the registration, zero while there is none. It has no lock, since only Register and Run use it, one after
 	// the other.
-	lease    platform.Lease
+	lease platform.Lease
+	// registeredUntil is the boot time in nanoseconds until which the registration lasts without a further renewal.
+	registeredUntil atomic.Int64
+
 	onChange []func([]VM)
 	// changed holds a value if the VMs have changed since they were last published.
 	changed chan struct{}
@@ -159,21 +163,48 @@
 
 // renew renews the lease of the registration, or registers this VM if it has no lease or the lease has expired.
 func (fleet *Fleet) renew(ctx context.Context) error {
+	sent := clock.Now()
 	if fleet.lease != (platform.Lease{}) {
 		_, err := fleet.store.KeepAlive(ctx, fleet.lease)
+		if err == nil {
+			fleet.registeredUntil.Store(int64(sent + registrationTTL))
+		}
 		if !errors.Is(err, platform.ErrLeaseEnded) {
 			return err
 		}
+		fleet.registeredUntil.Store(0)
 		fleet.eventLog.Event("registration_lapsed", "lease", fleet.lease)
 		fleet.lease = platform.Lease{}
 	}
 	lease, err := fleet.storeRegistration(ctx)
 	if err == nil {
 		fleet.lease = lease
+		fleet.registeredUntil.Store(int64(sent + registrationTTL))
 	}
 	return err
 }
 
+// IsRegistered reports whether other VMs that list the registrations find this one.
+func (fleet *Fleet) IsRegistered() bool {
+	return clock.Now() < time.Duration(fleet.registeredUntil.Load())
+}
+
+// List lists the VMs that are registered in the store now.
+func List(ctx context.Context, store Store) ([]VM, error) {
+	entries, _, err := store.List(ctx, Prefix)
+	if err != nil {
+		return nil, fmt.Errorf("listing the VMs: %w", err)
+	}
+	var vms []VM
+	for _, entry := range entries {
+		// follow logs faulty registrations.
+		if vm, err := decodeVM(ids.VMID(strings.TrimPrefix(entry.Key, Prefix)), entry.Value); err == nil {
+			vms = append(vms, vm)
+		}
+	}
+	return vms, nil
+}
+
 // storeRegistration stores the registration under a new lease. It replaces a registration left by the previous process of this
 // VM.
 func (fleet *Fleet) storeRegistration(ctx context.Context) (platform.Lease, error) {
--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// assuranceMargin is the time before the end of an assurance at which a VM looks for another one.
+const assuranceMargin = 200 * time.Millisecond
+
+// NeedsAssurance reports whether requests for the group will soon have to wait only because nothing tells this VM that no order to
+// promote a server is pending.
+func (group *Group) NeedsAssurance() bool {
+	now := clock.Now()
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.used.active(now) && group.tracker.NeedsAssurance(now, assuranceMargin)
+}
+
 // assuredAt returns the latest time at which no order to promote a server of the group is known to have been pending.
 func (group *Group) assuredAt() time.Duration {
 	group.mutex.Lock()
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -101,7 +101,8 @@
 	node.directory = directory.New(node.records, platform.Format, eventLog)
 	metrics.NewRegisteredFunctionalGauge("registrations_faulty", registry, func() int64 { return int64(node.directory.Faulty()) })
 	node.fleet = fleet.New(fleet.VM{ID: settings.VM, Peer: network.Address(), Zone: settings.AvailabilityZone}, node.records, eventLog)
-	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, eventLog)
+	node.promoter = promoter.New(settings.VM, node.records, node.monitor, node.directory, platform.Promotion, network, eventLog,
+		promoter.WithRegistry(vmRegistry{fleet: node.fleet, store: platform.Store}))
 	node.monitor.SetDuty(node.promoter.OnDuty)
 	node.monitor.SetServiceAge(node.directory.CatalogAge)
 	node.monitor.Share(monitor.Sharing{Mesh: network, Self: settings.VM, Holder: node.promoter.Holder})
@@ -120,7 +121,7 @@
 // rely on a primary that is being replaced.
 func (node *Node) setServers(servers []catalog.Server) {
 	readAt := clock.Now()
-	node.fencesRead.Do(func() { node.monitor.SetFences(node.promoter.StoredFences(node.background)) })
+	node.fencesRead.Do(func() { node.monitor.SetFences(node.promoter.FencesAtStart(node.background)) })
 	node.monitor.SetServers(readAt, servers)
 }
 
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -57,6 +57,22 @@
 	SendControl(server *monitor.Server, call dbpool.Call) (leader.Status, error)
 }
 
+// Registry tells which VMs are registered in the store.
+type Registry interface {
+	// IsRegistered reports whether this VM is listed.
+	IsRegistered() bool
+	// List lists the registered VMs by a call to the store.
+	List(ctx context.Context) ([]ids.VMID, error)
+}
+
+// Option changes a setting of the promoter.
+type Option func(*Promoter)
+
+// WithRegistry has the promoter wait for all VMs that are registered, also for those that it has not heard of otherwise.
+func WithRegistry(registry Registry) Option {
+	return func(promoter *Promoter) { promoter.registry = registry }
+}
+
 // Promoter replaces primaries while this VM holds the duty.
 type Promoter struct {
 	duty      *duty
@@ -66,8 +82,12 @@
 	directory Directory
 	platform  Platform
 	mesh      *mesh.Mesh
+	registry  Registry
 	eventLog  *observe.EventLog
 
+	// assuranceSoughtAt is the time of the last reading of the fences for an assurance; seekingAssurance is set while it goes on.
+	assuranceSoughtAt time.Duration
+	seekingAssurance  atomic.Bool
 	// unsentSince is the boot time in nanoseconds since which no order could be sent; 0 if the last one was sent.
 	unsentSince atomic.Int64
 
@@ -94,12 +114,15 @@
 }
 
 // New returns a promoter that does nothing until Run.
-func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog) *Promoter {
+func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog, options ...Option) *Promoter {
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
 		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
 		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]position.Position),
 	}
+	for _, option := range options {
+		option(promoter)
+	}
 	mesh.Handle(network, kindFence, promoter.handleFence)
 	mesh.Handle(network, kindFenceAck, promoter.handleAck)
 	mesh.Handle(network, kindReleased, promoter.handleRelease)
@@ -136,6 +159,7 @@
 			if token, held := promoter.duty.held(); held {
 				promoter.evaluateAll(ctx, token)
 			}
+			promoter.seekAssurance(ctx)
 		}
 	})
 	group.Wait()
@@ -155,19 +179,6 @@
 	promoter.fences.sync(ctx, token)
 }
 
-// assure records that no order to promote a server of the group is pending, if no fence is stored. Other VMs learn of it from this one.
-func (promoter *Promoter) assure(token Token, group *monitor.Group) {
-	now := clock.Now()
-	promoter.mutex.Lock()
-	watched := promoter.watches[group.ID()]
-	replacing := watched == nil || watched.running || watched.order.PendingFor(now) > 0
-	promoter.mutex.Unlock()
-	term, known := promoter.fences.termFor(token, group.ID())
-	if !replacing && known && term == 0 && promoter.OnDuty() {
-		group.Assure(now)
-	}
-}
-
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
 // it polls maxPolls servers at most and returns their number.
 func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -19,20 +20,17 @@
 // checkSafety fences the old primary on all VMs, those that start included, and makes the checks without which nothing may be promoted.
 // The error is set if the fence could not be stored.
 func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, fenceResult handover.FenceResult, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks, err error) {
-	var storedAt time.Duration
-	stored := make(chan error, 1)
-	go func() {
-		err := promoter.fences.set(ctx, group.ID(), term)
-		storedAt = clock.Now()
-		stored <- err
-	}()
+	stored := make(chan storedFence, 1)
+	go func() { stored <- promoter.storeFence(ctx, group.ID(), term) }()
 	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
-	if err = <-stored; err != nil {
-		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
+	fence := <-stored
+	if fence.err != nil {
+		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", fence.err)
 	}
+	safetyChecks.Unanswered += fence.unknownVMs
 	if safetyChecks.Unanswered > 0 {
 		// A VM that did not answer may have read the store just before the fence was there, and relies on that for a lease.
-		clock.Sleep(ctx, max(storedAt+leader.LeaseDuration-clock.Now(), 0))
+		clock.Sleep(ctx, max(fence.at+leader.LeaseDuration-clock.Now(), 0))
 	}
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
@@ -42,7 +40,38 @@
 	case safetyChecks.Unanswered > 0:
 		safetyChecks.Unfenced = !promoter.stillSteppedDown(servers, fenceResult)
 	}
-	return window, safetyChecks, err
+	return window, safetyChecks, fence.err
+}
+
+// storedFence is the result of storing a fence.
+type storedFence struct {
+	// at is the time by which it was stored.
+	at time.Duration
+	// unknownVMs is the number of VMs that had registered by then and are not among the peers: they have just started, and may have read
+	// the fences before.
+	unknownVMs int
+	err        error
+}
+
+// storeFence stores the fence of the group and looks for VMs that have registered meanwhile.
+func (promoter *Promoter) storeFence(ctx context.Context, group ids.GroupID, term ids.Term) storedFence {
+	err := promoter.fences.set(ctx, group, term)
+	fence := storedFence{at: clock.Now(), err: err}
+	if err != nil || promoter.registry == nil {
+		return fence
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	registered, err := promoter.registry.List(ctx)
+	if err != nil {
+		fence.err = fmt.Errorf("looking for VMs that have just started: %w", err)
+		return fence
+	}
+	unknown := unknownVMs(registered, promoter.mesh.Peers(), promoter.duty.self)
+	if fence.unknownVMs = len(unknown); fence.unknownVMs > 0 {
+		promoter.eventLog.Event("vms_unknown", "group", group, "term", term, "vms", len(unknown), "first", unknown[0])
+	}
+	return fence
 }
 
 // stillSteppedDown reports whether the old primary still acts as a replica. One that restarted may lead again, and a VM that was not
--- a/io/promoter/stored_fences.go
+++ b/io/promoter/stored_fences.go
@@ -8,9 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"time"
 
-	"dotterelgw/core/handover"
 	"dotterelgw/core/ids"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
@@ -160,31 +158,6 @@
 	return stored, err
 }
 
-// StoredFences returns the terms of the successors for all groups whose primary is being replaced, and the time at which they were read. It
-// retries until it succeeds, or until fences that were stored before the process started have expired; the time is then 0.
-func (promoter *Promoter) StoredFences(ctx context.Context) (terms map[ids.GroupID]ids.Term, readAt time.Duration) {
-	for began := clock.Now(); ctx.Err() == nil && clock.Now()-began < handover.FenceDuration; clock.Sleep(ctx, retryPause) {
-		readAt = clock.Now()
-		entries, _, err := promoter.fences.store.List(ctx, FencesPrefix)
-		if err != nil {
-			promoter.eventLog.LimitedEvent("fences_unknown", "err", err)
-			continue
-		}
-		terms = make(map[ids.GroupID]ids.Term)
-		for _, entry := range entries {
-			term, err := decodeFence(entry.Value)
-			if err != nil {
-				promoter.eventLog.LimitedEvent("fence_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
-			}
-			if term > 0 {
-				terms[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = term
-			}
-		}
-		return terms, readAt
-	}
-	return nil, 0
-}
-
 // maxFenceBytes bounds the record of a fence, which has about 20 bytes.
 const maxFenceBytes = 1 << 10
 
--- a/io/promoter/stored_fences_test.go
+++ b/io/promoter/stored_fences_test.go
@@ -61,7 +61,7 @@
 			store := &membersStore{entries: make(map[string]config.Entry), era: 1}
 			test.act(t, store, newStoredFences(store, eventLog), newStoredFences(store, eventLog))
 			promoter := &Promoter{fences: newStoredFences(store, eventLog), eventLog: eventLog}
-			got, _ := promoter.StoredFences(t.Context())
+			got, _ := promoter.FencesAtStart(t.Context())
 			if len(got) != len(test.want) || got["g"] != test.want["g"] || got["h"] != test.want["h"] {
 				t.Errorf("a VM that starts reads %v, want %v", got, test.want)
 			}
