Members: a server that renews its registration counts without an answer

Callers could lose acknowledged writes: a replica that the holder of the duty never reached, but the primary did, helped to acknowledge them, was in no record of the members, and after 8 s no longer counted by its registration. With the primary down and the VMs restarted, another replica was promoted without these writes.

The entry now says whether it is under a lease (platform/kv, relayed between VMs), and such a server joins the record at once and stays in the union. An entry without a lease counts for 8 s as before.

TestReplicaThatOnlyThePrimaryReaches failed before ("i-g1-1 was promoted without the last writes"); with this change it, all other tests of ./platform and the tests of the changed packages pass.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -118,6 +118,8 @@
 	Role Role
 	// StartedMS is the start time of the server process in Unix milliseconds. It tells two processes with the same ID apart.
 	StartedMS int64
+	// Renewed is set if the registration would be removed if the server did not renew it, so that one that stays is of a running server.
+	Renewed bool
 }
 
 // SameProcess reports whether two registrations are of the same server process at the same address and in the same group.
--- a/core/config/entry.go
+++ b/core/config/entry.go
@@ -28,6 +28,8 @@
 	Value []byte
 	// Revision is the key's mod_revision in the key-value service.
 	Revision ids.Revision
+	// Leased is set if the entry is removed once its writer stops renewing a lease.
+	Leased bool
 }
 
 // ContractKey returns the key of the organisation's contract.
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -11,6 +11,8 @@
 // Server is what is known of a registered server.
 type Server struct {
 	Member
+	// Renewed is set if the registration lapses unless the server renews it.
+	Renewed bool
 	// Observed is set if the server has answered; the fields below are of its last answer.
 	Observed bool
 	// Silent is set if the server does not answer now.
@@ -57,13 +59,14 @@
 // Add adds the members of another record, such as one that another VM has stored.
 func (tracker *Tracker) Add(other Record) { tracker.record = tracker.record.Union(other) }
 
-// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers. A member that
-// is no longer registered leaves once the primary and one more member have every write that it may have helped to acknowledge.
+// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers, or when it is
+// found to renew its registration, since the primary may reach a server that this VM can't. A member that is no longer registered leaves
+// once the primary and one more member have every write that it may have helped to acknowledge.
 func (tracker *Tracker) Update(now time.Duration, servers []Server) Record {
 	registered := make(map[Member]Server, len(servers))
 	for _, server := range servers {
 		registered[server.Member] = server
-		if server.Observed {
+		if server.Observed || server.Renewed {
 			tracker.record = tracker.record.with(server.Member)
 		}
 	}
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -18,6 +18,8 @@
 	log     ids.LogPosition
 	// silent and unknown state that it does not answer, and that it never has.
 	silent, unknown bool
+	// renewed states that it renews its registration.
+	renewed bool
 }
 
 func (state state) server(now time.Duration) membership.Server {
@@ -27,7 +29,7 @@
 		member.StartedMS = 2
 	}
 	return membership.Server{
-		Member: member, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: 1,
+		Member: member, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: 1,
 		Received: position.Position{Term: 1, Log: state.log}, ObservedAt: now,
 	}
 }
@@ -81,7 +83,17 @@
 		"restarted under its id": {
 			[][]state{start, {primary(6), replica("b", 6), replica("c!", 0)}, {primary(7), replica("b", 7), replica("c!", 0)}}, "a b c!",
 		},
-		"new server":                {[][]state{start, append([]state{replica("d", 0)}, start...)}, "a b c d"},
+		"new server": {[][]state{start, append([]state{replica("d", 0)}, start...)}, "a b c d"},
+		"never answered, but renews its registration": {
+			[][]state{start, append([]state{{id: "d", unknown: true, silent: true, renewed: true}}, start...)}, "a b c d",
+		},
+		"never answered, renewed and then gone": {
+			[][]state{
+				append([]state{{id: "d", unknown: true, silent: true, renewed: true}}, start...),
+				{primary(6), replica("b", 6), replica("c", 6)},
+				{primary(7), replica("b", 7), replica("c", 7)},
+			}, "a b c",
+		},
 		"entry that never answered": {[][]state{start, append([]state{{id: "d", unknown: true, silent: true}}, start...)}, "a b c"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/core/relay/changelog.go
+++ b/core/relay/changelog.go
@@ -97,13 +97,13 @@
 	changeLog.confirmed = max(changeLog.confirmed, confirmed)
 }
 
-// put stores the entry if it is newer than the stored one and not equivalent to it.
+// put stores the entry if it is newer than the stored one and its value or its lease is not equivalent.
 func (changeLog *ChangeLog) put(entry config.Entry) {
 	current, known := changeLog.entries[entry.Key]
 	if known && current.Revision >= entry.Revision {
 		return
 	}
-	if known && changeLog.equivalent != nil && changeLog.equivalent(entry.Key, current.Value, entry.Value) {
+	if known && current.Leased == entry.Leased && changeLog.equivalent != nil && changeLog.equivalent(entry.Key, current.Value, entry.Value) {
 		return
 	}
 	delete(changeLog.deletions, entry.Key)
--- a/core/relay/changelog_test.go
+++ b/core/relay/changelog_test.go
@@ -65,6 +65,12 @@
 			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
 			changeLog.Apply([]config.Entry{entry("a", "1-2", 8)}, 8, 0)
 		}, after: 7, complete: true},
+		"heartbeat of another writer, under a lease": {apply: func(changeLog *relay.ChangeLog) {
+			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
+			leased := entry("a", "1-2", 8)
+			leased.Leased = true
+			changeLog.Apply([]config.Entry{leased}, 8, 0)
+		}, after: 7, want: []string{"a=1-2@8"}, complete: true},
 		"key expired and created again": {apply: func(changeLog *relay.ChangeLog) {
 			changeLog.List([]config.Entry{entry("a", "1-1", 3)}, 7, 0)
 			changeLog.Apply([]config.Entry{deleted("a", 8)}, 8, 0)
--- a/io/directory/directory.go
+++ b/io/directory/directory.go
@@ -219,6 +219,7 @@
 		directory.markMissing(id)
 		return id, false
 	}
+	server.Renewed = entry.Leased
 	delete(directory.faulty, id)
 	delete(directory.missingSince, id)
 	previous, known := directory.servers[id]
--- a/io/platform/kv.go
+++ b/io/platform/kv.go
@@ -87,7 +87,7 @@
 	if value == nil {
 		value = []byte{}
 	}
-	return config.Entry{Key: string(kv.GetKey()), Value: value, Revision: ids.Revision(kv.GetModRevision())}
+	return config.Entry{Key: string(kv.GetKey()), Value: value, Revision: ids.Revision(kv.GetModRevision()), Leased: kv.GetLease() != 0}
 }
 
 // readError wraps the error for a compacted revision, which the service reports as OutOfRange, in ErrCompacted.
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -240,7 +240,7 @@
 	for _, server := range group.Servers() {
 		observed, known := group.Observed(server.ID())
 		servers = append(servers, membership.Server{
-			Member: identityOf(server), Observed: known, Silent: server.SilentFor() > 0, Primary: observed.Role == catalog.RolePrimary,
+			Member: identityOf(server), Renewed: server.Info().Renewed, Observed: known, Silent: server.SilentFor() > 0, Primary: observed.Role == catalog.RolePrimary,
 			Term: observed.Term, Received: observed.Received, ObservedAt: observed.SentAt,
 		})
 	}
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -30,8 +30,9 @@
 	refreshTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed attempt.
 	retryPause = 150 * time.Millisecond
-	// unconfirmedTime is how long a registered server that has never answered counts as a member. The registration of a server that
-	// crashed after its start is gone within 3.6 s, and is dropped 2.5 s later; one that stays is not of a server.
+	// unconfirmedTime is how long a server counts as a member that has never answered and whose registration nobody has to renew. The
+	// registration of a server that crashed after its start is gone within 3.6 s, and is dropped 2.5 s later; one that stays without a
+	// renewal is not of a server.
 	unconfirmedTime = 8 * time.Second
 )
 
@@ -202,12 +203,12 @@
 	return fenceResult, unheard
 }
 
-// registeredMembers returns the registered servers that count as members of the group: those that have answered, and new ones, which may
-// just not have been asked.
+// registeredMembers returns the registered servers that count as members of the group: those that have answered or renew their
+// registration, and new ones, which may just not have been asked.
 func registeredMembers(group *monitor.Group, servers []*monitor.Server) membership.Record {
 	var record membership.Record
 	for _, server := range servers {
-		if _, observed := group.Observed(server.ID()); observed || server.KnownFor() < unconfirmedTime {
+		if _, observed := group.Observed(server.ID()); observed || server.Info().Renewed || server.KnownFor() < unconfirmedTime {
 			record.Members = append(record.Members, identityOf(server))
 		}
 	}
--- a/io/relay/compress.go
+++ b/io/relay/compress.go
@@ -24,6 +24,8 @@
 	Revision ids.Revision `cbor:"revision"`
 	// Compressed states that Value is compressed with DEFLATE.
 	Compressed bool `cbor:"packed,omitempty"`
+	// Leased states whether the entry is removed once its writer stops renewing a lease.
+	Leased bool `cbor:"leased,omitempty"`
 }
 
 // compressionCache holds the compressed record of the newest revision of each key, since each record is sent many times.
@@ -31,7 +33,7 @@
 
 // record returns the entry as a record, with a compressed value if it is long.
 func (cache compressionCache) record(entry config.Entry) record {
-	plain := record{Key: entry.Key, Value: entry.Value, Revision: entry.Revision}
+	plain := record{Key: entry.Key, Value: entry.Value, Revision: entry.Revision, Leased: entry.Leased}
 	if len(entry.Value) < minCompressBytes {
 		return plain
 	}
@@ -57,7 +59,7 @@
 
 // entry returns the record as an entry with its decompressed value.
 func (record record) entry() (config.Entry, error) {
-	entry := config.Entry{Key: record.Key, Value: record.Value, Revision: record.Revision}
+	entry := config.Entry{Key: record.Key, Value: record.Value, Revision: record.Revision, Leased: record.Leased}
 	if !record.Compressed {
 		return entry, nil
 	}
--- a/io/relay/transfer_test.go
+++ b/io/relay/transfer_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -88,3 +89,19 @@
 		t.Errorf("listing at revision %v, error %v", revision, err)
 	}
 }
+
+// Guards against an entry that reaches other VMs without its lease, or with another value.
+func TestRecordOfAnEntry(t *testing.T) {
+	for name, entry := range map[string]config.Entry{
+		"short":        {Key: "k", Value: []byte("v"), Revision: 3},
+		"under lease":  {Key: "k", Value: []byte("v"), Revision: 3, Leased: true},
+		"long, leased": {Key: "k", Value: bytes.Repeat([]byte("v"), minCompressBytes), Revision: 3, Leased: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			got, err := make(compressionCache).record(entry).entry()
+			if err != nil || got.Key != entry.Key || !bytes.Equal(got.Value, entry.Value) || got.Revision != entry.Revision || got.Leased != entry.Leased {
+				t.Errorf("got %+v, error %v, want %+v", got, err, entry)
+			}
+		})
+	}
+}
