Members: a record that is missing or can't be read names nobody, not all

Callers could lose acknowledged writes: with two of three databases away and all VMs restarted, the last one was promoted if the record of the members was missing (a fleet upgraded from a version without one, a record lost) or could not be decoded. Both read as a group of those present, and a faulty record was overwritten with them at once.

Such a record is now incomplete: the members that nobody knows count as more unheard ones than a promotion may do without, until the primary and another replica answer and have the log that the primary had after the record was read. That is the rule by which absent members leave. Until then nothing is stored, so that the next holder of the duty finds the same state, and replacement_given_up names them (unheard=unknown). The servers of such a group are polled at once. They are a state of the record, not entries in it, so none can be stored. {} and null are faulty, too.

--- a/core/membership/record.go
+++ b/core/membership/record.go
@@ -36,6 +36,8 @@
 type Record struct {
 	// Members holds the members in the order in which they joined.
 	Members []Member
+	// Incomplete is set if the group may have members that are not in Members, because no record of them could be read.
+	Incomplete bool
 }
 
 // Equal reports whether both records hold the same members in the same order.
@@ -49,9 +51,13 @@
 	return record.with(other.Members...)
 }
 
-// Unheard returns the members whose logs none of the servers that answered has.
+// Unheard returns the members whose logs none of the servers that answered has. An incomplete record has more unheard members than a
+// promotion may do without; those that are not known have no identifier.
 func (record Record) Unheard(answered []Member) []Member {
 	var unheard []Member
+	if record.Incomplete {
+		unheard = make([]Member, MaxUnheard+1)
+	}
 	for _, member := range record.Members {
 		holds := func(server Member) bool { return server.holdsLogOf(member) }
 		if !slices.ContainsFunc(answered, holds) {
@@ -69,10 +75,10 @@
 			members = append(members, server)
 		}
 	}
-	return Record{Members: members[max(len(members)-maxMembers, 0):]}
+	return Record{Members: members[max(len(members)-maxMembers, 0):], Incomplete: record.Incomplete}
 }
 
 // without returns the record without the members for which the function returns true.
 func (record Record) without(gone func(Member) bool) Record {
-	return Record{Members: slices.DeleteFunc(slices.Clone(record.Members), gone)}
+	return Record{Members: slices.DeleteFunc(slices.Clone(record.Members), gone), Incomplete: record.Incomplete}
 }
--- a/core/membership/record_test.go
+++ b/core/membership/record_test.go
@@ -44,6 +44,19 @@
 	}
 }
 
+// Guards against a promotion that needs only the members that are known of an incomplete record.
+func TestUnheardOfIncompleteRecord(t *testing.T) {
+	members := []membership.Member{server("a", 1, "h1"), server("b", 1, "h2")}
+	incomplete := membership.Record{Incomplete: true}
+	for name, record := range map[string]membership.Record{
+		"empty": incomplete, "with members": incomplete.Union(membership.Record{Members: members}),
+	} {
+		if unheard := record.Unheard(members); len(unheard) <= membership.MaxUnheard {
+			t.Errorf("%s: %d unheard members", name, len(unheard))
+		}
+	}
+}
+
 // Guards against a record that grows without bound or loses the newest members.
 func TestUnion(t *testing.T) {
 	var record membership.Record
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -32,9 +32,11 @@
 	record Record
 	// absences holds the members that do not answer or are not registered.
 	absences map[Member]*absence
+	// unknown is the state of the members that an incomplete record lacks.
+	unknown absence
 }
 
-// absence is the state of a member that does not answer or is not registered.
+// absence is the state of a member that does not answer, is not registered or is not known.
 type absence struct {
 	// since is the time since which the member is absent.
 	since time.Duration
@@ -56,12 +58,23 @@
 // Record returns the current record.
 func (tracker *Tracker) Record() Record { return tracker.record }
 
-// Add adds the members of another record, such as one that another VM has stored.
-func (tracker *Tracker) Add(other Record) { tracker.record = tracker.record.Union(other) }
+// Add adds the members of a record that was stored, by this VM or another one. It completes the record, as whoever stored it knew all
+// members.
+func (tracker *Tracker) Add(stored Record) {
+	tracker.record = tracker.record.Union(stored)
+	tracker.record.Incomplete = false
+}
+
+// MarkIncomplete states that no record of the members could be read at the time, so that the group may have members that are not known.
+func (tracker *Tracker) MarkIncomplete(now time.Duration) {
+	tracker.record.Incomplete = true
+	tracker.unknown = absence{since: now}
+}
 
 // Update brings the record up to date with the registered servers and returns it. A server joins when it first answers, or when it is
 // found to renew its registration, since the primary may reach a server that this VM can't. A member that is no longer registered leaves
-// once the primary and one more member have every write that it may have helped to acknowledge.
+// once the primary and one more member have every write that it may have helped to acknowledge. By the same rule an incomplete record
+// becomes complete: members that are not known are not needed then.
 func (tracker *Tracker) Update(now time.Duration, servers []Server) Record {
 	registered := make(map[Member]Server, len(servers))
 	for _, server := range servers {
@@ -71,6 +84,10 @@
 		}
 	}
 	primary := newestPrimary(servers)
+	if tracker.record.Incomplete && primary != nil {
+		tracker.unknown.update(*primary, servers)
+		tracker.record.Incomplete = !tracker.unknown.covered
+	}
 	for _, member := range tracker.record.Members {
 		server, isRegistered := registered[member]
 		if isRegistered && !server.Silent {
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -120,3 +120,55 @@
 		})
 	}
 }
+
+// Guards against a record that counts as complete although members that are not known may be the only ones with an acknowledged write,
+// and against one that stays incomplete for ever.
+func TestIncompleteRecord(t *testing.T) {
+	both := []state{primary(5), replica("b", 5)}
+	for name, test := range map[string]struct {
+		steps [][]state
+		// stored states that a record is read before the steps.
+		stored bool
+		want   bool
+	}{
+		"nothing known":               {nil, false, false},
+		"record read later":           {nil, true, true},
+		"primary and replica":         {[][]state{both}, false, true},
+		"replica lags":                {[][]state{{primary(5), replica("b", 4)}, {primary(7), replica("b", 5)}}, false, true},
+		"replica receives nothing":    {[][]state{{primary(5), replica("b", 4)}, {primary(7), replica("b", 4)}}, false, false},
+		"replica silent":              {[][]state{{primary(5), mute(replica("b", 5))}}, false, false},
+		"primary alone":               {[][]state{{primary(5)}, {primary(6)}}, false, false},
+		"primary silent":              {[][]state{{mute(primary(5)), replica("b", 5), replica("c", 5)}}, false, false},
+		"replicas only":               {[][]state{{replica("b", 5), replica("c", 5)}}, false, false},
+		"primary lost after complete": {[][]state{both, {mute(primary(5)), replica("b", 5)}}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := membership.NewTracker(membership.Record{})
+			tracker.MarkIncomplete(0)
+			if test.stored {
+				tracker.Add(membership.Record{Members: []membership.Member{server("a", 1, "host-a")}})
+			}
+			for number, step := range test.steps {
+				now := time.Duration(number+1) * time.Second
+				var servers []membership.Server
+				for _, state := range step {
+					servers = append(servers, state.server(now))
+				}
+				tracker.Update(now, servers)
+			}
+			if got := !tracker.Record().Incomplete; got != test.want {
+				t.Errorf("complete: %t, want %t", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against answers from before the record was found to be missing: the primary may have acknowledged writes since.
+func TestIncompleteRecordNeedsLaterAnswers(t *testing.T) {
+	tracker := membership.NewTracker(membership.Record{})
+	tracker.MarkIncomplete(2 * time.Second)
+	servers := []membership.Server{primary(5).server(time.Second), replica("b", 5).server(time.Second)}
+	if record := tracker.Update(3*time.Second, servers); !record.Incomplete {
+		t.Error("complete by earlier answers")
+	}
+}
--- a/io/promoter/members.go
+++ b/io/promoter/members.go
@@ -66,6 +66,10 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return membership.Record{}, fmt.Errorf("decoding the members: %w", err)
 	}
+	if len(stored.Members) == 0 {
+		// A group whose record is stored has at least a primary and a replica.
+		return membership.Record{}, fmt.Errorf("no members: %w", errMembersFaulty)
+	}
 	var record membership.Record
 	for _, member := range stored.Members {
 		if member.Server == "" {
@@ -85,6 +89,8 @@
 	groups map[ids.GroupID]*memberState
 	// loadedFor is the token of the duty for which the stored records were read; 0 if they were not.
 	loadedFor Token
+	// loadedAt is the time at which they were read.
+	loadedAt time.Duration
 	// busy is set while records are read or stored.
 	busy atomic.Bool
 }
@@ -101,11 +107,13 @@
 	return &members{store: store, eventLog: eventLog, groups: make(map[ids.GroupID]*memberState)}
 }
 
-// group returns the members of the group. The mutex must be held.
+// group returns the members of the group. Until its record has been read, or the group has shown that it does not need one, it may have
+// members that are not known. The mutex must be held.
 func (members *members) group(id ids.GroupID) *memberState {
 	group, known := members.groups[id]
 	if !known {
 		group = &memberState{tracker: membership.NewTracker(membership.Record{})}
+		group.tracker.MarkIncomplete(members.loadedAt)
 		members.groups[id] = group
 	}
 	return group
@@ -127,6 +135,17 @@
 	return members.group(id).tracker.Record(), members.loadedFor == token
 }
 
+// missingPollTime is how long after the reading of the records the groups without one are polled at once. Two answers of the primary
+// and of a replica complete the record.
+const missingPollTime = 2 * time.Second
+
+// justFoundMissing reports whether the records were read a moment ago and the group's was missing or faulty.
+func (members *members) justFoundMissing(token Token, id ids.GroupID) bool {
+	members.mutex.Lock()
+	defer members.mutex.Unlock()
+	return members.loadedFor == token && clock.Now()-members.loadedAt < missingPollTime && members.group(id).tracker.Record().Incomplete
+}
+
 // sync reads the records once for each duty, and stores changes, in the background. Only one call is in progress at a time.
 func (members *members) sync(ctx context.Context, token Token) {
 	if !members.begin(token) {
@@ -169,6 +188,10 @@
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
 	maps.DeleteFunc(members.groups, func(_ ids.GroupID, group *memberState) bool { return group.tracker.Record().Equal(group.stored) })
+	members.loadedAt = clock.Now()
+	for _, group := range members.groups {
+		group.tracker.MarkIncomplete(members.loadedAt)
+	}
 	for _, entry := range entries {
 		members.apply(entry)
 	}
@@ -177,14 +200,16 @@
 	return nil
 }
 
-// apply adds the members of a stored record. A record that cannot be decoded is replaced by the next write. The mutex must be held.
+// apply adds the members of a stored record. One that cannot be decoded names nobody, and is replaced once the members are known. The
+// mutex must be held.
 func (members *members) apply(entry config.Entry) {
 	group := members.group(ids.GroupID(strings.TrimPrefix(entry.Key, MembersPrefix)))
 	record, err := decodeMembers(entry.Value)
 	if err != nil {
 		members.eventLog.LimitedEvent("members_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
+	} else {
+		group.tracker.Add(record)
 	}
-	group.tracker.Add(record)
 	group.stored, group.revision = record, entry.Revision
 }
 
@@ -206,7 +231,7 @@
 	return nil
 }
 
-// changes returns the records that are to be stored.
+// changes returns the records that are to be stored. An incomplete one is not, as the next holder of the duty would take it for complete.
 func (members *members) changes() []change {
 	era := members.store.Era()
 	members.mutex.Lock()
@@ -214,6 +239,9 @@
 	var changes []change
 	for id, group := range members.groups {
 		record := group.tracker.Record()
+		if record.Incomplete {
+			continue
+		}
 		if !record.Equal(group.stored) || group.revision != 0 && group.revision.Era() < era {
 			changes = append(changes, change{group: id, record: record, revision: group.revision})
 		}
--- a/io/promoter/members_test.go
+++ b/io/promoter/members_test.go
@@ -11,6 +11,7 @@
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/membership"
+	"dotterelgw/io/clock"
 	"dotterelgw/io/fleet"
 	"dotterelgw/io/observe"
 	"dotterelgw/io/platform"
@@ -60,12 +61,19 @@
 	return revision, true, nil
 }
 
-// observed returns servers that have answered.
+// observed returns servers that have just answered; the first one is the primary.
 func observed(names ...ids.BackendServerID) []membership.Server {
+	servers := replicasOnly(names...)
+	servers[0].Primary = true
+	return servers
+}
+
+// replicasOnly returns servers that have just answered as replicas.
+func replicasOnly(names ...ids.BackendServerID) []membership.Server {
 	var servers []membership.Server
 	for _, name := range names {
 		member := membership.Member{ID: name, StartedMS: 1, Address: "127.0.0.1:7"}
-		servers = append(servers, membership.Server{Member: member, Observed: true})
+		servers = append(servers, membership.Server{Member: member, Observed: true, ObservedAt: clock.Now()})
 	}
 	return servers
 }
@@ -184,6 +192,56 @@
 	}
 }
 
+// Guards against a record that is missing or can't be read and counts as that of a group without other members: they may have acknowledged
+// writes. It must not be replaced before the primary and a replica have shown that the group does not need them.
+func TestUnreadableRecord(t *testing.T) {
+	eventLog := observe.NewEventLog(io.Discard, "vm1")
+	t.Cleanup(func() { eventLog.Close(time.Second) })
+	for name, value := range map[string]string{
+		"missing": "", "not JSON": "[[", "null": "null", "no members": "{}", "empty list": `{"members":[]}`, "member without an id": `{"members":[{}]}`,
+		"too long": strings.Repeat(" ", maxMembersBytes) + `{"members":[{"server":"a"}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &membersStore{entries: make(map[string]config.Entry), era: 1}
+			if value != "" {
+				store.number++
+				store.entries[MembersPrefix+"g"] = config.Entry{Key: MembersPrefix + "g", Value: []byte(value), Revision: ids.NewRevision(1, 1)}
+			}
+			for number, test := range []struct {
+				answer   func(names ...ids.BackendServerID) []membership.Server
+				names    []ids.BackendServerID
+				complete bool
+			}{
+				{replicasOnly, []ids.BackendServerID{"b", "c"}, false},
+				{observed, []ids.BackendServerID{"a"}, false},
+				{observed, []ids.BackendServerID{"a", "b"}, true},
+				{observed, []ids.BackendServerID{"a", "b", "c"}, true},
+			} {
+				token := Token(number + 1)
+				holder := newMembers(store, eventLog)
+				if err := holder.load(t.Context(), token); err != nil {
+					t.Fatal(err)
+				}
+				holder.update(token, "g", test.answer(test.names...))
+				if err := holder.storeChanges(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				record, _ := holder.record(token, "g")
+				if record.Incomplete == test.complete || len(record.Members) != len(test.names) {
+					t.Errorf("holder %d: incomplete %t, members %q, want %t and %v", token, record.Incomplete, names(record), !test.complete, test.names)
+				}
+				if !test.complete && string(store.entries[MembersPrefix+"g"].Value) != value {
+					t.Errorf("holder %d has replaced the record", token)
+				}
+			}
+			record, err := decodeMembers(store.entries[MembersPrefix+"g"].Value)
+			if err != nil || names(record) != "a b c" || record.Incomplete {
+				t.Errorf("stored %+v, error %v", record, err)
+			}
+		})
+	}
+}
+
 // Guards against decisions by members that were read for an earlier duty.
 func TestMembersOfAnEarlierDuty(t *testing.T) {
 	eventLog := observe.NewEventLog(io.Discard, "vm1")
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -154,12 +154,14 @@
 	promoter.fences.sync(ctx, token)
 }
 
-// updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter;
-// it polls maxPolls servers at most and returns their number.
+// updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter,
+// and so are those of a group whose record was just found to be missing. It polls maxPolls servers at most and returns their number.
 func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
+	recordMissing := promoter.members.justFoundMissing(token, group.ID())
 	for _, server := range group.Servers() {
 		_, observed := group.Observed(server.ID())
-		if !observed && server.KnownFor() < unconfirmedTime && polls < maxPolls {
+		isNew := !observed && server.KnownFor() < unconfirmedTime
+		if (isNew || recordMissing) && polls < maxPolls {
 			server.PollNow()
 			polls++
 		}
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -1,8 +1,10 @@
 package promoter
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -215,13 +217,16 @@
 	return record
 }
 
+// unknownMembers stands in the log for members that are not known.
+const unknownMembers = "unknown"
+
 // membersText returns the identifiers of the members for the log.
 func membersText(members []membership.Member) string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
-		names = append(names, string(member.ID))
+		names = append(names, cmp.Or(string(member.ID), unknownMembers))
 	}
-	return strings.Join(names, ",")
+	return strings.Join(slices.Compact(names), ",")
 }
 
 // stepDown asks the old primary to act as a replica.
