Members: no member leaves on the word of an outdated primary

A member that is gone leaves the record once the primary and a replica have every write that it may have helped to acknowledge. Any answering primary counted, also one that was cut off and has not heard of the newer term. The newer primary and its replica could leave the record by the log of the old one, and a promotion would then do without the writes of the newer term.

Only the primary of the highest term that any server has known counts now, and a higher term discards what was compared before.

--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -34,6 +34,8 @@
 	absences map[Member]*absence
 	// unknown is the state of the members that an incomplete record lacks.
 	unknown absence
+	// term is the highest term that any server has known.
+	term ids.Term
 }
 
 // absence is the state of a member that does not answer, is not registered or is not known.
@@ -83,7 +85,8 @@
 			tracker.record = tracker.record.with(server.Member)
 		}
 	}
-	primary := newestPrimary(servers)
+	tracker.raiseTerm(servers)
+	primary := tracker.newestPrimary(servers)
 	if tracker.record.Incomplete && primary != nil {
 		tracker.unknown.update(*primary, servers)
 		tracker.record.Incomplete = !tracker.unknown.covered
@@ -134,14 +137,35 @@
 	}
 }
 
-// newestPrimary returns the answering primary of the highest term, nil if there is none.
-func newestPrimary(servers []Server) *Server {
-	var newest *Server
+// raiseTerm records the highest term. What was compared with the log of an earlier primary is compared anew, since a server may have
+// acknowledged writes of the later one by then.
+func (tracker *Tracker) raiseTerm(servers []Server) {
+	previous := tracker.term
+	for _, server := range servers {
+		if server.Observed {
+			tracker.term = max(tracker.term, server.Term)
+		}
+	}
+	if tracker.term == previous {
+		return
+	}
+	tracker.unknown.forget()
+	for _, absence := range tracker.absences {
+		absence.forget()
+	}
+}
+
+// forget discards what was compared.
+func (absence *absence) forget() {
+	absence.required, absence.known, absence.covered = position.Position{}, false, false
+}
+
+// newestPrimary returns the answering primary of the highest term, nil if there is none. A primary of an earlier term may lack writes.
+func (tracker *Tracker) newestPrimary(servers []Server) *Server {
 	for index, server := range servers {
-		leads := server.Observed && !server.Silent && server.Primary
-		if leads && (newest == nil || server.Term > newest.Term) {
-			newest = &servers[index]
+		if server.Observed && !server.Silent && server.Primary && server.Term == tracker.term {
+			return &servers[index]
 		}
 	}
-	return newest
+	return nil
 }
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -16,6 +16,8 @@
 	id      string
 	primary bool
 	log     ids.LogPosition
+	// term is the term of its log and the highest that it knows; 0 stands for 1.
+	term ids.Term
 	// silent and unknown state that it does not answer, and that it never has.
 	silent, unknown bool
 	// renewed states that it renews its registration.
@@ -28,15 +30,21 @@
 	if restarted {
 		member.StartedMS = 2
 	}
+	term := max(state.term, 1)
 	return membership.Server{
-		Member: member, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: 1,
-		Received: position.Position{Term: 1, Log: state.log}, ObservedAt: now,
+		Member: member, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: term,
+		Received: position.Position{Term: term, Log: state.log}, ObservedAt: now,
 	}
 }
 
 func primary(log ids.LogPosition) state            { return state{id: "a", primary: true, log: log} }
 func replica(id string, log ids.LogPosition) state { return state{id: id, log: log} }
 
+// newPrimary returns a primary of the term after that of the others.
+func newPrimary(id string, log ids.LogPosition) state {
+	return state{id: id, primary: true, term: 2, log: log}
+}
+
 func mute(server state) state {
 	server.silent = true
 	return server
@@ -58,6 +66,26 @@
 		"gone, the other replica receives nothing": {
 			[][]state{start, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}}, "a b c",
 		},
+		"gone as primary of a newer term, compared with the old one": {
+			[][]state{start, {primary(5), replica("b", 5), newPrimary("c", 9)}, {primary(6), replica("b", 6)}, {primary(7), replica("b", 7)}}, "a b c",
+		},
+		"compared with a primary before its newer one was known": {
+			[][]state{
+				start,
+				{primary(5), replica("b", 4)},
+				{primary(5), replica("b", 4)},
+				{primary(6), replica("b", 4), newPrimary("d", 9)},
+				{primary(6), replica("b", 6)},
+			}, "a b c d",
+		},
+		"gone as primary, replaced by one of a later term": {
+			[][]state{
+				start,
+				{primary(5), replica("b", 5), newPrimary("c", 9)},
+				{primary(6), {id: "b", primary: true, term: 3, log: 10}},
+				{{id: "a", term: 3, log: 10}, {id: "b", primary: true, term: 3, log: 10}},
+			}, "a b",
+		},
 		"gone together with the primary": {[][]state{start, {replica("b", 5)}, {replica("b", 5)}}, "a b c"},
 		"silent, but still registered": {
 			[][]state{start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))}}, "a b c",
