--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -11,6 +11,8 @@
 // Server is what is known of a registered server.
 type Server struct {
 	Member
+	// Renewed is set if the registration lapses unless the server renews it.
+	Renewed bool
 	// Observed is set if the server has answered; the fields below are of its last answer.
 	Observed bool
 	// Silent is set if the server does not answer now.
@@ -30,9 +32,13 @@
 	record Record
 	// absences holds the members that do not answer or are not registered.
 	absences map[Member]*absence
+	// unknown is the state of the members that an incomplete record lacks.
+	unknown absence
+	// term is the highest term that any server has known.
+	term ids.Term
 }
 
-// absence is the state of a member that does not answer or is not registered.
+// absence is the state of a member that does not answer, is not registered or is not known.
 type absence struct {
 	// since is the time since which the member is absent.
 	since time.Duration
@@ -54,20 +60,37 @@
 // Record returns the current record.
 func (tracker *Tracker) Record() Record { return tracker.record }
 
-// Add adds the members of another record, such as one that another VM has stored.
-func (tracker *Tracker) Add(other Record) { tracker.record = tracker.record.Union(other) }
+// Add adds the members of a record that was stored, by this VM or another one. It completes the record, as whoever stored it knew all
+// members.
+func (tracker *Tracker) Add(stored Record) {
+	tracker.record = tracker.record.Union(stored)
+	tracker.record.Incomplete = false
+}
+
+// MarkIncomplete states that no record of the members could be read at the time, so that the group may have members that are not known.
+func (tracker *Tracker) MarkIncomplete(now time.Duration) {
+	tracker.record.Incomplete = true
+	tracker.unknown = absence{since: now}
+}
 
-// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers. A member that
-// is no longer registered leaves once the primary and one more member have every write that it may have helped to acknowledge.
+// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers, or when it is
+// found to renew its registration, since the primary may reach a server that this VM can't. A member that is no longer registered leaves
+// once the primary and one more member have every write that it may have helped to acknowledge. By the same rule an incomplete record
+// becomes complete: members that are not known are not needed then.
 func (tracker *Tracker) Update(now time.Duration, servers []Server) Record {
 	registered := make(map[Member]Server, len(servers))
 	for _, server := range servers {
 		registered[server.Member] = server
-		if server.Observed {
+		if server.Observed || server.Renewed {
 			tracker.record = tracker.record.with(server.Member)
 		}
 	}
-	primary := newestPrimary(servers)
+	tracker.raiseTerm(servers)
+	primary := tracker.newestPrimary(servers)
+	if tracker.record.Incomplete && primary != nil {
+		tracker.unknown.update(*primary, servers)
+		tracker.record.Incomplete = !tracker.unknown.covered
+	}
 	for _, member := range tracker.record.Members {
 		server, isRegistered := registered[member]
 		if isRegistered && !server.Silent {
@@ -114,14 +137,35 @@
 	}
 }
 
-// newestPrimary returns the answering primary of the highest term, nil if there is none.
-func newestPrimary(servers []Server) *Server {
-	var newest *Server
+// raiseTerm records the highest term. What was compared with the log of an earlier primary is compared anew, since a server may have
+// acknowledged writes of the later one by then.
+func (tracker *Tracker) raiseTerm(servers []Server) {
+	previous := tracker.term
+	for _, server := range servers {
+		if server.Observed {
+			tracker.term = max(tracker.term, server.Term)
+		}
+	}
+	if tracker.term == previous {
+		return
+	}
+	tracker.unknown.forget()
+	for _, absence := range tracker.absences {
+		absence.forget()
+	}
+}
+
+// forget discards what was compared.
+func (absence *absence) forget() {
+	absence.required, absence.known, absence.covered = position.Position{}, false, false
+}
+
+// newestPrimary returns the answering primary of the highest term, nil if there is none. A primary of an earlier term may lack writes.
+func (tracker *Tracker) newestPrimary(servers []Server) *Server {
 	for index, server := range servers {
-		leads := server.Observed && !server.Silent && server.Primary
-		if leads && (newest == nil || server.Term > newest.Term) {
-			newest = &servers[index]
+		if server.Observed && !server.Silent && server.Primary && server.Term == tracker.term {
+			return &servers[index]
 		}
 	}
-	return newest
+	return nil
 }
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -1,8 +1,10 @@
 package promoter
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,8 +32,9 @@
 	refreshTimeout = 600 * time.Millisecond
 	// retryPause is the pause after a failed attempt.
 	retryPause = 150 * time.Millisecond
-	// unconfirmedTime is how long a registered server that has never answered counts as a member. The registration of a server that
-	// crashed after its start is gone within 3.6 s, and is dropped 2.5 s later; one that stays is not of a server.
+	// unconfirmedTime is how long a server counts as a member that has never answered and whose registration nobody has to renew. The
+	// registration of a server that crashed after its start is gone within 3.6 s, and is dropped 2.5 s later; one that stays without a
+	// renewal is not of a server.
 	unconfirmedTime = 8 * time.Second
 )
 
@@ -202,25 +205,28 @@
 	return fenceResult, unheard
 }
 
-// registeredMembers returns the registered servers that count as members of the group: those that have answered, and new ones, which may
-// just not have been asked.
+// registeredMembers returns the registered servers that count as members of the group: those that have answered or renew their
+// registration, and new ones, which may just not have been asked.
 func registeredMembers(group *monitor.Group, servers []*monitor.Server) membership.Record {
 	var record membership.Record
 	for _, server := range servers {
-		if _, observed := group.Observed(server.ID()); observed || server.KnownFor() < unconfirmedTime {
+		if _, observed := group.Observed(server.ID()); observed || server.Info().Renewed || server.KnownFor() < unconfirmedTime {
 			record.Members = append(record.Members, identityOf(server))
 		}
 	}
 	return record
 }
 
+// unknownMembers stands in the log for members that are not known.
+const unknownMembers = "unknown"
+
 // membersText returns the identifiers of the members for the log.
 func membersText(members []membership.Member) string {
 	names := make([]string, 0, len(members))
 	for _, member := range members {
-		names = append(names, string(member.ID))
+		names = append(names, cmp.Or(string(member.ID), unknownMembers))
 	}
-	return strings.Join(names, ",")
+	return strings.Join(slices.Compact(names), ",")
 }
 
 // stepDown asks the old primary to act as a replica.
