Log: the start of a node names its build

The build of the platform has no stamp of version control (-buildvcs=false, or a copy without .git), so "dotterelgw version" printed the revision as unknown as well.

The line "start" and "dotterelgw version" show them; two executables with other sources have other build IDs, and "go tool buildid FILE" tells the ID of an executable at hand.

--- a/cmd/dotterelgw/main.go
+++ b/cmd/dotterelgw/main.go
@@ -9,12 +9,12 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"dotterelgw/cmd/dotterelgw/hangup"
+	"dotterelgw/io/buildinfo"
 	"dotterelgw/io/gateway"
 	"dotterelgw/io/node"
 	"dotterelgw/io/observe"
@@ -118,16 +118,10 @@
 }
 
 func printVersion(stdout io.Writer) error {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
+	build := buildinfo.Read()
+	if build.GoVersion == buildinfo.Unknown {
 		return errors.New("the binary contains no build information")
 	}
-	revision := "unknown"
-	for _, setting := range info.Settings {
-		if setting.Key == "vcs.revision" {
-			revision = setting.Value
-		}
-	}
-	fmt.Fprintln(stdout, "dotterelgw", info.Main.Version, "revision", revision, info.GoVersion)
+	fmt.Fprintln(stdout, "dotterelgw", build.Version, "revision", build.Revision, build.GoVersion, "build", build.ID)
 	return nil
 }
--- /dev/null
+++ b/io/buildinfo/doc.go
@@ -0,0 +1,2 @@
+// Package buildinfo identifies the build of the running program.
+package buildinfo
--- a/io/node/node.go
+++ b/io/node/node.go
@@ -16,6 +16,7 @@
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/member"
 	corerelay "dotterelgw/core/relay"
+	"dotterelgw/io/buildinfo"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
 	"dotterelgw/io/directory"
@@ -178,8 +179,10 @@
 	if err != nil {
 		return fmt.Errorf("listening for metrics: %w", err)
 	}
+	build := buildinfo.Read()
 	node.eventLog.Event("start", "caller", callers.Addr(), "ready", ready.Addr(), "peer", node.mesh.Address(),
-		"metrics", metricsListener.Addr(), "store", settings.Store.Address, "availability_zone", settings.AvailabilityZone)
+		"metrics", metricsListener.Addr(), "store", settings.Store.Address, "availability_zone", settings.AvailabilityZone,
+		"version", build.Version, "revision", build.Revision, "modified", build.Modified, "go", build.GoVersion, "build", build.ID)
 	var group sync.WaitGroup
 	group.Go(func() { node.directory.Run(background) })
 	group.Go(func() { node.records.Run(background) })
