Log: a promotion names the members that were heard and the VMs without the fence

"server_not_fenced" is written as well when a server turns out not to be paused any more after the VMs were fenced; before, only the attempt's reason said so.

--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -84,8 +84,8 @@
 	}
 	delete(promoter.acks, number)
 	promoter.mutex.Unlock()
-	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "waited_ms", (clock.Now() - began).Milliseconds(),
-		"acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
+	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "missing_vms", vmsText(missing),
+		"waited_ms", (clock.Now() - began).Milliseconds(), "acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
 	return window, acknowledged, len(missing)
 }
 
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync"
 	"time"
 
@@ -199,6 +198,8 @@
 	}
 	unheard := record.Union(registeredMembers(group, servers)).Unheard(answered)
 	fenceResult.Unheard = len(unheard)
+	promoter.eventLog.Event("members_heard", "group", group.ID(), "term", term, "stepped_down", fenceResult.SteppedDown,
+		"registered", registeredText(servers), "members", membersText(record.Members), "heard", membersText(answered), "unheard", membersText(unheard))
 	return fenceResult, unheard
 }
 
@@ -214,15 +215,6 @@
 	return record
 }
 
-// membersText returns the identifiers of the members for the log.
-func membersText(members []membership.Member) string {
-	names := make([]string, 0, len(members))
-	for _, member := range members {
-		names = append(names, string(member.ID))
-	}
-	return strings.Join(names, ",")
-}
-
 // stepDown asks the old primary to act as a replica.
 func (promoter *Promoter) stepDown(group *monitor.Group, old *monitor.Server, term ids.Term, fenceResult *handover.FenceResult) {
 	status, err := promoter.groups.SendControl(old, dbpool.Call{Kind: statement.StepDown, Term: term})
@@ -312,7 +304,8 @@
 			}
 			status, err := promoter.groups.SendControl(server, dbpool.Call{Kind: statement.Status})
 			if err == nil && status.Role == catalog.RolePrimary {
-				promoter.eventLog.Event("promotion_done", "group", group.ID(), "server", id, "term", status.Term, "position", status.Received.Log)
+				promoter.eventLog.Event("promotion_done", "group", group.ID(), "server", id, "term", status.Term, "position", status.Received.Log,
+					"registered", registeredText(group.Servers()))
 				return true
 			}
 		}
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -20,7 +20,7 @@
 	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
-	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
+	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(group, servers, fenceResult.Others, term)
 	if err = <-stored; err != nil {
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
@@ -29,7 +29,7 @@
 
 // stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
 // one that was reached late by a resume of an earlier attempt.
-func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
+func (promoter *Promoter) stillFenced(group *monitor.Group, servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
 	fenced := true
 	var mutex sync.Mutex
 	var calls sync.WaitGroup
@@ -37,9 +37,14 @@
 		server := findServer(servers, &paused[index])
 		calls.Go(func() {
 			status, err := promoter.groups.SendControl(server, dbpool.Call{Kind: statement.Status})
+			if err == nil && status.PausedTerm >= term {
+				return
+			}
+			promoter.eventLog.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term,
+				"paused", status.PausedTerm, "err", err)
 			mutex.Lock()
 			defer mutex.Unlock()
-			fenced = fenced && err == nil && status.PausedTerm >= term
+			fenced = false
 		})
 	}
 	calls.Wait()
