--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -36,7 +36,7 @@
 	safetyChecks.Joined = joined(servers, group.Servers())
 	switch {
 	case !fenceResult.SteppedDown:
-		safetyChecks.Unfenced = !promoter.stillFenced(servers, fenceResult.Others, term)
+		safetyChecks.Unfenced = !promoter.stillFenced(group, servers, fenceResult.Others, term)
 	case safetyChecks.Unanswered > 0:
 		safetyChecks.Unfenced = !promoter.stillSteppedDown(servers, fenceResult)
 	}
@@ -83,7 +83,7 @@
 
 // stillFenced reports whether the paused servers are still paused. A server that restarted receives again, and so does
 // one that was reached late by a resume of an earlier attempt.
-func (promoter *Promoter) stillFenced(servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
+func (promoter *Promoter) stillFenced(group *monitor.Group, servers []*monitor.Server, paused []handover.Member, term ids.Term) bool {
 	fenced := true
 	var mutex sync.Mutex
 	var calls sync.WaitGroup
@@ -91,9 +91,14 @@
 		server := findServer(servers, &paused[index])
 		calls.Go(func() {
 			status, err := promoter.groups.SendControl(server, dbpool.Call{Kind: statement.Status})
+			if err == nil && status.PausedTerm >= term {
+				return
+			}
+			promoter.eventLog.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term,
+				"paused", status.PausedTerm, "err", err)
 			mutex.Lock()
 			defer mutex.Unlock()
-			fenced = fenced && err == nil && status.PausedTerm >= term
+			fenced = false
 		})
 	}
 	calls.Wait()
