Promotion: an old primary that stepped down is no proof of all writes

A promoted database lacks acknowledged writes.

FenceResult.Successor promoted any server with a log as long as that of an old primary that stepped down, whichever members were unheard. A primary that was cut off while another one was promoted has not heard of the newer term: it answers and steps down too. With four members (a release adds one before it removes one) the newer primary and the replica that acknowledged its writes may both be away. Confirm promoted such a primary again even if VMs had acknowledged more than it has.

The logs of all members but one are needed always; an old primary that stepped down counts as heard, and the successor must be as long as it if another member is unheard. Confirm needs the acknowledged position in its log. A member that is unheard may be a newer primary that still runs, so the others are paused then, also if the old primary stepped down. Overdue members no longer make a shorter log win over that of an old primary that stepped down.

On the code before, new cases of TestSuccessor (3), TestConfirm (1) and TestMayStepDown (with the earlier rule in place of the function) fail.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -216,6 +216,8 @@
 	SteppedDown bool
 	// Final is the end of the old primary's log if it stepped down.
 	Final position.Position
+	// Paused is set if the other servers were asked to pause replication, so that they receive from no primary.
+	Paused bool
 	// Others holds the state of the other registered servers as they reported it after the fence.
 	Others []Member
 	// Unheard is the number of members of the group whose log none of the servers that responded has. The old primary counts
@@ -228,20 +230,20 @@
 	Ordered ids.BackendServerID
 }
 
-// Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of two members, the
-// primary and a replica. Therefore the longest log has all of them if at most one member is unheard, and any log as long as that of an
-// old primary that stepped down has them too.
+// Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of two members, the primary
+// and a replica, so the longest log has all of them if at most one member is unheard. That holds for an old primary that stepped down
+// as well: while it was cut off, another one may have been promoted, and acknowledged writes with members that are unheard now.
 func (fenceResult FenceResult) Successor() (Member, bool) {
 	best := fenceResult.mostAdvanced()
 	switch {
 	case len(fenceResult.Others) == 0:
 		return Member{}, false
-	case fenceResult.Overdue, fenceResult.Unheard == 0, !fenceResult.SteppedDown && fenceResult.Unheard <= membership.MaxUnheard:
-		return best, true
-	case fenceResult.SteppedDown && !best.Received.Less(fenceResult.Final):
-		return best, true
+	case fenceResult.Unheard > membership.MaxUnheard && !fenceResult.Overdue:
+		return Member{}, false
+	case fenceResult.SteppedDown && fenceResult.Unheard > 0 && best.Received.Less(fenceResult.Final):
+		return Member{}, false
 	}
-	return Member{}, false
+	return best, true
 }
 
 // mostAdvanced returns the most advanced of the other servers, the one ordered earlier if its log is as long.
@@ -255,6 +257,13 @@
 	return best
 }
 
+// MayStepDown reports whether a primary that responds may be asked to step down, given the number of members that do not respond. If
+// there are too many of them, nobody could be promoted, and the group would lose the primary that it has. That ends when the members
+// that do not respond are overdue.
+func MayStepDown(silentMembers int, overdue bool) bool {
+	return silentMembers <= membership.MaxUnheard || overdue
+}
+
 // SafetyChecks holds the results of the safety checks between the fence and the promotion.
 type SafetyChecks struct {
 	// Acknowledged is the position of the last write acknowledged by any of the VMs that responded.
@@ -283,11 +292,10 @@
 func IsIncomplete(cause string) bool { return cause == writeMissing || cause == writesUnknown }
 
 // Confirm returns the server to promote in view of the safety checks, or the reason for which none may be promoted. If the
-// successor lacks or may lack an acknowledged write, an old primary that stepped down is promoted again, since its log has
-// all of them.
+// successor lacks or may lack an acknowledged write, an old primary that stepped down is promoted again if its log has all of them.
 func (fenceResult FenceResult) Confirm(successor Member, safetyChecks SafetyChecks) (Member, string) {
 	cause := fenceResult.UnsafeReason(successor, safetyChecks)
-	if fenceResult.SteppedDown && IsIncomplete(cause) {
+	if fenceResult.SteppedDown && IsIncomplete(cause) && !fenceResult.Final.Less(safetyChecks.Acknowledged) {
 		old := fenceResult.Old
 		old.Received = fenceResult.Final
 		return old, ""
--- a/core/handover/replacement_test.go
+++ b/core/handover/replacement_test.go
@@ -32,6 +32,11 @@
 	return member
 }
 
+func newer(member handover.Member) handover.Member {
+	member.Term, member.Received.Term = 2, 2
+	return member
+}
+
 func unknown(member handover.Member) handover.Member {
 	member.Observed = false
 	return member
@@ -120,6 +125,11 @@
 		"as long as the log of the old primary":   {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 1, SteppedDown: true, Final: at(5)}, "b"},
 		"shorter than the log of the old primary": {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 1, SteppedDown: true, Final: at(6)}, ""},
 		"no other servers":                        {handover.FenceResult{SteppedDown: true}, ""},
+		"stepped down, two members unheard":       {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 2, SteppedDown: true, Final: at(5)}, ""},
+		"stepped down, replica of a newer term":   {handover.FenceResult{Others: []handover.Member{newer(follows("b", 5))}, Unheard: 2, SteppedDown: true, Final: at(6)}, ""},
+		"stepped down, two members overdue":       {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 2, Overdue: true, SteppedDown: true, Final: at(5)}, "b"},
+		"overdue, shorter than the old primary's": {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 2, Overdue: true, SteppedDown: true, Final: at(6)}, ""},
+		"stepped down, all members heard":         {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, SteppedDown: true, Final: at(6)}, "b"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			successor, ok := test.fenceResult.Successor()
@@ -130,6 +140,24 @@
 	}
 }
 
+// Guards against a group that loses its primary because nobody may be promoted in its place, and against a primary that is never replaced
+// because members are lost for good.
+func TestMayStepDown(t *testing.T) {
+	for name, test := range map[string]struct {
+		silentMembers int
+		overdue, want bool
+	}{
+		"all members respond": {0, false, true},
+		"one does not":        {1, false, true},
+		"two do not":          {2, false, false},
+		"two are overdue":     {2, true, true},
+	} {
+		if got := handover.MayStepDown(test.silentMembers, test.overdue); got != test.want {
+			t.Errorf("%s: %t, want %t", name, got, test.want)
+		}
+	}
+}
+
 // Guards against ending a pause that keeps a replaced primary, which still reaches the server, from acknowledging writes,
 // and against servers that stay paused for a term without a primary.
 func TestLeftPaused(t *testing.T) {
@@ -217,6 +245,7 @@
 		"successor has the whole log":         {handover.FenceResult{Old: leads("a", 4), SteppedDown: true, Final: at(5)}, handover.SafetyChecks{Listed: true, Unanswered: 9}, "b", ""},
 		"old primary unreachable":             {handover.FenceResult{Old: leads("a", 4)}, handover.SafetyChecks{Listed: true, Unanswered: 9}, "b", ""},
 		"old primary unreachable, write lost": {handover.FenceResult{Old: leads("a", 4)}, handover.SafetyChecks{Listed: true, Acknowledged: at(6)}, "b", "acknowledged_write_missing"},
+		"old primary lacks the write as well": {stepped, handover.SafetyChecks{Listed: true, Acknowledged: position.Position{Term: 2, Log: 6}}, "b", "acknowledged_write_missing"},
 		"server joined":                       {stepped, handover.SafetyChecks{Listed: true, Joined: true, Unanswered: 1}, "b", "server_joined"},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -50,9 +50,17 @@
 	servers := group.Servers()
 	old := findServer(servers, handover.Primary(members))
 	term := nextTerm(members)
+	overdue := watched.wait.IsOverdue(clock.Now())
+	if silent := silentMembers(group, servers, record); responds(old) && !handover.MayStepDown(len(silent), overdue) {
+		watched.wait.Update(clock.Now(), true, registrationsKnown)
+		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "members_silent", "primary", old.ID(),
+			"silent", membersText(silent), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
+		promoter.abandon(ctx, group, watched, term)
+		return
+	}
 	promoter.eventLog.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
 	fenceResult, unheard := promoter.fence(group, servers, old, term, record)
-	fenceResult.Overdue = watched.wait.IsOverdue(clock.Now())
+	fenceResult.Overdue = overdue
 	if watched.order.PendingFor(clock.Now()) > 0 {
 		fenceResult.Ordered = watched.order.Server
 	}
@@ -154,28 +162,61 @@
 	return term + 1
 }
 
+// responds reports whether there is such a server and it responds.
+func responds(server *monitor.Server) bool { return server != nil && server.SilentFor() == 0 }
+
+// silentMembers returns the members that do not respond.
+func silentMembers(group *monitor.Group, servers []*monitor.Server, record membership.Record) []membership.Member {
+	var responding []membership.Member
+	for _, server := range servers {
+		if _, observed := group.Observed(server.ID()); observed && responds(server) {
+			responding = append(responding, identityOf(server))
+		}
+	}
+	return record.Union(registeredMembers(group, servers)).Unheard(responding)
+}
+
 // fence prevents the old primary from acknowledging writes: either it steps down, or no other server receives from it
 // any more. A silent primary is asked to step down too, since it may only be hard to reach. It also returns the members whose logs
 // remain unknown.
 func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term, record membership.Record) (handover.FenceResult, []membership.Member) {
 	var fenceResult handover.FenceResult
 	var stepped sync.WaitGroup
+	needsPauses := true
 	if old != nil {
 		observed, known := group.Observed(old.ID())
 		fenceResult.Old = memberOf(old, observed, known)
 		stepped.Go(func() { promoter.stepDown(group, old, term, &fenceResult) })
-		if old.SilentFor() == 0 {
-			// If a primary that answers steps down, no pauses are needed.
+		if responds(old) {
 			stepped.Wait()
+			needsPauses = !fenceResult.SteppedDown
 		}
 	}
-	call := dbpool.Call{Kind: statement.Pause, Term: term}
+	record = record.Union(registeredMembers(group, servers))
+	var answered []membership.Member
+	if !needsPauses {
+		fenceResult.Others, answered = promoter.askOthers(servers, old, dbpool.Call{Kind: statement.Status})
+		// A member that is unheard may be a primary of a newer term, whose writes the others must not help to acknowledge.
+		needsPauses = len(record.Unheard(append(answered, identityOf(old)))) > 0
+	}
+	if needsPauses {
+		fenceResult.Others, answered = promoter.askOthers(servers, old, dbpool.Call{Kind: statement.Pause, Term: term})
+		fenceResult.Paused = true
+	}
+	stepped.Wait()
 	if fenceResult.SteppedDown {
-		call = dbpool.Call{Kind: statement.Status}
+		answered = append(answered, identityOf(old))
 	}
+	unheard := record.Unheard(answered)
+	fenceResult.Unheard = len(unheard)
+	return fenceResult, unheard
+}
+
+// askOthers sends the call to all servers but the old primary. It returns the state and the identity of those that answered, and that
+// paused if the call is to pause.
+func (promoter *Promoter) askOthers(servers []*monitor.Server, old *monitor.Server, call dbpool.Call) (others []handover.Member, answered []membership.Member) {
 	var mutex sync.Mutex
 	var calls sync.WaitGroup
-	var answered []membership.Member
 	for _, server := range servers {
 		if server == old {
 			continue
@@ -184,22 +225,16 @@
 			status, err := promoter.groups.SendControl(server, call)
 			mutex.Lock()
 			defer mutex.Unlock()
-			if err != nil || call.Kind == statement.Pause && status.PausedTerm < term {
-				promoter.eventLog.Event("server_not_fenced", "group", group.ID(), "server", server.ID(), "term", term, "err", err)
+			if err != nil || call.Kind == statement.Pause && status.PausedTerm < call.Term {
+				promoter.eventLog.Event("server_not_fenced", "group", server.Info().Group, "server", server.ID(), "term", call.Term, "err", err)
 				return
 			}
-			fenceResult.Others = append(fenceResult.Others, memberOf(server, leader.Observation{Status: status}, true))
+			others = append(others, memberOf(server, leader.Observation{Status: status}, true))
 			answered = append(answered, identityOf(server))
 		})
 	}
 	calls.Wait()
-	stepped.Wait()
-	if fenceResult.SteppedDown {
-		answered = append(answered, identityOf(old))
-	}
-	unheard := record.Union(registeredMembers(group, servers)).Unheard(answered)
-	fenceResult.Unheard = len(unheard)
-	return fenceResult, unheard
+	return others, answered
 }
 
 // registeredMembers returns the registered servers that count as members of the group: those that have answered, and new ones, which may
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -20,7 +20,7 @@
 	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
-	safetyChecks.Unfenced = !fenceResult.SteppedDown && !promoter.stillFenced(servers, fenceResult.Others, term)
+	safetyChecks.Unfenced = fenceResult.Paused && !promoter.stillFenced(servers, fenceResult.Others, term)
 	if err = <-stored; err != nil {
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 	}
