Promotion: the newest term lasts, so that an outdated primary is none

Which primary is the newest was read from the servers that answer. If the newest one and those that know of it are away and the VMs have restarted, a primary that was cut off before looks like the newest.

The record of the fence also holds the newest term that any server had (newest_term), written with the fence and when it is cleared, so without further store calls; a conflict merges the two. A primary of an earlier term than the newest known one counts as absent for a replacement and as no primary for the members. Its stepping down then costs nothing.

TestOutdatedPrimary fails in 2 of 3 cases with a RequireTerm that does nothing.

A VM that has just started doesn't read the newest term; it may rely on an outdated primary until the holder of the duty has that one step down.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -66,11 +66,25 @@
 	// while no log is known to be pending.
 	pendingSince time.Duration
 	pending      position.Position
+	// newestTerm is the highest term known from elsewhere.
+	newestTerm ids.Term
+}
+
+// RequireTerm makes a primary of a term before this one count as none: it has been replaced and has not heard of it.
+func (failureDetector *FailureDetector) RequireTerm(term ids.Term) { failureDetector.newestTerm = term }
+
+// CurrentPrimary returns the primary like Primary, or nil if it is outdated: a server of a newer term is known.
+func (failureDetector *FailureDetector) CurrentPrimary(members []Member) *Member {
+	primary := Primary(members)
+	if primary != nil && primary.Observed && primary.Term < max(failureDetector.newestTerm, NewestTerm(members)) {
+		return nil
+	}
+	return primary
 }
 
 // ReplacementReason returns the reason for replacing the group's primary, given the current state of the servers.
 func (failureDetector *FailureDetector) ReplacementReason(now time.Duration, members []Member) Reason {
-	primary := Primary(members)
+	primary := failureDetector.CurrentPrimary(members)
 	if primary == nil {
 		return failureDetector.absent(now, members)
 	}
@@ -115,6 +129,15 @@
 	return registered
 }
 
+// NewestTerm returns the highest term that any of the members is known to have, 0 if there are none.
+func NewestTerm(members []Member) ids.Term {
+	var term ids.Term
+	for _, member := range members {
+		term = max(term, member.Term)
+	}
+	return term
+}
+
 // leadsAfter reports whether the member is primary of a higher term than the other, or of the same term and observed later.
 func (member *Member) leadsAfter(other *Member) bool {
 	return member.Term > other.Term || member.Term == other.Term && member.ObservedAt > other.ObservedAt
--- a/core/handover/replacement_test.go
+++ b/core/handover/replacement_test.go
@@ -84,6 +84,32 @@
 	}
 }
 
+// Guards against trust in a primary that was cut off while another one was promoted: VMs rely on no primary of an earlier term than a replica
+// knows, so the group would stay without one.
+func TestOutdatedPrimary(t *testing.T) {
+	for name, test := range map[string]struct {
+		replica handover.Member
+		newest  ids.Term
+		want    handover.Reason
+	}{
+		"a replica knows of a newer term": {newer(follows("b", 5)), 1, handover.Absent},
+		"only the VM knows of one":        {follows("b", 5), 2, handover.Absent},
+		"no newer term":                   {follows("b", 5), 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var failureDetector handover.FailureDetector
+			failureDetector.RequireTerm(test.newest)
+			members := []handover.Member{leads("a", 5), test.replica}
+			if got := failureDetector.ReplacementReason(10*second, members); got != "" {
+				t.Errorf("reason at once: %q, want none", got)
+			}
+			if got := failureDetector.ReplacementReason(12*second, members); got != test.want {
+				t.Errorf("reason after 2 s: %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against a group that acknowledges no writes while its primary is partitioned from its replicas only, and against
 // mistaking outdated observations for such a partition.
 func TestStuckPrimary(t *testing.T) {
--- a/io/promoter/members_test.go
+++ b/io/promoter/members_test.go
@@ -210,8 +210,8 @@
 		f.Add([]byte(seed))
 	}
 	f.Fuzz(func(t *testing.T, value []byte) {
-		if term, err := decodeFence(value); err != nil && term != 0 {
-			t.Errorf("term %d with the error %v", term, err)
+		if fence, err := decodeFence(value); err != nil && fence != (fenceRecord{}) {
+			t.Errorf("fence %v with the error %v", fence, err)
 		}
 		record, err := decodeMembers(value)
 		if err != nil {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -164,7 +164,10 @@
 			polls++
 		}
 	}
-	promoter.members.update(token, group.ID(), registeredServers(group))
+	if promoter.fences.isLoaded(token) {
+		servers := registeredServers(group)
+		promoter.members.update(token, group.ID(), withoutOutdated(servers, promoter.fences.noteTerm(group.ID(), 0)))
+	}
 	return polls
 }
 
@@ -182,6 +185,7 @@
 	}
 	now := clock.Now()
 	members := groupMembers(group)
+	watched.RequireTerm(promoter.fences.noteTerm(group.ID(), handover.NewestTerm(members)))
 	reason := watched.ReplacementReason(now, members)
 	if reason == "" {
 		watched.wait = membership.Wait{}
@@ -234,6 +238,18 @@
 	return members
 }
 
+// withoutOutdated returns the servers, of which none counts as primary that acts as one in a term before the newest: its log tells nothing
+// of what has been acknowledged since.
+func withoutOutdated(servers []membership.Server, newest ids.Term) []membership.Server {
+	for _, server := range servers {
+		newest = max(newest, server.Term)
+	}
+	for index := range servers {
+		servers[index].Primary = servers[index].Primary && servers[index].Term >= newest
+	}
+	return servers
+}
+
 // registeredServers returns the registered servers of the group.
 func registeredServers(group *monitor.Group) []membership.Server {
 	var servers []membership.Server
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -49,9 +49,16 @@
 	members := groupMembers(group)
 	servers := group.Servers()
 	old := findServer(servers, handover.Primary(members))
-	term := nextTerm(members)
+	// A server paused for this term receives again from the primary of the term.
+	term := promoter.fences.noteTerm(group.ID(), handover.NewestTerm(members)) + 1
 	overdue := watched.wait.IsOverdue(clock.Now())
-	if silent := silentMembers(group, servers, record); responds(old) && !handover.MayStepDown(len(silent), overdue) {
+	// An outdated primary does not lead, and may step down in any case.
+	leads := watched.CurrentPrimary(members) != nil && responds(old)
+	if leads && reason == handover.Absent {
+		// The primary is back.
+		return
+	}
+	if silent := silentMembers(group, servers, record); leads && !handover.MayStepDown(len(silent), overdue) {
 		watched.wait.Update(clock.Now(), true, registrationsKnown)
 		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "members_silent", "primary", old.ID(),
 			"silent", membersText(silent), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
@@ -105,6 +112,7 @@
 		go promoter.stepDown(group, old, term, &handover.FenceResult{})
 	}
 	promoter.announce(ctx, group, term, successor.Received)
+	promoter.fences.setNewestTerm(group.ID(), handover.NewestTerm(groupMembers(group)))
 	promoter.fences.clear(ctx, group.ID())
 }
 
@@ -153,15 +161,6 @@
 	return server.ID()
 }
 
-// nextTerm returns the term after the highest known one. A server paused for it receives again from the primary of that term.
-func nextTerm(members []handover.Member) ids.Term {
-	var term ids.Term
-	for _, member := range members {
-		term = max(term, member.Term)
-	}
-	return term + 1
-}
-
 // responds reports whether there is such a server and it responds.
 func responds(server *monitor.Server) bool { return server != nil && server.SilentFor() == 0 }
 
--- a/io/promoter/stored_fences_test.go
+++ b/io/promoter/stored_fences_test.go
@@ -69,6 +69,63 @@
 	}
 }
 
+// Guards against a VM that takes the duty and trusts a primary that has been replaced, because the servers that know of the newer term are
+// away and that term was lost with the holder of the duty before it.
+func TestStoredNewestTerm(t *testing.T) {
+	eventLog := observe.NewEventLog(io.Discard, "vm1")
+	t.Cleanup(func() { eventLog.Close(time.Second) })
+	for name, test := range map[string]struct {
+		act  func(t *testing.T, store *membersStore, first, second *storedFences)
+		want ids.Term
+	}{
+		"promoted": {func(t *testing.T, _ *membersStore, first, _ *storedFences) {
+			set(t, first, 2)
+			first.setNewestTerm("g", 2)
+			first.clear(t.Context(), "g")
+		}, 2},
+		"nobody promoted": {func(t *testing.T, _ *membersStore, first, _ *storedFences) {
+			first.noteTerm("g", 1)
+			set(t, first, 2)
+			first.clear(t.Context(), "g")
+		}, 1},
+		"noted by the holder after the one that ordered": {func(t *testing.T, _ *membersStore, first, second *storedFences) {
+			set(t, first, 2)
+			if err := second.load(t.Context(), 5); err != nil {
+				t.Fatal(err)
+			}
+			second.noteTerm("g", 2)
+			second.clear(t.Context(), "g")
+		}, 2},
+		"replaced by one that knew an earlier term": {func(t *testing.T, _ *membersStore, first, second *storedFences) {
+			first.setNewestTerm("g", 3)
+			set(t, first, 4)
+			second.noteTerm("g", 1)
+			set(t, second, 2)
+			second.clear(t.Context(), "g")
+		}, 3},
+		"store restored": {func(t *testing.T, store *membersStore, first, _ *storedFences) {
+			first.setNewestTerm("g", 2)
+			set(t, first, 3)
+			store.era, store.number = 2, 0
+			clear(store.entries)
+			first.clear(t.Context(), "g")
+			set(t, first, 3)
+		}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := &membersStore{entries: make(map[string]config.Entry), era: 1}
+			test.act(t, store, newStoredFences(store, eventLog), newStoredFences(store, eventLog))
+			next := newStoredFences(store, eventLog)
+			if err := next.load(t.Context(), 7); err != nil {
+				t.Fatal(err)
+			}
+			if got := next.noteTerm("g", 0); got != test.want {
+				t.Errorf("the next holder of the duty knows of term %d, want %d", got, test.want)
+			}
+		})
+	}
+}
+
 func set(t *testing.T, fences *storedFences, term ids.Term) {
 	t.Helper()
 	if err := fences.set(t.Context(), "g", term); err != nil {
