--- a/io/promoter/assurance.go
+++ b/io/promoter/assurance.go
@@ -71,12 +71,12 @@
 	}
 	terms := make(map[ids.GroupID]ids.Term)
 	for _, entry := range entries {
-		term, err := decodeFence(entry.Value)
+		record, err := decodeFence(entry.Value)
 		if err != nil {
 			promoter.eventLog.LimitedEvent("fence_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
 		}
-		if term > 0 {
-			terms[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = term
+		if record.Term > 0 {
+			terms[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = record.Term
 		}
 	}
 	return terms, nil
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -34,12 +34,8 @@
 	}
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
-	switch {
-	case !fenceResult.SteppedDown:
-		safetyChecks.Unfenced = !promoter.stillFenced(group, servers, fenceResult.Others, term)
-	case safetyChecks.Unanswered > 0:
-		safetyChecks.Unfenced = !promoter.stillSteppedDown(servers, fenceResult)
-	}
+	safetyChecks.Unfenced = fenceResult.Paused && !promoter.stillFenced(group, servers, fenceResult.Others, term) ||
+		fenceResult.SteppedDown && safetyChecks.Unanswered > 0 && !promoter.stillSteppedDown(servers, fenceResult)
 	return window, safetyChecks, fence.err
 }
 
