A VM is ready only once it knows the backend servers

What callers saw: for some ms after the start of a VM, first requests were refused (no_primary, "no server is registered"). Since a VM waits for its registration before it reads the fences, and reads these before it passes the servers on, it was ready before it knew them.

--- a/io/node/node.go
+++ b/io/node/node.go
@@ -56,6 +56,8 @@
 
 	// fencesRead guards the reading of the fences before the first servers are known.
 	fencesRead sync.Once
+	// serversSet is set once the first servers have been passed on.
+	serversSet atomic.Bool
 
 	mutex     sync.Mutex
 	settings  Settings
@@ -124,6 +126,7 @@
 	readAt := clock.Now()
 	node.fencesRead.Do(func() { node.monitor.SetFences(node.promoter.FencesAtStart(node.background)) })
 	node.monitor.SetServers(readAt, servers)
+	node.serversSet.Store(true)
 }
 
 func (node *Node) setVMs(vms []fleet.VM) {
@@ -211,7 +214,7 @@
 
 // Ready reports whether the VM accepts new connections.
 func (node *Node) Ready() bool {
-	ready := !node.draining.Load() && node.directory.Loaded() && node.fleet.Listed()
+	ready := !node.draining.Load() && node.directory.Loaded() && node.serversSet.Load() && node.fleet.Listed()
 	if node.ready.Swap(ready) != ready {
 		node.eventLog.Event("readiness", "ready", ready, "draining", node.draining.Load())
 	}
