A VM relies on no primary of an earlier term than the store or any server has told of

What callers could see: acknowledged writes are lost. A primary that was cut off while another one was promoted is reachable again with a replica that has heard of no newer term; the newest primary and all servers that know of its term are away. A VM that has just started, or that no longer has the newest primary registered, saw a primary that a replica confirms and acknowledged its writes; they are gone once the newest primary is back.

Change: a VM reads the newest term with the stored fences at its start, and the tracker keeps the highest term that any server has told of, also after that server is gone.

--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -24,6 +24,8 @@
 	history      History
 	primaryID    ids.BackendServerID
 	term         ids.Term
+	// newestTerm is the highest term that is known to have had a primary. It outlasts the servers that told of it.
+	newestTerm ids.Term
 	// assuredAt is the latest time at which no order to promote a server is known to have been pending.
 	assuredAt time.Duration
 }
@@ -69,6 +71,7 @@
 		server.since = observation.SentAt
 	}
 	server.latest, server.observed = observation, true
+	tracker.KnowTerm(observation.Term)
 	tracker.selectPrimary()
 	tracker.extendAssurance()
 	// The lease may cover the primary's last observation only now that another server has confirmed it.
@@ -129,6 +132,9 @@
 	return min(confirmedAt, tracker.assuredAt) + LeaseDuration
 }
 
+// KnowTerm records a term that has had a primary. A primary of an earlier term has been replaced and is denied a lease.
+func (tracker *Tracker) KnowTerm(term ids.Term) { tracker.newestTerm = max(tracker.newestTerm, term) }
+
 // confirmedAt returns the time at which the primary led and another server received its log, or false if there is none.
 func (tracker *Tracker) confirmedAt() (time.Duration, bool) {
 	notBefore := tracker.notBefore
@@ -136,7 +142,7 @@
 		notBefore = max(notBefore, tracker.minTermUntil)
 	}
 	primary, ok := tracker.servers[tracker.primaryID]
-	if !ok || primary.latest.SentAt < notBefore {
+	if !ok || primary.latest.SentAt < notBefore || tracker.term < tracker.newestTerm {
 		return 0, false
 	}
 	if len(tracker.servers) == 1 {
@@ -147,9 +153,6 @@
 		if id != tracker.primaryID && server.observed && server.latest.Term <= tracker.term && server.latest.PausedTerm <= tracker.term {
 			replicaSentAt = max(replicaSentAt, server.latest.SentAt)
 		}
-		if server.observed && server.latest.Term > tracker.term {
-			return 0, false
-		}
 	}
 	confirmedAt := min(primary.latest.SentAt, replicaSentAt)
 	return confirmedAt, replicaSentAt >= 0 && confirmedAt >= notBefore
--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -79,16 +79,23 @@
 	return group.acknowledged
 }
 
-// fenceAtStart fences primaries of terms before the given one, which was being replaced when this VM started. If the term is 0, none was
-// at the time at which the fences were read.
-func (group *Group) fenceAtStart(term ids.Term, readAt time.Duration) {
-	if term > 0 {
-		group.Fence(term)
+// fenceAtStart fences primaries that were being replaced, or had been replaced, at the time at which this VM read the fences.
+func (group *Group) fenceAtStart(fence StoredFence, readAt time.Duration) {
+	group.knowTerm(fence.NewestTerm)
+	if fence.Term > 0 {
+		group.Fence(fence.Term)
 		return
 	}
 	group.Assure(readAt)
 }
 
+// knowTerm records a term that has had a primary.
+func (group *Group) knowTerm(term ids.Term) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.tracker.KnowTerm(term)
+}
+
 // Assure records that no order to promote a server of the group was pending at the time.
 func (group *Group) Assure(at time.Duration) {
 	group.mutex.Lock()
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -42,9 +42,8 @@
 	onDuty  func() bool
 	// serviceAge returns the time since the key-value service last answered.
 	serviceAge func() time.Duration
-	// fences holds the terms of successors by group, for groups whose primary was being replaced when this VM started. They were read at
-	// fencesReadAt, 0 if they could not be read.
-	fences       map[ids.GroupID]ids.Term
+	// fences holds the stored fences of groups when this VM started. They were read at fencesReadAt, 0 if they could not be read.
+	fences       map[ids.GroupID]StoredFence
 	fencesReadAt time.Duration
 	// vms holds the VMs that share the connections to each server.
 	vms []member.Member
@@ -112,12 +111,20 @@
 // knows. It must be called before the first SetServers.
 func (monitor *Monitor) SetServiceAge(age func() time.Duration) { monitor.serviceAge = age }
 
-// SetFences fences groups by the terms of their successors, which were stored at the time; 0 means that they are not known. It must be
-// called before the first SetServers.
-func (monitor *Monitor) SetFences(terms map[ids.GroupID]ids.Term, readAt time.Duration) {
+// StoredFence is what the store says of the primary of a group.
+type StoredFence struct {
+	// Term is the term of the successor while the primary is being replaced, otherwise 0.
+	Term ids.Term
+	// NewestTerm is the highest term that is known to have had a primary, 0 if none is.
+	NewestTerm ids.Term
+}
+
+// SetFences fences groups by the fences that were stored at the time; 0 means that they are not known. It must be called before the
+// first SetServers.
+func (monitor *Monitor) SetFences(fences map[ids.GroupID]StoredFence, readAt time.Duration) {
 	monitor.mutex.Lock()
 	defer monitor.mutex.Unlock()
-	monitor.fences, monitor.fencesReadAt = terms, readAt
+	monitor.fences, monitor.fencesReadAt = fences, readAt
 }
 
 // SetServers replaces the registered servers, which were read at the time or before.
--- a/io/promoter/assurance.go
+++ b/io/promoter/assurance.go
@@ -50,42 +50,39 @@
 	promoter.assuranceSoughtAt = now
 	go func() {
 		defer promoter.seekingAssurance.Store(false)
-		terms, err := promoter.readFences(ctx)
+		fences, err := promoter.readFences(ctx)
 		if err != nil {
 			promoter.eventLog.LimitedEvent("fences_unknown", "err", err)
 			return
 		}
 		for _, group := range groups {
-			if terms[group.ID()] == 0 {
+			if fences[group.ID()].Term == 0 {
 				group.Assure(now)
 			}
 		}
 	}()
 }
 
-// readFences returns the terms of the successors for all groups whose primary is being replaced, by the store.
-func (promoter *Promoter) readFences(ctx context.Context) (map[ids.GroupID]ids.Term, error) {
+// readFences returns the fences of all groups that have one in the store.
+func (promoter *Promoter) readFences(ctx context.Context) (map[ids.GroupID]monitor.StoredFence, error) {
 	entries, _, err := promoter.fences.store.List(ctx, FencesPrefix)
 	if err != nil {
 		return nil, fmt.Errorf("listing the fences: %w", err)
 	}
-	terms := make(map[ids.GroupID]ids.Term)
+	fences := make(map[ids.GroupID]monitor.StoredFence)
 	for _, entry := range entries {
 		record, err := decodeFence(entry.Value)
 		if err != nil {
 			promoter.eventLog.LimitedEvent("fence_faulty", "key", entry.Key, "revision", entry.Revision, "err", err)
 		}
-		if record.Term > 0 {
-			terms[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = record.Term
-		}
+		fences[ids.GroupID(strings.TrimPrefix(entry.Key, FencesPrefix))] = monitor.StoredFence(record)
 	}
-	return terms, nil
+	return fences, nil
 }
 
-// FencesAtStart returns the terms of the successors for all groups whose primary is being replaced, and the time from which on the holder
-// of the duty waits for this VM, 0 if it may not. It retries until it succeeds, or until fences that were stored before the process
+// FencesAtStart returns the stored fences, and the time from which on the holder of the duty waits for this VM, 0 if it may not. It retries until it succeeds, or until fences that were stored before the process
 // started have expired.
-func (promoter *Promoter) FencesAtStart(ctx context.Context) (terms map[ids.GroupID]ids.Term, readAt time.Duration) {
+func (promoter *Promoter) FencesAtStart(ctx context.Context) (fences map[ids.GroupID]monitor.StoredFence, readAt time.Duration) {
 	began := clock.Now()
 	for promoter.registry != nil && !promoter.registry.IsRegistered() && clock.Now()-began < registrationWait {
 		clock.Sleep(ctx, registrationPoll)
@@ -94,9 +91,9 @@
 		if promoter.registry != nil && promoter.registry.IsRegistered() {
 			readAt = clock.Now()
 		}
-		terms, err := promoter.readFences(ctx)
+		fences, err := promoter.readFences(ctx)
 		if err == nil {
-			return terms, readAt
+			return fences, readAt
 		}
 		promoter.eventLog.LimitedEvent("fences_unknown", "err", err)
 	}
