Members: a silent member that is registered is compared with each answer of the primary

What callers could see: acknowledged writes are lost. A member that only the holder of the duty can't reach was compared once with the logs of the primary and another replica, and went on helping to acknowledge; when it went away after the primary had stopped answering, it left the record by the old comparison, and the replica without its writes was promoted alone. Found by review, by a pure test.

Evidence: the new case of TestMembersLeave gave "a b" before, now "a b c"; all others as before. What remains: writes between the last answer of the primary and its loss.

--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -121,8 +121,12 @@
 	current.registered = isRegistered
 }
 
-// update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge.
+// update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge. While it is
+// registered it may still help, so it is compared with each answer of the primary anew.
 func (absence *absence) update(primary Server, servers []Server) {
+	if absence.registered {
+		absence.forget()
+	}
 	if !absence.known && primary.ObservedAt > absence.since {
 		absence.required, absence.known = primary.Received, true
 	}
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -99,6 +99,17 @@
 				{mute(primary(7)), replica("b", 7)},
 			}, "a b",
 		},
+		// c is silent to this VM only and helps the primary to acknowledge up to 9, b receives nothing more; then c and the primary go.
+		"silent and compared, the log moved on, gone after the primary": {
+			[][]state{
+				start,
+				{primary(6), replica("b", 6), mute(replica("c", 5))},
+				{primary(7), replica("b", 7), mute(replica("c", 5))},
+				{primary(9), replica("b", 7), mute(replica("c", 5))},
+				{mute(primary(9)), replica("b", 7), mute(replica("c", 5))},
+				{mute(primary(9)), replica("b", 7)},
+			}, "a b c",
+		},
 		"silent, compared, then gone while the other receives nothing": {
 			[][]state{
 				start,
