A VM holds a fence of which it is told before it knows the group

What callers could see: acknowledged writes are missing after a promotion. A VM that starts answered the notice of a fence before it knew the servers of the group, and held none; the holder of the duty counted it and did not wait for it, while it relied on the fences that it had read before. Found by review.

--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -16,6 +16,7 @@
 	"dotterelgw/core/leader"
 	"dotterelgw/core/member"
 	"dotterelgw/core/observer"
+	"dotterelgw/core/position"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/dbpool"
@@ -45,6 +46,8 @@
 	// fences holds the stored fences of groups when this VM started. They were read at fencesReadAt, 0 if they could not be read.
 	fences       map[ids.GroupID]StoredFence
 	fencesReadAt time.Duration
+	// earlyFences holds the terms of successors of which this VM was told before it knew the servers of the group.
+	earlyFences map[ids.GroupID]ids.Term
 	// vms holds the VMs that share the connections to each server.
 	vms []member.Member
 
@@ -60,7 +63,7 @@
 // New returns a monitor for a VM in the availability zone. It stops polling when the context ends.
 func New(ctx context.Context, dialer dbpool.Dialer, zone ids.AvailabilityZone, eventLog *observe.EventLog) *Monitor {
 	monitor := &Monitor{
-		ctx: ctx, dialer: dialer, zone: zone, eventLog: eventLog, groups: make(map[ids.GroupID]*Group), wakeup: make(chan struct{}, 1),
+		ctx: ctx, dialer: dialer, zone: zone, eventLog: eventLog, groups: make(map[ids.GroupID]*Group), earlyFences: make(map[ids.GroupID]ids.Term), wakeup: make(chan struct{}, 1),
 		serviceAge: func() time.Duration { return 0 },
 	}
 	monitor.plan.Store(&observer.Plan{})
@@ -127,6 +130,20 @@
 	monitor.fences, monitor.fencesReadAt = fences, readAt
 }
 
+// Fence fences primaries of terms before the given one, see Group.Fence. The servers of the group need not be known yet.
+func (monitor *Monitor) Fence(id ids.GroupID, term ids.Term) position.Position {
+	monitor.mutex.Lock()
+	group := monitor.groups[id]
+	if group == nil {
+		monitor.earlyFences[id] = max(monitor.earlyFences[id], term)
+	}
+	monitor.mutex.Unlock()
+	if group == nil {
+		return position.Position{}
+	}
+	return group.Fence(term)
+}
+
 // SetServers replaces the registered servers, which were read at the time or before.
 func (monitor *Monitor) SetServers(readAt time.Duration, registered []catalog.Server) {
 	byGroup := make(map[ids.GroupID][]catalog.Server)
@@ -137,7 +154,10 @@
 	for id := range byGroup {
 		if monitor.groups[id] == nil {
 			monitor.groups[id] = newGroup(id, monitor)
-			monitor.groups[id].fenceAtStart(monitor.fences[id], monitor.fencesReadAt)
+			fence := monitor.fences[id]
+			fence.Term = max(fence.Term, monitor.earlyFences[id])
+			delete(monitor.earlyFences, id)
+			monitor.groups[id].fenceAtStart(fence, monitor.fencesReadAt)
 		}
 	}
 	// Groups that appear later were not being replaced when this VM started. Whether they are now is not known.
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -116,12 +116,8 @@
 // handleFence answers a VM that replaces a primary. Until the replacement has ended, this VM relies on no earlier
 // primary.
 func (promoter *Promoter) handleFence(sender ids.VMID, message notice) {
-	answer := fenceAck{Number: message.Number}
-	if group := promoter.group(message.Group); group != nil {
-		last := group.Fence(message.Term)
-		answer.Term, answer.Log = last.Term, last.Log
-	}
-	mesh.Send(promoter.mesh, sender, kindFenceAck, answer)
+	last := promoter.groups.Fence(message.Group, message.Term)
+	mesh.Send(promoter.mesh, sender, kindFenceAck, fenceAck{Number: message.Number, Term: last.Term, Log: last.Log})
 }
 
 func (promoter *Promoter) handleAck(sender ids.VMID, message fenceAck) {
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -53,6 +53,8 @@
 type Groups interface {
 	// Groups returns all groups.
 	Groups() []*monitor.Group
+	// Fence fences primaries of the group of terms before the given one, and returns the position of the last write acknowledged.
+	Fence(id ids.GroupID, term ids.Term) position.Position
 	// SendControl sends a control statement to the server and records the state in its answer.
 	SendControl(server *monitor.Server, call dbpool.Call) (leader.Status, error)
 }
