--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -82,7 +82,7 @@
 	watched.fenced = true
 	window, safetyChecks, err := promoter.checkSafety(ctx, group, servers, fenceResult, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
-	if err != nil && cause == "" {
+	if err != nil {
 		cause = "fence_not_stored"
 	}
 	if cause != "" {
