A notice of an earlier holder of the duty does not end a later fence

What callers could see: acknowledged writes are missing after a promotion. A holder of the duty that was frozen while it told the VMs of the end of its fence ended the fence that the next holder had set for the same term, while that one counted the VMs as fenced.

Change: notices carry the token of the duty; VMs ignore the end of a fence by a lower token than that of the latest fence.

Evidence: TestFenceOutlastsNoticesOfAnEarlierHolder; with isOutdated returning false both cases fail.

--- a/io/promoter/duty.go
+++ b/io/promoter/duty.go
@@ -86,6 +86,9 @@
 	return Token(duty.token.Load()), left
 }
 
+// lastToken returns the token of this VM's last turn as holder.
+func (duty *duty) lastToken() Token { return Token(duty.token.Load()) }
+
 // held returns the token and whether this VM holds the duty, even if it still has to wait for the end of an earlier lease.
 func (duty *duty) held() (token Token, held bool) {
 	return Token(duty.token.Load()), clock.Now() < time.Duration(duty.expiresAt.Load())-dutyMargin
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -42,6 +42,8 @@
 	Number uint64 `cbor:"number"`
 	// Term is the term of the successor.
 	Term ids.Term `cbor:"term"`
+	// Token is that of the VM that replaces the primary; VMs of earlier versions leave it out.
+	Token Token `cbor:"token,omitempty"`
 	// StartTerm and StartLog are the end of the log that the successor starts with. They are set for kindNewPrimary.
 	StartTerm ids.Term        `cbor:"start_term"`
 	StartLog  ids.LogPosition `cbor:"start_log"`
@@ -63,6 +65,8 @@
 	began := clock.Now()
 	window.BegunAt = began
 	acknowledged = group.Fence(term)
+	token := promoter.duty.lastToken()
+	promoter.raiseFenceToken(group.ID(), token)
 	promoter.mutex.Lock()
 	promoter.number++
 	number := promoter.number
@@ -72,7 +76,7 @@
 	missing := promoter.mesh.Peers()
 	for clock.Now() < began+leader.LeaseDuration && len(missing) > 0 && ctx.Err() == nil {
 		for _, peer := range missing {
-			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term})
+			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term, Token: token})
 		}
 		missing = promoter.awaitAcks(ctx, number, max(noticeInterval, noticeIntervalPerVM*time.Duration(len(missing))))
 	}
@@ -116,10 +120,26 @@
 // handleFence answers a VM that replaces a primary. Until the replacement has ended, this VM relies on no earlier
 // primary.
 func (promoter *Promoter) handleFence(sender ids.VMID, message notice) {
+	promoter.raiseFenceToken(message.Group, message.Token)
 	last := promoter.groups.Fence(message.Group, message.Term)
 	mesh.Send(promoter.mesh, sender, kindFenceAck, fenceAck{Number: message.Number, Term: last.Term, Log: last.Log})
 }
 
+// raiseFenceToken records the token of the latest VM that has fenced the primary of the group.
+func (promoter *Promoter) raiseFenceToken(group ids.GroupID, token Token) {
+	promoter.mutex.Lock()
+	defer promoter.mutex.Unlock()
+	promoter.fenceTokens[group] = max(promoter.fenceTokens[group], token)
+}
+
+// isOutdated reports whether the notice comes from a VM after which another one has fenced the primary. Both fences may be for the
+// same term, so that the end of the first would end the second one too.
+func (promoter *Promoter) isOutdated(message notice) bool {
+	promoter.mutex.Lock()
+	defer promoter.mutex.Unlock()
+	return message.Token != 0 && message.Token < promoter.fenceTokens[message.Group]
+}
+
 func (promoter *Promoter) handleAck(sender ids.VMID, message fenceAck) {
 	promoter.mutex.Lock()
 	defer promoter.mutex.Unlock()
@@ -130,19 +150,24 @@
 
 // announce tells all VMs that the group has a new primary whose log starts with the log up to start.
 func (promoter *Promoter) announce(ctx context.Context, group *monitor.Group, term ids.Term, start position.Position) {
+	message := notice{Group: group.ID(), Term: term, Token: promoter.duty.lastToken(), StartTerm: start.Term, StartLog: start.Log}
+	if promoter.isOutdated(message) {
+		return
+	}
 	group.PrimaryPromoted(term, start)
 	group.RequestPoll()
-	promoter.broadcast(ctx, kindNewPrimary, notice{Group: group.ID(), Term: term, StartTerm: start.Term, StartLog: start.Log})
+	promoter.broadcast(ctx, kindNewPrimary, message)
 }
 
 // release tells all VMs that no server was promoted after the fence. Without the duty it does nothing, since the next holder may
 // have fenced the primary again.
 func (promoter *Promoter) release(ctx context.Context, group *monitor.Group, term ids.Term) {
-	if !promoter.OnDuty() {
+	message := notice{Group: group.ID(), Term: term, Token: promoter.duty.lastToken()}
+	if !promoter.OnDuty() || promoter.isOutdated(message) {
 		return
 	}
 	group.Release(term)
-	promoter.broadcast(ctx, kindReleased, notice{Group: group.ID(), Term: term})
+	promoter.broadcast(ctx, kindReleased, message)
 }
 
 // broadcastAttempts is the number of times that a notice is sent, as datagrams may be lost. A VM that receives none of
@@ -160,14 +185,14 @@
 
 // handleNewPrimary records the new primary and requests a poll of the group's servers.
 func (promoter *Promoter) handleNewPrimary(_ ids.VMID, message notice) {
-	if group := promoter.group(message.Group); group != nil {
+	if group := promoter.group(message.Group); group != nil && !promoter.isOutdated(message) {
 		group.PrimaryPromoted(message.Term, position.Position{Term: message.StartTerm, Log: message.StartLog})
 		group.RequestPoll()
 	}
 }
 
 func (promoter *Promoter) handleRelease(_ ids.VMID, message notice) {
-	if group := promoter.group(message.Group); group != nil {
+	if group := promoter.group(message.Group); group != nil && !promoter.isOutdated(message) {
 		group.Release(message.Term)
 	}
 }
--- a/io/promoter/fence_test.go
+++ b/io/promoter/fence_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"dotterelgw/core/catalog"
+	"dotterelgw/core/ids"
 	"dotterelgw/core/position"
 	"dotterelgw/io/clock"
 	"dotterelgw/io/mesh"
@@ -23,7 +24,7 @@
 		t.Fatal(err)
 	}
 	groups := monitor.New(t.Context(), nil, "z", eventLog)
-	return &Promoter{groups: groups, mesh: network, eventLog: eventLog}, groups
+	return &Promoter{groups: groups, mesh: network, eventLog: eventLog, fenceTokens: make(map[ids.GroupID]Token)}, groups
 }
 
 // acknowledges reports whether the VM passes on the success of a write of the old primary.
@@ -44,3 +45,34 @@
 		t.Error("a VM that has answered the fence acknowledges a write of the old primary")
 	}
 }
+
+// Guards against a fence that ends by a notice of the VM that held the duty before: it was frozen while it sent the notice, and both
+// VMs fenced primaries of the same term.
+func TestFenceOutlastsNoticesOfAnEarlierHolder(t *testing.T) {
+	const term, earlier, later = 2, Token(7), Token(9)
+	for name, end := range map[string]func(promoter *Promoter, token Token){
+		"nobody promoted": func(promoter *Promoter, token Token) {
+			promoter.handleRelease("vm2", notice{Group: "g", Term: term, Token: token})
+		},
+		"primary promoted": func(promoter *Promoter, token Token) {
+			promoter.handleNewPrimary("vm2", notice{Group: "g", Term: term, Token: token, StartTerm: 1, StartLog: 5})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			promoter, groups := startingVM(t)
+			readAt := clock.Now()
+			groups.SetFences(nil, readAt)
+			groups.SetServers(readAt, []catalog.Server{{ID: "a", Group: "g"}})
+			promoter.handleFence("vm2", notice{Group: "g", Term: term, Token: earlier})
+			promoter.handleFence("vm3", notice{Group: "g", Term: term, Token: later})
+			end(promoter, earlier)
+			if acknowledges(groups) {
+				t.Error("acknowledges a write although the later fence has not ended")
+			}
+			end(promoter, later)
+			if !acknowledges(groups) {
+				t.Error("does not acknowledge a write after the later fence has ended")
+			}
+		})
+	}
+}
