A new holder of the duty waits for the order that the one before may have sent

What callers could see: two servers promoted shortly after one another, of which the second lacks what the first acknowledged. The order of an earlier holder of the duty may take effect for 2 s; the next one waited for it only before it released fences, not before it ordered another server. Found by review (an argument: the effect has to come over 1.2 s after the order).

Change: if the earlier holder has left a fence in the store, which it stores before it orders, the first replacement begins once the order can't take effect any more, 2 s after the duty was taken at the latest. Without a stored fence nothing changes.

--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -46,6 +46,11 @@
 		clock.Sleep(ctx, retryPause)
 		return
 	}
+	if pending := promoter.earlierOrderPending(token, group.ID(), watched); pending > 0 {
+		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "order_pending", "pending_ms", pending.Milliseconds())
+		clock.Sleep(ctx, pending)
+		return
+	}
 	members := groupMembers(group)
 	servers := group.Servers()
 	old := findServer(servers, handover.Primary(members))
@@ -116,6 +121,21 @@
 	promoter.fences.clear(ctx, group.ID())
 }
 
+// earlierOrderPending returns for how long an order of an earlier holder of the duty may still take effect: one stores a fence before it orders, and
+// clears it afterwards. Before the fences are known, it returns a short time.
+func (promoter *Promoter) earlierOrderPending(token Token, group ids.GroupID, watched *groupWatch) time.Duration {
+	term, known := promoter.fences.termFor(token, group)
+	switch {
+	case watched.fenced:
+		return 0
+	case !known:
+		return retryPause
+	case term > 0:
+		return promoter.duty.earlierOrder().PendingFor(clock.Now())
+	}
+	return 0
+}
+
 // abandon ends an attempt without a promotion: it makes paused servers receive again, and releases the VMs if they were fenced.
 // While an order may still take effect it does neither; the next attempt or cleanUp follows.
 func (promoter *Promoter) abandon(ctx context.Context, group *monitor.Group, watched *groupWatch, term ids.Term) {
