Members that serve other VMs are not given up

What callers could see: acknowledged writes are lost. A holder of the duty that reaches neither the primary nor a replica gave both up after 30 s and promoted the third server, although other VMs had been served by them all the while. Found by review, with a test of the model's parts.

Change: a VM tells with its acknowledgement of a fence whether it had a lease of the old primary until then. If one had, members that are overdue are not given up: the wait begins anew, and the duty moves to another VM.

Evidence: new cases of TestConfirm; without the rule "overdue, serves other VMs" is promoted.

--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -300,6 +300,8 @@
 	Joined bool
 	// Unfenced is set if a paused server is receiving the log again.
 	Unfenced bool
+	// Served is set if a VM that responded had a lease of the old primary until it was fenced.
+	Served bool
 }
 
 // The reasons for which a successor must not be promoted.
@@ -309,11 +311,15 @@
 	receivesAgain        = "server_receives_again"
 	writeMissing         = "acknowledged_write_missing"
 	writesUnknown        = "acknowledged_writes_unknown"
+	primaryServes        = "primary_serves_others"
 )
 
 // IsIncomplete reports whether the reason for not promoting a successor is that its log lacks or may lack an acknowledged write.
 func IsIncomplete(cause string) bool { return cause == writeMissing || cause == writesUnknown }
 
+// IsReachedByOthers reports whether the reason for not promoting a successor is that other VMs reach the members that this VM can't.
+func IsReachedByOthers(cause string) bool { return cause == primaryServes }
+
 // Confirm returns the server to promote in view of the safety checks, or the reason for which none may be promoted. If the
 // successor lacks or may lack an acknowledged write, an old primary that stepped down is promoted again if its log has all of them.
 func (fenceResult FenceResult) Confirm(successor Member, safetyChecks SafetyChecks) (Member, string) {
@@ -335,6 +341,8 @@
 		return serverJoined
 	case safetyChecks.Unfenced:
 		return receivesAgain
+	case safetyChecks.Served && fenceResult.Overdue:
+		return primaryServes
 	case successor.Received.Less(safetyChecks.Acknowledged) && !fenceResult.Overdue:
 		return writeMissing
 	case safetyChecks.Unanswered > 0 && fenceResult.SteppedDown && successor.Received.Less(fenceResult.Final):
--- a/core/handover/replacement_test.go
+++ b/core/handover/replacement_test.go
@@ -273,6 +273,9 @@
 		"old primary unreachable, write lost": {handover.FenceResult{Old: leads("a", 4)}, handover.SafetyChecks{Listed: true, Acknowledged: at(6)}, "b", "acknowledged_write_missing"},
 		"old primary lacks the write as well": {stepped, handover.SafetyChecks{Listed: true, Acknowledged: position.Position{Term: 2, Log: 6}}, "b", "acknowledged_write_missing"},
 		"server joined":                       {stepped, handover.SafetyChecks{Listed: true, Joined: true, Unanswered: 1}, "b", "server_joined"},
+		"overdue, serves other VMs":           {handover.FenceResult{Old: leads("a", 4), Overdue: true}, handover.SafetyChecks{Listed: true, Served: true}, "b", "primary_serves_others"},
+		"overdue, serves nobody":              {handover.FenceResult{Old: leads("a", 4), Overdue: true}, handover.SafetyChecks{Listed: true}, "b", ""},
+		"not overdue, served until now":       {handover.FenceResult{Old: leads("a", 4)}, handover.SafetyChecks{Listed: true, Served: true}, "b", ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			successor, cause := test.fenceResult.Confirm(follows("b", 5), test.safetyChecks)
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -56,21 +56,31 @@
 	// Term and Log are the position of the last write that the VM acknowledged to a caller.
 	Term ids.Term        `cbor:"term"`
 	Log  ids.LogPosition `cbor:"log"`
+	// Served states whether the VM had a lease of the old primary until it was fenced.
+	Served bool `cbor:"served,omitempty"`
+}
+
+// acknowledgement is what a VM tells when it acknowledges a fence.
+type acknowledgement struct {
+	// last is the position of the last write that it acknowledged to a caller.
+	last position.Position
+	// served states whether it had a lease of the old primary until then.
+	served bool
 }
 
 // awaitFence returns once no VM relies on the old primary any more: each VM has acknowledged the fence, or the lease of
 // its last observation before the fence has expired. It returns the time for which an order is allowed, which begins with
-// the fence, the position of the last write acknowledged by any VM that answered, and the number of VMs that did not answer.
-func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (window handover.OrderWindow, acknowledged position.Position, unanswered int) {
+// the fence, and what the VMs that answered told.
+func (promoter *Promoter) awaitFence(ctx context.Context, group *monitor.Group, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks) {
 	began := clock.Now()
 	window.BegunAt = began
-	acknowledged = group.Fence(term)
+	safetyChecks.Acknowledged = group.Fence(term)
 	token := promoter.duty.lastToken()
 	promoter.raiseFenceToken(group.ID(), token)
 	promoter.mutex.Lock()
 	promoter.number++
 	number := promoter.number
-	acks := make(map[ids.VMID]position.Position)
+	acks := make(map[ids.VMID]acknowledgement)
 	promoter.acks[number] = acks
 	promoter.mutex.Unlock()
 	missing := promoter.mesh.Peers()
@@ -81,16 +91,19 @@
 		missing = promoter.awaitAcks(ctx, number, max(noticeInterval, noticeIntervalPerVM*time.Duration(len(missing))))
 	}
 	promoter.mutex.Lock()
-	for _, at := range acks {
-		if acknowledged.Less(at) {
-			acknowledged = at
+	for _, ack := range acks {
+		if safetyChecks.Acknowledged.Less(ack.last) {
+			safetyChecks.Acknowledged = ack.last
 		}
+		safetyChecks.Served = safetyChecks.Served || ack.served
 	}
 	delete(promoter.acks, number)
 	promoter.mutex.Unlock()
 	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "missing_vms", vmsText(missing),
-		"waited_ms", (clock.Now() - began).Milliseconds(), "acknowledged_term", acknowledged.Term, "acknowledged", acknowledged.Log)
-	return window, acknowledged, len(missing)
+		"waited_ms", (clock.Now() - began).Milliseconds(), "acknowledged_term", safetyChecks.Acknowledged.Term,
+		"acknowledged", safetyChecks.Acknowledged.Log, "served", safetyChecks.Served)
+	safetyChecks.Unanswered = len(missing)
+	return window, safetyChecks
 }
 
 // awaitAcks waits for the timeout, or until all VMs have acknowledged, and returns those that have not.
@@ -121,8 +134,10 @@
 // primary.
 func (promoter *Promoter) handleFence(sender ids.VMID, message notice) {
 	promoter.raiseFenceToken(message.Group, message.Token)
+	group := promoter.group(message.Group)
+	served := group != nil && group.LeaseExpiry() > clock.Now()
 	last := promoter.groups.Fence(message.Group, message.Term)
-	mesh.Send(promoter.mesh, sender, kindFenceAck, fenceAck{Number: message.Number, Term: last.Term, Log: last.Log})
+	mesh.Send(promoter.mesh, sender, kindFenceAck, fenceAck{Number: message.Number, Term: last.Term, Log: last.Log, Served: served})
 }
 
 // raiseFenceToken records the token of the latest VM that has fenced the primary of the group.
@@ -144,7 +159,9 @@
 	promoter.mutex.Lock()
 	defer promoter.mutex.Unlock()
 	if acks, ok := promoter.acks[message.Number]; ok {
-		acks[sender] = position.Position{Term: message.Term, Log: message.Log}
+		// The answer to a repeated notice comes from a VM that is fenced already.
+		served := message.Served || acks[sender].served
+		acks[sender] = acknowledgement{last: position.Position{Term: message.Term, Log: message.Log}, served: served}
 	}
 }
 
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -95,7 +95,7 @@
 
 	mutex   sync.Mutex
 	watches map[ids.GroupID]*groupWatch
-	acks    map[uint64]map[ids.VMID]position.Position
+	acks    map[uint64]map[ids.VMID]acknowledgement
 	number  uint64
 	// fenceTokens holds the token of the latest VM that has fenced the primary of each group.
 	fenceTokens map[ids.GroupID]Token
@@ -122,7 +122,7 @@
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
 		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
-		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]position.Position), fenceTokens: make(map[ids.GroupID]Token),
+		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]acknowledgement), fenceTokens: make(map[ids.GroupID]Token),
 	}
 	for _, option := range options {
 		option(promoter)
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -90,6 +90,10 @@
 	if err != nil {
 		cause = "fence_not_stored"
 	}
+	if handover.IsReachedByOthers(cause) {
+		// Another VM reaches the members that this one has been waiting for. The wait begins anew.
+		promoter.duty.leave()
+	}
 	if cause != "" {
 		watched.wait.Update(clock.Now(), handover.IsIncomplete(cause), registrationsKnown)
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -26,7 +26,7 @@
 	}
 	listed := make(chan startedVMs, 1)
 	go func() { listed <- promoter.findStartedVMs(ctx, group.ID()) }()
-	window, safetyChecks.Acknowledged, safetyChecks.Unanswered = promoter.awaitFence(ctx, group, term)
+	window, safetyChecks = promoter.awaitFence(ctx, group, term)
 	started := <-listed
 	if started.err != nil {
 		promoter.eventLog.LimitedEvent("vms_unknown", "group", group.ID(), "term", term, "err", started.err)
