A VM forgets the newest term once all servers of a group have started anew

What callers could see: a group without a primary until the VMs restart. If all databases of a group start empty and their terms begin again, VMs that remember the newer term would deny every primary a lease for good.

Evidence: TestNewestTermIsKept; the case "all have started anew" fails without the change.

--- a/core/leader/tracker.go
+++ b/core/leader/tracker.go
@@ -26,6 +26,8 @@
 	term         ids.Term
 	// newestTerm is the highest term that is known to have had a primary. It outlasts the servers that told of it.
 	newestTerm ids.Term
+	// newestStart is the latest start time, in Unix milliseconds, of a server that was registered when a server last told of newestTerm.
+	newestStart int64
 	// assuredAt is the latest time at which no order to promote a server is known to have been pending.
 	assuredAt time.Duration
 }
@@ -58,6 +60,7 @@
 		next[registration.ID] = &trackedServer{registration: registration, since: now}
 	}
 	tracker.servers = next
+	tracker.forgetTerm()
 	tracker.selectPrimary()
 }
 
@@ -133,7 +136,38 @@
 }
 
 // KnowTerm records a term that has had a primary. A primary of an earlier term has been replaced and is denied a lease.
-func (tracker *Tracker) KnowTerm(term ids.Term) { tracker.newestTerm = max(tracker.newestTerm, term) }
+func (tracker *Tracker) KnowTerm(term ids.Term) {
+	if term < tracker.newestTerm || term == 0 {
+		return
+	}
+	tracker.newestTerm = term
+	tracker.noteStarts()
+}
+
+// noteStarts records the latest start time of the registered servers.
+func (tracker *Tracker) noteStarts() {
+	for _, server := range tracker.servers {
+		tracker.newestStart = max(tracker.newestStart, server.registration.StartedMS)
+	}
+}
+
+// forgetTerm forgets the newest term once all servers have started after those that had a part in it. Databases that start empty begin with
+// their first term again.
+func (tracker *Tracker) forgetTerm() {
+	if tracker.newestStart == 0 {
+		// The term was known before any server was.
+		tracker.noteStarts()
+		return
+	}
+	for _, server := range tracker.servers {
+		if server.registration.StartedMS <= tracker.newestStart {
+			return
+		}
+	}
+	if len(tracker.servers) > 0 {
+		tracker.newestTerm, tracker.newestStart = 0, 0
+	}
+}
 
 // confirmedAt returns the time at which the primary led and another server received its log, or false if there is none.
 func (tracker *Tracker) confirmedAt() (time.Duration, bool) {
--- a/core/leader/tracker_test.go
+++ b/core/leader/tracker_test.go
@@ -124,6 +124,39 @@
 	}
 }
 
+// Guards against a lease of a primary that has been replaced, when no registered server knows of the newer term any more, and against a group that
+// has no primary for good because all its databases have started anew.
+func TestNewestTermIsKept(t *testing.T) {
+	started := func(startedMS int64, names ...ids.BackendServerID) []catalog.Server {
+		registered := servers(names...)
+		for index := range registered {
+			registered[index].StartedMS = startedMS
+		}
+		return registered
+	}
+	for name, test := range map[string]struct {
+		registered []catalog.Server
+		want       time.Duration
+	}{
+		"the old primary and a replica":             {servers("a", "b"), 0},
+		"the old primary and a replica that is new": {append(started(5, "b"), servers("a")...), 0},
+		"all have started anew":                     {started(5, "a", "b"), 3*second + leader.LeaseDuration},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := leader.NewTracker()
+			tracker.SetServers(0, servers("a", "b", "c"))
+			tracker.Observe("c", primary(2, 5, second))
+			tracker.SetServers(2*second, test.registered)
+			tracker.Assure(2 * second)
+			tracker.Observe("a", primary(1, 5, 3*second))
+			tracker.Observe("b", replica(1, 0, 3*second))
+			if got := tracker.LeaseExpiry(); got != test.want {
+				t.Errorf("lease until %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against using a position of a replaced or unconfirmed primary as one that covers all acknowledged writes.
 func TestFloor(t *testing.T) {
 	tracker := leader.NewTracker()
