The state of a fence does not outlast the duty; a long wait is not lost to a passing cause

What callers could see: (1) two orders pending at once, after a VM lost the duty and took it again: it took the fence of its earlier turn for one of this turn and did not wait for the order of the holder in between. (2) A group without a primary for another 30 s, because an attempt at the end of the wait failed for a passing cause, such as a server that joined. Both found by review, by argument.

Change: the flag ends with the token; once the members are overdue the wait goes on for any cause but that they serve others.

--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -111,8 +111,11 @@
 	pausedSince time.Duration
 	// order is the last order to promote that may not have taken effect yet. Only the running work changes it.
 	order handover.Order
-	// fenced reports whether the VMs were asked to fence the primary and have not been released. Only the running work changes it.
+	// fenced reports whether the VMs were asked to fence the primary and have not been released. Only the running work changes it, and
+	// evaluate when this VM has taken the duty anew, as another one may have fenced the primary since.
 	fenced bool
+	// token is that of the duty for which the group was last evaluated.
+	token Token
 	// wait measures how long a promotion has waited for members. Only the running work changes it, and evaluate while there is none.
 	wait membership.Wait
 }
@@ -174,7 +177,7 @@
 	polls := maxMemberPolls
 	for _, group := range promoter.groups.Groups() {
 		if promoter.OnDuty() {
-			promoter.evaluate(ctx, group)
+			promoter.evaluate(ctx, token, group)
 			promoter.assure(token, group)
 		}
 		polls -= promoter.updateMembers(token, group, polls)
@@ -203,7 +206,7 @@
 }
 
 // evaluate starts a replacement if the group needs one.
-func (promoter *Promoter) evaluate(ctx context.Context, group *monitor.Group) {
+func (promoter *Promoter) evaluate(ctx context.Context, token Token, group *monitor.Group) {
 	promoter.mutex.Lock()
 	defer promoter.mutex.Unlock()
 	watched, ok := promoter.watches[group.ID()]
@@ -214,6 +217,9 @@
 	if watched.running {
 		return
 	}
+	if watched.token != token {
+		watched.token, watched.fenced = token, false
+	}
 	now := clock.Now()
 	members := groupMembers(group)
 	watched.RequireTerm(promoter.fences.noteTerm(group.ID(), handover.NewestTerm(members)))
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -95,7 +95,8 @@
 		promoter.duty.leave()
 	}
 	if cause != "" {
-		watched.wait.Update(clock.Now(), handover.IsIncomplete(cause), registrationsKnown)
+		waits := handover.IsIncomplete(cause) || overdue && !handover.IsReachedByOthers(cause)
+		watched.wait.Update(clock.Now(), waits, registrationsKnown)
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", cause, "successor", successor.ID,
 			"position", successor.Received.Log, "acknowledged", safetyChecks.Acknowledged.Log)
 		promoter.abandon(ctx, group, watched, term)
