--- a/io/promoter/assurance.go
+++ b/io/promoter/assurance.go
@@ -80,8 +80,9 @@
 	return fences, nil
 }
 
-// FencesAtStart returns the stored fences, and the time from which on the holder of the duty waits for this VM, 0 if it may not. It retries until it succeeds, or until fences that were stored before the process
-// started have expired.
+// FencesAtStart returns the stored fences and the time at which they were read, 0 if this VM was not registered then, so that the holder
+// of the duty may not wait for it. It retries until it succeeds, or until fences that were stored before the process started have
+// expired.
 func (promoter *Promoter) FencesAtStart(ctx context.Context) (fences map[ids.GroupID]monitor.StoredFence, readAt time.Duration) {
 	began := clock.Now()
 	for promoter.registry != nil && !promoter.registry.IsRegistered() && clock.Now()-began < registrationWait {
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -126,8 +126,8 @@
 	promoter.fences.clear(ctx, group.ID())
 }
 
-// earlierOrderPending returns for how long an order of an earlier holder of the duty may still take effect: one stores a fence before it orders, and
-// clears it afterwards. Before the fences are known, it returns a short time.
+// earlierOrderPending returns for how long an order of an earlier holder of the duty may still take effect: one stores a fence before it
+// orders, and clears it afterwards. Before the fences are known, it returns a short time.
 func (promoter *Promoter) earlierOrderPending(token Token, group ids.GroupID, watched *groupWatch) time.Duration {
 	term, known := promoter.fences.termFor(token, group)
 	switch {
