Classification of SQL: a carriage return ends a line comment

Callers saw: a setting that another session had made. A text such as "-- c<CR>SET search_path = a" was taken for a comment alone, so its session was not pinned to the connection, which went to the next session with the setting. In the same way COMMIT, LISTEN and COPY behind such a comment were not recognised.

Cause: skipBlank looked for a line feed only. PostgreSQL ends a line comment at a carriage return or a line feed.

Change: the comment ends at the first of both characters. The fake server of the tests keeps settings and reads comments by PostgreSQL's rule.

--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -152,7 +152,8 @@
 		text = strings.TrimLeft(text, " \t\r\n\f\v")
 		switch {
 		case strings.HasPrefix(text, "--"):
-			end := strings.IndexByte(text, '\n')
+			// As in PostgreSQL, a carriage return ends the comment too.
+			end := strings.IndexAny(text, "\r\n")
 			if end < 0 {
 				return ""
 			}
--- a/io/session/classify_test.go
+++ b/io/session/classify_test.go
@@ -26,6 +26,8 @@
 		"SELECT $a$; listen x$a$":                                       {statements: 1, selectOnly: true},
 		"SELECT $1; listen x":                                           {statements: 2, unsupported: true},
 		"SELECT \"a;notify\" /* ; copy */":                              {statements: 1, selectOnly: true},
+		"-- c\rSET search_path = a":                                     {statements: 1, pins: true},
+		"SELECT 1 -- ; copy\r; listen x":                                {statements: 2, unsupported: true},
 		"SELECT 1 -- ; copy":                                            {statements: 1, selectOnly: true},
 		"SET search_path = a":                                           {statements: 1, pins: true},
 		"SET LOCAL search_path = a":                                     {statements: 1},
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -83,6 +84,8 @@
 	portals  map[string]string
 	skip     bool
 	readOnly bool
+	// values holds the settings of the session, and saved those that a rollback restores.
+	values, saved map[string]string
 	// readAhead is the number of further messages to read before the pending answers are flushed, so that the server has read
 	// everything that was sent to it.
 	readAhead int
@@ -92,7 +95,7 @@
 	defer conn.Close()
 	connection := &connection{
 		database: database, conn: conn, status: 'I', backend: pgproto3.NewBackend(conn, conn), cancel: make(chan struct{}, 1),
-		prepared: make(map[string]string), portals: make(map[string]string),
+		prepared: make(map[string]string), portals: make(map[string]string), values: make(map[string]string),
 	}
 	message, err := connection.backend.ReceiveStartupMessage()
 	if err != nil {
@@ -233,6 +236,7 @@
 }
 
 func (connection *connection) answer(query string, simple bool) {
+	query = withoutComment(query)
 	verb := firstWord(query)
 	var replica bool
 	var term, log int
@@ -242,12 +246,16 @@
 		if connection.status == 'E' {
 			verb = "ROLLBACK"
 		}
+		if verb == "ROLLBACK" && connection.status != 'I' {
+			connection.values = connection.saved
+		}
 		connection.status = 'I'
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(verb)})
 	case connection.status == 'E':
 		connection.fail("25P02", "current transaction is aborted")
 	case verb == "BEGIN":
 		connection.status = 'T'
+		connection.saved = maps.Clone(connection.values)
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
 	case query == "SELECT * FROM group_position()":
 		connection.rows(query, simple, strconv.Itoa(term), strconv.Itoa(log))
@@ -266,9 +274,17 @@
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
 	case verb == "SET":
 		connection.readOnly = connection.readOnly || query == "SET default_transaction_read_only = on"
+		name, value, _ := strings.Cut(query[len("SET "):], " = ")
+		connection.values[name] = value
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+	case verb == "SHOW":
+		connection.rows(query, simple, connection.values[query[len("SHOW "):]])
+	case verb == "RESET":
+		delete(connection.values, query[len("RESET "):])
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("RESET")})
 	case verb == "DISCARD":
 		connection.readOnly = false
+		clear(connection.values)
 		clear(connection.prepared)
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")})
 	default:
@@ -299,6 +315,14 @@
 	return fields
 }
 
+// withoutComment removes a comment at the start of the query, which ends at a carriage return or line feed as in PostgreSQL.
+func withoutComment(query string) string {
+	if end := strings.IndexAny(query, "\r\n"); strings.HasPrefix(query, "--") && end > 0 {
+		return query[end+1:]
+	}
+	return query
+}
+
 // firstWord returns the first word of the query in upper case.
 func firstWord(query string) string {
 	first, _, _ := strings.Cut(strings.ToUpper(strings.TrimSpace(query)), " ")
--- /dev/null
+++ b/io/session/settings_test.go
@@ -0,0 +1,35 @@
+package session_test
+
+import (
+	"strings"
+	"testing"
+)
+
+// TestSettingsStayWithTheirSession guards against settings of a session that reach the next user of its connection, or that the
+// session loses although they were acknowledged.
+func TestSettingsStayWithTheirSession(t *testing.T) {
+	cases := map[string]struct {
+		texts []string
+		name  string
+	}{
+		"plain":                             {[]string{"SET v = held"}, "v"},
+		"after a comment that ends at a CR": {[]string{"-- c\rSET v = held"}, "v"},
+	}
+	for name, tested := range cases {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 4)
+			owner, other := proxy.dial("app", ""), proxy.dial("app", "")
+			for _, text := range tested.texts {
+				owner.query(text)
+			}
+			other.query("SHOW " + tested.name)
+			if lines := string(other.transcript()); strings.Contains(lines, "DataRow held") {
+				t.Errorf("another session has the setting:\n%s", lines)
+			}
+			owner.query("SHOW " + tested.name)
+			if lines := string(owner.transcript()); !strings.Contains(lines, "DataRow held") {
+				t.Errorf("the session lost the setting:\n%s", lines)
+			}
+		})
+	}
+}
