Sessions: RESET of one setting keeps the others

Callers saw: a session that had set v and w and reset w lost v, although SET v was acknowledged; so did a session whose RESET was rolled back.

Cause: the command tag RESET ended the pinning to the connection if the text held a single statement. The tag is the same for RESET w and RESET ALL, and a rollback restores what RESET changed. The connection then went back to its pool, which runs DISCARD ALL.

Evidence, before the change (go test ./io/session -run TestSettingsStay):

Change: only DISCARD ALL ends the pinning. A session that resets all its settings with RESET ALL now keeps its connection until it ends.

Measured: the test passes, and so does go test ./io/session.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -44,7 +44,7 @@
 	readOnlyRefused bool
 	// unresponsive reports whether the server did not answer. The pool then cancels the statement on the connection.
 	unresponsive bool
-	// unpin reports whether the caller reset the session's settings.
+	// unpin reports whether the caller discarded all settings of the session.
 	unpin bool
 	// preamble reports whether readOnlySetting was sent before the request.
 	preamble bool
@@ -407,12 +407,11 @@
 		if session.request.class.pins {
 			session.pin()
 		}
-	case "DISCARD ALL", "RESET":
-		session.answer.unpin = tag == "DISCARD ALL" || session.request.class.statements == 1
-		if tag == "DISCARD ALL" {
-			session.backend.SetClean()
-			session.forgetStatements()
-		}
+	case "DISCARD ALL":
+		// RESET does not end the pinning: it leaves other settings in place, and a rollback reverts it.
+		session.answer.unpin = true
+		session.backend.SetClean()
+		session.forgetStatements()
 	case "DEALLOCATE ALL":
 		session.forgetStatements()
 		session.backend.ForgetPrepared()
