Classification of SQL: a custom setting may be named after LOCAL

Callers saw: a setting named local.v, transaction.v or constraints.v that another session had made.

Cause: SET local.v was taken for SET LOCAL, whose effect ends with the transaction, so its session was not pinned to the connection.

Evidence, before the change (go test ./io/session -run 'TestSettingsStay|TestClassify'):

Measured: both tests pass, and so does go test ./io/session.

--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -73,9 +73,7 @@
 		class.readWrite = class.readWrite || requestsReadWrite(statement)
 	case isKeyword(first, "SET"):
 		class.readWrite = class.readWrite || requestsReadWrite(statement)
-		if !isKeyword(second, "LOCAL") && !isKeyword(second, "TRANSACTION") && !isKeyword(second, "CONSTRAINTS") {
-			class.pins = true
-		}
+		class.pins = class.pins || !endsWithTransaction(second, rest)
 	case isKeyword(first, "LOAD"), isKeyword(first, "DECLARE"):
 		class.pins = true
 	case isKeyword(first, "CREATE"):
@@ -87,6 +85,15 @@
 	}
 }
 
+// endsWithTransaction reports whether the effect of a SET statement with the given word and text after SET ends with the
+// transaction. A keyword before a period is part of the name of a custom setting, as in SET local.name.
+func endsWithTransaction(second, rest string) bool {
+	if strings.HasPrefix(skipBlank(rest), ".") {
+		return false
+	}
+	return isKeyword(second, "LOCAL") || isKeyword(second, "TRANSACTION") || isKeyword(second, "CONSTRAINTS")
+}
+
 // declaresReadOnly reports whether the modes after BEGIN include READ ONLY. The last of READ ONLY and READ WRITE applies.
 func declaresReadOnly(next, rest string) bool {
 	readOnly := false
--- a/io/session/classify_test.go
+++ b/io/session/classify_test.go
@@ -31,6 +31,7 @@
 		"SELECT 1 -- ; copy":                                            {statements: 1, selectOnly: true},
 		"SET search_path = a":                                           {statements: 1, pins: true},
 		"SET LOCAL search_path = a":                                     {statements: 1},
+		"SET local /**/ .v = a":                                         {statements: 1, pins: true},
 		"SET TRANSACTION READ ONLY":                                     {statements: 1},
 		"SET TRANSACTION ISOLATION LEVEL SERIALIZABLE, READ /**/ WRITE": {statements: 1, readWrite: true},
 		"SET LOCAL \"transaction_read_only\" = off":                     {statements: 1, readWrite: true},
--- a/io/session/settings_test.go
+++ b/io/session/settings_test.go
@@ -12,10 +12,11 @@
 		texts []string
 		name  string
 	}{
-		"plain":                             {[]string{"SET v = held"}, "v"},
-		"after a comment that ends at a CR": {[]string{"-- c\rSET v = held"}, "v"},
-		"reset of another":                  {[]string{"SET v = held", "SET w = x", "RESET w"}, "v"},
-		"reset that is rolled back":         {[]string{"SET v = held", "BEGIN", "RESET v", "ROLLBACK"}, "v"},
+		"plain":                              {[]string{"SET v = held"}, "v"},
+		"after a comment that ends at a CR":  {[]string{"-- c\rSET v = held"}, "v"},
+		"custom setting of a keyword's name": {[]string{"SET local.v = held"}, "local.v"},
+		"reset of another":                   {[]string{"SET v = held", "SET w = x", "RESET w"}, "v"},
+		"reset that is rolled back":          {[]string{"SET v = held", "BEGIN", "RESET v", "ROLLBACK"}, "v"},
 	}
 	for name, tested := range cases {
 		t.Run(name, func(t *testing.T) {
