Sessions: every statement that creates a temporary object pins its session

Callers saw: temporary views, sequences and tables of another session, and lost their own after the transaction.

Cause: a session was pinned only after the tag CREATE TABLE of a text that begins with CREATE TEMP. The tag of CREATE TEMP VIEW and CREATE TEMP SEQUENCE is another one, that of CREATE TEMP TABLE AS and SELECT INTO TEMP is the one of a read. CREATE OR REPLACE TEMP and names in the schema pg_temp were not recognised.

Evidence, before the change (go test ./io/session -run 'TestSettingsStay|TestClassify'):

"create or replace temp view v": got {... pins:false} "SELECT 1 into/**/temporary t": got {... pins:false} --- FAIL: TestSettingsStayWithTheirSession/temporary_view --- FAIL: TestSettingsStayWithTheirSession/temporary_sequence --- FAIL: TestSettingsStayWithTheirSession/temporary_table_with_rows --- FAIL: TestSettingsStayWithTheirSession/temporary_table_of_a_query --- FAIL: TestSettingsStayWithTheirSession/object_in_the_temporary_schema another session has the setting

Change: the class alone decides; the tag only excludes PREPARE TRANSACTION. Temporary objects are recognised after CREATE, INTO and EXPLAIN. A text that merely quotes such words may pin a session, which costs it a connection of its own and is safe. Statements are cut at their end before they are looked at.

Measured: both tests pass, and so does go test ./io/session.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -403,10 +403,7 @@
 	session.answer.withholding = session.answer.withholding || session.answer.needsConfirmation
 	session.emit(frame)
 	switch tag {
-	case "SET", "PREPARE", "DECLARE CURSOR", "LOAD", "CREATE TABLE":
-		if session.request.class.pins {
-			session.pin()
-		}
+	case "PREPARE TRANSACTION":
 	case "DISCARD ALL":
 		// RESET does not end the pinning: it leaves other settings in place, and a rollback reverts it.
 		session.answer.unpin = true
@@ -415,6 +412,11 @@
 	case "DEALLOCATE ALL":
 		session.forgetStatements()
 		session.backend.ForgetPrepared()
+	default:
+		// The tag does not tell whether an object is temporary, so any tag counts.
+		if session.request.class.pins {
+			session.pin()
+		}
 	}
 }
 
--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -37,8 +37,9 @@
 			continue
 		}
 		class.statements++
-		class.add(rest)
-		rest = skipStatement(rest)
+		remaining := skipStatement(rest)
+		class.add(rest[:len(rest)-len(remaining)])
+		rest = remaining
 	}
 	if class.statements != 1 {
 		class.begins, class.selectOnly, class.beginsReadOnly = false, false, false
@@ -46,13 +47,16 @@
 	return class
 }
 
-// add updates the class with one statement of the text.
+// add updates the class with one statement.
 func (class *class) add(statement string) {
 	first, rest := nextWord(statement)
 	second, rest := nextWord(rest)
 	switch {
 	case isKeyword(first, "SELECT"):
 		class.selectOnly = true
+		class.pins = class.pins || selectsIntoTemporary(statement)
+	case isKeyword(first, "WITH"):
+		class.pins = class.pins || selectsIntoTemporary(statement)
 	case isKeyword(first, "BEGIN"), isKeyword(first, "START"):
 		class.begins = true
 		class.beginsReadOnly = declaresReadOnly(second, rest)
@@ -77,12 +81,42 @@
 	case isKeyword(first, "LOAD"), isKeyword(first, "DECLARE"):
 		class.pins = true
 	case isKeyword(first, "CREATE"):
-		for _, name := range []string{"TEMP", "TEMPORARY", "LOCAL", "GLOBAL"} {
-			if isKeyword(second, name) {
-				class.pins = true
-			}
+		class.pins = class.pins || createsTemporary(statement, second, rest)
+	case isKeyword(first, "EXPLAIN"):
+		// EXPLAIN ANALYZE runs CREATE TABLE AS and SELECT INTO.
+		class.pins = class.pins || strings.Contains(strings.ToLower(statement), "temp")
+	}
+}
+
+// createsTemporary reports whether the CREATE statement with the given word and text after CREATE creates a temporary object.
+func createsTemporary(statement, second, rest string) bool {
+	for isKeyword(second, "OR") || isKeyword(second, "REPLACE") {
+		second, rest = nextWord(rest)
+	}
+	return isTemporary(second) || strings.Contains(strings.ToLower(statement), temporarySchema)
+}
+
+// selectsIntoTemporary reports whether the statement contains INTO and a word for temporary tables. It ignores quotes, so a
+// quoted text may count too.
+func selectsIntoTemporary(statement string) bool {
+	const into = "INTO"
+	for at := 1; at+len(into) < len(statement); at++ {
+		if statement[at]|0x20 != 'i' || isLetter(statement[at-1]) || !isKeyword(statement[at:at+len(into)], into) {
+			continue
+		}
+		if next, _ := nextWord(statement[at+len(into):]); isTemporary(next) || isKeyword(next, temporarySchema) {
+			return true
 		}
 	}
+	return false
+}
+
+// temporarySchema is the name of the schema of temporary objects.
+const temporarySchema = "pg_temp"
+
+// isTemporary reports whether the word marks a temporary object after CREATE or INTO. LOCAL and GLOBAL precede TEMPORARY.
+func isTemporary(word string) bool {
+	return isKeyword(word, "TEMP") || isKeyword(word, "TEMPORARY") || isKeyword(word, "LOCAL") || isKeyword(word, "GLOBAL")
 }
 
 // endsWithTransaction reports whether the effect of a SET statement with the given word and text after SET ends with the
@@ -115,7 +149,6 @@
 // requestsReadWrite reports whether the statement contains READ WRITE or names a setting that makes transactions read-only,
 // whatever the new value of that setting.
 func requestsReadWrite(statement string) bool {
-	statement = statement[:len(statement)-len(skipStatement(statement))]
 	if strings.Contains(strings.ToLower(statement), "transaction_read_only") {
 		return true
 	}
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -265,6 +265,9 @@
 	case query == "SELECT writes()":
 		connection.withLock(func() { connection.log++ })
 		connection.rows(query, simple, "done")
+	case temporaryTags[query] != "":
+		connection.values["v"] = "held"
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(temporaryTags[query])})
 	case verb == "SELECT":
 		connection.rows(query, simple, strings.Trim(query[6:], " '"))
 	case verb == "INSERT" && (replica || connection.readOnly):
@@ -315,6 +318,16 @@
 	return fields
 }
 
+// temporaryTags maps statements that create a temporary object to their command tags in PostgreSQL. The fake server keeps the
+// object as a setting named v, because the next session would see either.
+var temporaryTags = map[string]string{
+	"CREATE OR REPLACE TEMP VIEW v":   "CREATE VIEW",
+	"CREATE TEMPORARY SEQUENCE v":     "CREATE SEQUENCE",
+	"CREATE TEMP TABLE v AS SELECT 1": "SELECT 1",
+	"SELECT 1 /* c */ INTO TEMP v":    "SELECT 1",
+	"CREATE TABLE PG_TEMP.v (a int)":  "CREATE TABLE",
+}
+
 // withoutComment removes a comment at the start of the query, which ends at a carriage return or line feed as in PostgreSQL.
 func withoutComment(query string) string {
 	if end := strings.IndexAny(query, "\r\n"); strings.HasPrefix(query, "--") && end > 0 {
--- a/io/session/settings_test.go
+++ b/io/session/settings_test.go
@@ -17,6 +17,11 @@
 		"custom setting of a keyword's name": {[]string{"SET local.v = held"}, "local.v"},
 		"reset of another":                   {[]string{"SET v = held", "SET w = x", "RESET w"}, "v"},
 		"reset that is rolled back":          {[]string{"SET v = held", "BEGIN", "RESET v", "ROLLBACK"}, "v"},
+		"temporary view":                     {[]string{"CREATE OR REPLACE TEMP VIEW v"}, "v"},
+		"temporary sequence":                 {[]string{"CREATE TEMPORARY SEQUENCE v"}, "v"},
+		"temporary table with rows":          {[]string{"CREATE TEMP TABLE v AS SELECT 1"}, "v"},
+		"temporary table of a query":         {[]string{"SELECT 1 /* c */ INTO TEMP v"}, "v"},
+		"object in the temporary schema":     {[]string{"CREATE TABLE PG_TEMP.v (a int)"}, "v"},
 	}
 	for name, tested := range cases {
 		t.Run(name, func(t *testing.T) {
