Classification of SQL: identifiers with dollar signs and escape strings in parts

Callers saw: what an unrecognised statement does. A text such as "SELECT 1 AS a$$$; SET v = x" or "SELECT E'a''\''; SET v = x --'" was taken for one SELECT, so that SET, COMMIT, LISTEN or COPY behind it were not recognised: the setting reached the next session, LISTEN was not refused.

Cause: a dollar sign behind another one was taken for the start of a quote although both belong to an identifier, and so was $1$. The parts of an escape string behind a doubled quote or a line end were read as ordinary strings, in which a backslash escapes nothing.

Evidence, before the change (go test ./io/session -run TestClassify):

"SELECT E'a''\\''; listen x --'": got {statements:1 ...}, want {statements:2 ... unsupported:true} "SELECT 1 AS a$$$; listen x; SELECT 1 AS b$$$": got {statements:1 ...}, want {statements:3 ...} "SELECT E'a'\n'\\''; listen x --'": got {statements:1 ...} "SELECT a$e'\\'; listen x --'": got {statements:1 ...} "SELECT $1$; listen x; SELECT $1$": got {statements:1 ...}

Change: identifiers are skipped as a whole, and an escape string as a whole.

Measured: the test passes, and so do go test ./io/session and FuzzClassify for 10 s.

Not covered: a session that sets standard_conforming_strings to off. It is pinned then, so its settings stay its own.

--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -231,13 +231,16 @@
 		switch char := text[at]; {
 		case char == ';':
 			return text[at:]
-		case char == '\'':
-			escapes := at > 0 && (text[at-1] == 'e' || text[at-1] == 'E') && (at < 2 || !isLetter(text[at-2]))
-			at += quotedLength(text[at:], '\'', escapes)
-		case char == '"':
-			at += quotedLength(text[at:], '"', false)
-		case char == '$' && (at == 0 || !isLetter(text[at-1])):
+		case char == '\'', char == '"':
+			at += quotedLength(text[at:], char)
+		case char == '$':
 			at += dollarQuotedLength(text[at:])
+		case isLetter(char) && !isDigit(char):
+			name := identifierLength(text[at:])
+			if strings.HasPrefix(text[at+name:], "'") && isKeyword(text[at:at+name], "E") {
+				name += escapeStringLength(text[at+name:])
+			}
+			at += name
 		case strings.HasPrefix(text[at:], "--"), strings.HasPrefix(text[at:], "/*"):
 			at = len(text) - len(skipBlank(text[at:]))
 		default:
@@ -247,27 +250,76 @@
 	return ""
 }
 
+func isDigit(char byte) bool { return char >= '0' && char <= '9' }
+
+// identifierLength returns the length of the identifier at the start of the text. Behind its first letter, it may contain
+// dollar signs.
+func identifierLength(text string) int {
+	end := 0
+	for end < len(text) && (isLetter(text[end]) || text[end] == '$') {
+		end++
+	}
+	return end
+}
+
 // quotedLength returns the length of the quoted text. Text with a doubled quote counts as two adjacent quoted texts.
-func quotedLength(text string, quote byte, escapes bool) int {
+func quotedLength(text string, quote byte) int {
+	if end := strings.IndexByte(text[1:], quote); end >= 0 {
+		return end + 2
+	}
+	return len(text)
+}
+
+// escapeStringLength returns the length of the string, in which a backslash escapes a quote. A doubled quote and the parts
+// of a string that goes on behind a line end belong to it, because their backslashes are escapes too.
+func escapeStringLength(text string) int {
 	for at := 1; at < len(text); at++ {
-		if escapes && text[at] == '\\' {
+		switch text[at] {
+		case '\\':
 			at++
-			continue
+		case '\'':
+			next := continuationLength(text[at+1:])
+			if next == 0 {
+				return at + 1
+			}
+			at += next
 		}
-		if text[at] == quote {
+	}
+	return len(text)
+}
+
+// continuationLength returns the length up to the quote with which a string goes on, or 0 if it has ended: the quote follows
+// either at once or behind white space and line comments that contain a line end.
+func continuationLength(text string) int {
+	lineEnded := false
+	for at := 0; at < len(text); at++ {
+		switch char := text[at]; {
+		case char == '\'' && (at == 0 || lineEnded):
 			return at + 1
+		case char == '\n', char == '\r':
+			lineEnded = true
+		case char == ' ', char == '\t', char == '\f', char == '\v':
+		case strings.HasPrefix(text[at:], "--"):
+			end := strings.IndexAny(text[at:], "\r\n")
+			if end < 0 {
+				return 0
+			}
+			at, lineEnded = at+end, true
+		default:
+			return 0
 		}
 	}
-	return len(text)
+	return 0
 }
 
-// dollarQuotedLength returns the length of the dollar-quoted text, or of the dollar sign and letters that are none.
+// dollarQuotedLength returns the length of the dollar-quoted text, or of the dollar sign and letters that are none. A tag does
+// not begin with a digit, which makes a parameter such as $1.
 func dollarQuotedLength(text string) int {
 	end := 1
 	for end < len(text) && isLetter(text[end]) {
 		end++
 	}
-	if end == len(text) || text[end] != '$' {
+	if end == len(text) || text[end] != '$' || isDigit(text[1]) {
 		return end
 	}
 	tag := text[:end+1]
