Sessions: notices within the answer for the log position

Callers saw: outcome_unknown for a write that had taken effect. PostgreSQL may send a notice or the new value of a setting at any time, for example after client_min_messages was lowered or the server's configuration was loaded again.

Cause: readPosition took any message but those of the answer for a fault of the server and closed the connection.

Evidence, before the change (go test ./io/session -run TestNoticeInPosition):

caller > Query "INSERT a" caller < ErrorResponse ERROR 08007 it is not known whether the request took effect; ... 'N' instead of the position: unexpected message

Change: both messages are forwarded, as elsewhere in an answer.

Measured: the test passes, and so does go test ./io/session.

--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -29,7 +29,7 @@
 	quiet    bool
 	// fault maps a statement text to the fault injected into its next execution: "drop" closes the connection before the
 	// statement runs, "drop after" closes it afterwards, "twice" sends the answer twice, "crossed" sends the answer to another
-	// statement, "write" refuses it as a write, and "late" delays the answer until release is closed.
+	// statement, "write" refuses it as a write, "notice" precedes the answer with unsolicited messages, and "late" delays the answer until release is closed.
 	fault   map[string]string
 	release chan struct{}
 }
@@ -212,6 +212,8 @@
 		return false
 	case "late":
 		<-connection.release
+	case "notice":
+		connection.send(&pgproto3.NoticeResponse{Severity: "NOTICE", Message: "note"}, &pgproto3.ParameterStatus{Name: "a", Value: "b"})
 	case "crossed":
 		query = "SELECT 'answer of another'"
 		simple = !simple
--- a/io/session/logposition.go
+++ b/io/session/logposition.go
@@ -17,7 +17,7 @@
 	found := false
 	var values [4][]byte
 	for {
-		frame, err := session.receiveAny()
+		frame, err := session.receive()
 		if err != nil {
 			return at, err
 		}
