Sessions: a second answer on a connection that the session holds

On a connection that a session's settings hold the second answer was noticed only after the next statement had been sent, so a write there was reported as outcome_unknown.

Cause: only connections from the pool were looked at for bytes of the server before they are used. A connection that a transaction or a session's settings hold was not.

Evidence, before the change (go test ./io/session -run TestSurplusAnswerOnHeldConnection):

Change: a request on a held connection checks it as the pool does. If bytes lie there, or the server has closed it, nothing is sent: the transaction is reported as rolled back, and a session with settings ends, with 08006 and a known outcome.

Open: a second answer that arrives after the next request was sent.

--- a/io/backend/conn.go
+++ b/io/backend/conn.go
@@ -186,7 +186,7 @@
 // of the connection.
 func (conn *Conn) SetCanceled() { conn.canceled.Store(true) }
 
-// usable reports, without blocking, whether the server has neither closed the idle connection nor sent unsolicited data.
+// usable reports, without blocking, whether the server has neither closed the connection nor sent unsolicited data.
 func (conn *Conn) usable() bool {
 	if conn.raw == nil {
 		return true
@@ -200,6 +200,9 @@
 	return err == nil && usable
 }
 
+// HasSurplus reports, without blocking, whether the server closed the connection or sent more than the answers read so far.
+func (conn *Conn) HasSurplus() bool { return conn.reader.Buffered() > 0 || !conn.usable() }
+
 // reset clears the settings and prepared statements of the session with DISCARD ALL.
 func (conn *Conn) reset() error {
 	if _, err := conn.Send(wire.AppendQuery(nil, "DISCARD ALL"), 1); err != nil {
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -28,7 +29,8 @@
 	nextID   uint32
 	quiet    bool
 	// fault maps a statement text to the fault injected into its next execution: "drop" closes the connection before the
-	// statement runs, "drop after" closes it afterwards, "twice" sends the answer twice, "crossed" sends the answer to another
+	// statement runs, "drop after" closes it afterwards, "twice" sends the answer twice, "twice later" sends
+	// the second one 20 ms later, "crossed" sends the answer to another
 	// statement, "write" refuses it as a write, "notice" precedes the answer with unsolicited messages, and "late" delays the answer until release is closed.
 	fault   map[string]string
 	release chan struct{}
@@ -129,6 +131,20 @@
 	}
 }
 
+// repeatRow sends the answer to a query for one row again.
+func (connection *connection) repeatRow(query string, status byte) {
+	time.Sleep(20 * time.Millisecond)
+	var answer []byte
+	for _, message := range []pgproto3.BackendMessage{
+		&pgproto3.RowDescription{Fields: fields(query)}, &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Trim(query[6:], " '"))}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: status},
+	} {
+		answer, _ = message.Encode(answer)
+	}
+	_, _ = connection.conn.Write(answer)
+	connection.logLine(connection.id, "second answer")
+}
+
 func (connection *connection) send(messages ...pgproto3.BackendMessage) {
 	for _, message := range messages {
 		connection.backend.Send(message)
@@ -234,6 +250,9 @@
 		}
 		connection.answer(query, simple)
 	}
+	if fault == "twice later" {
+		go connection.repeatRow(query, connection.status)
+	}
 	return fault != "drop after"
 }
 
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -218,6 +218,10 @@
 			return attemptResult{refused: refusal.New(refusal.BackendLost, err.Error())}
 		}
 	}
+	if session.backend != nil && session.backend.HasSurplus() {
+		// An answer that comes twice would be taken for the answer to this request.
+		return session.connectionLost(attempt, fmt.Errorf("before the request was sent: %w", backend.ErrUnexpected))
+	}
 	if session.backend == nil {
 		session.setWaiting(true)
 		refused := session.connect(attempt, deadline)
--- a/io/session/unsolicited_test.go
+++ b/io/session/unsolicited_test.go
@@ -20,3 +20,23 @@
 		t.Errorf("got:\n%s", lines)
 	}
 }
+
+// TestSurplusAnswerOnHeldConnection guards against a second answer to an earlier statement that is taken for the answer to the next
+// one, on a connection that a transaction or the settings of a session hold.
+func TestSurplusAnswerOnHeldConnection(t *testing.T) {
+	for name, first := range map[string]string{"transaction": "BEGIN", "settings": "SET v = held"} {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 4)
+			caller := proxy.dial("app", "")
+			caller.query(first)
+			proxy.primary.withLock(func() { proxy.primary.fault["SELECT 'x'"] = "twice later" })
+			caller.query("SELECT 'x'")
+			proxy.primary.awaitLine(t, "second answer")
+			caller.query("SELECT 'y'")
+			lines := string(caller.transcript())
+			if strings.Count(lines, "DataRow x") != 1 || !strings.Contains(lines, "08006") || strings.Contains(lines, "primary #1 > Query \"SELECT 'y'\"") {
+				t.Errorf("got:\n%s", lines)
+			}
+		})
+	}
+}
