Sessions: own writes of a session that is read-only by default

Callers saw: a read that lacks the session's own acknowledged write (STALE, read your writes), in a session with default_transaction_read_only = on that had written in a transaction begun as READ WRITE.

Cause: a read-only session keeps its position after a request, since the request wrote nothing. That the caller had lifted the default was not considered there, although other places do.

Evidence, before the change (go test ./io/session -run TestLiftedReadOnly; the replica has replayed the log up to the state before the write):

Measured: the read runs on the primary; go test ./io/session passes.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -171,7 +171,8 @@
 // on the primary, the primary's newer position would exclude lagging replicas although they have replayed everything that
 // the session wrote.
 func (session *Session) keepsPosition(at position.Position) bool {
-	return session.positionKnown && (session.readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
+	readOnly := session.readOnly && !session.readOnlyLifted
+	return session.positionKnown && (readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
 }
 
 // revertFailed discards the prepared statements whose Parse was not run because of an error.
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -86,6 +86,8 @@
 	portals  map[string]string
 	skip     bool
 	readOnly bool
+	// readWrite reports whether the transaction was begun as READ WRITE.
+	readWrite bool
 	// values holds the settings of the session, and saved those that a rollback restores.
 	values, saved map[string]string
 	// readAhead is the number of further messages to read before the pending answers are flushed, so that the server has read
@@ -270,12 +272,13 @@
 		if verb == "ROLLBACK" && connection.status != 'I' {
 			connection.values = connection.saved
 		}
-		connection.status = 'I'
+		connection.status, connection.readWrite = 'I', false
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(verb)})
 	case connection.status == 'E':
 		connection.fail("25P02", "current transaction is aborted")
 	case verb == "BEGIN":
 		connection.status = 'T'
+		connection.readWrite = query == "BEGIN READ WRITE"
 		connection.saved = maps.Clone(connection.values)
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
 	case query == "SELECT * FROM group_position()":
@@ -291,19 +294,20 @@
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(temporaryTags[query])})
 	case verb == "SELECT":
 		connection.rows(query, simple, strings.Trim(query[6:], " '"))
-	case verb == "INSERT" && (replica || connection.readOnly):
+	case verb == "INSERT" && (replica || connection.readOnly && !connection.readWrite):
 		connection.fail("25006", "cannot execute INSERT in a read-only transaction")
 	case verb == "INSERT":
 		connection.withLock(func() { connection.log++ })
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
 	case verb == "SET":
-		connection.readOnly = connection.readOnly || query == "SET default_transaction_read_only = on"
+		connection.readOnly = (connection.readOnly || query == "SET default_transaction_read_only = on") && query != "SET default_transaction_read_only = off"
 		name, value, _ := strings.Cut(query[len("SET "):], " = ")
 		connection.values[name] = value
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 	case verb == "SHOW":
 		connection.rows(query, simple, connection.values[query[len("SHOW "):]])
 	case verb == "RESET":
+		connection.readOnly = connection.readOnly && !strings.Contains(query, "read_only") && query != "RESET ALL"
 		delete(connection.values, query[len("RESET "):])
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("RESET")})
 	case verb == "DISCARD":
