Sessions: an acknowledged default_transaction_read_only stays in force

Callers saw: 25006 for a write after SET default_transaction_read_only = off had succeeded, in a session that was opened as read-only by default.

Cause: on the primary the proxy sends SET default_transaction_read_only = on before each request of such a session, also on the connection to which the caller's own setting had pinned the session.

Evidence, before the change (go test ./io/session -run TestLiftedReadOnly):

Change: the statement is left out once the caller has set the default itself, until RESET or DISCARD ALL. On a route that takes reads only it is always sent.

Measured: the test passes, also for sessions that reset or discard the setting, and so does go test ./io/session.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -192,7 +192,7 @@
 	scratch.withheld = scratch.withheld[:0]
 	send := scratch.send[:0]
 	due := 0
-	if session.readOnly && session.primary && session.txStatus == wire.Idle && !session.awaitingSync {
+	if session.setsReadOnly() {
 		send = wire.AppendQuery(send, readOnlySetting)
 		due++
 		session.backend.SetDirty()
@@ -220,6 +220,15 @@
 	return session.backend.Send(send, due)
 }
 
+// setsReadOnly reports whether readOnlySetting precedes the request. It must not undo a setting that the caller made on the
+// connection it is pinned to, unless the route takes reads only.
+func (session *Session) setsReadOnly() bool {
+	if !session.readOnly || !session.primary || session.txStatus != wire.Idle || session.awaitingSync {
+		return false
+	}
+	return !(session.pinned && session.readOnlyOff) || session.route.Access == contract.Read
+}
+
 // forwardAnswer forwards the answer to the request up to ReadyForQuery or, after a Flush, to the last message of the batch.
 func (session *Session) forwardAnswer() error {
 	if session.answer.preamble {
@@ -405,9 +414,11 @@
 	session.emit(frame)
 	switch tag {
 	case "PREPARE TRANSACTION":
+	case "RESET":
+		session.readOnlyOff = false
 	case "DISCARD ALL":
 		// RESET does not end the pinning: it leaves other settings in place, and a rollback reverts it.
-		session.answer.unpin = true
+		session.answer.unpin, session.readOnlyOff = true, false
 		session.backend.SetClean()
 		session.forgetStatements()
 	case "DEALLOCATE ALL":
@@ -417,6 +428,7 @@
 		// The tag does not tell whether an object is temporary, so any tag counts.
 		if session.request.class.pins {
 			session.pin()
+			session.readOnlyOff = session.readOnlyOff || session.request.class.readWrite
 		}
 	}
 }
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -61,6 +61,9 @@
 	readOnly bool
 	// readOnlyLifted reports whether the caller may have overridden its own read-only default.
 	readOnlyLifted bool
+	// readOnlyOff reports whether the caller's last setting of its read-only default on the connection that it is pinned to may
+	// allow writes.
+	readOnlyOff bool
 
 	// mutex guards backend and waiting against cancel requests, which come from other goroutines.
 	mutex   sync.Mutex
