Sessions: a COMMIT before Flush is confirmed like any other

Callers saw: CommandComplete COMMIT before the write was durable, if the COMMIT was sent with a Flush message and its Sync later. If the connection was lost between the two, the transaction was reported as rolled back although it may have been committed.

Cause: confirmation was bound to Sync. PostgreSQL commits an explicit transaction when COMMIT runs, not at Sync.

Evidence, before the change (go test ./io/session -run TestFlushedCommitIsConfirmed):

caller > Execute "" caller > Flush caller < CommandComplete COMMIT caller < ErrorResponse ERROR 08007 it is not known whether the request took effect

Change: Flush after a statement that commits goes to the server as Sync, with the query for the position behind it. The caller gets the answer after the confirmation, and ReadyForQuery after its own Sync.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -7,7 +7,6 @@
 
 	"dotterelgw/core/contract"
 	"dotterelgw/core/position"
-	"dotterelgw/core/refusal"
 	"dotterelgw/core/retry"
 	"dotterelgw/io/backend"
 	"dotterelgw/io/backend/wire"
@@ -117,71 +116,13 @@
 	return attemptResult{failed: attempt, err: err}
 }
 
-// completeRequest confirms that the changes of the request are durable and appends the rest of the answer.
-func (session *Session) completeRequest(attempt *retry.Attempt, status byte, at position.Position, asksPosition bool) attemptResult {
-	server := session.backend.Server()
-	confirm := status == wire.Idle && session.primary && session.answer.completed
-	if confirm && !asksPosition {
-		// The request ended a transaction although no statement in it was recognised as doing so.
-		var err error
-		if _, err = session.backend.Send(wire.AppendQuery(nil, positionQuery), 1); err == nil {
-			at, err = session.readPosition(status)
-		}
-		if err != nil {
-			return session.connectionLost(attempt, err)
-		}
-	}
-	session.txStatus = status
-	if session.answer.unpin {
-		session.pinned = false
-	}
-	if status == wire.Idle {
-		clear(session.portals)
-		if !session.pinned {
-			session.release()
-		}
-	}
-	scratch := session.scratch
-	if confirm {
-		if err := session.server.Groups.Confirm(session.ctx, session.route.Group, server, at); err != nil {
-			scratch.withheld = scratch.withheld[:0]
-			session.positionKnown = false
-			var refused *refusal.Refusal
-			if !errors.As(err, &refused) {
-				refused = refusal.New(refusal.OutcomeUnknown, err.Error())
-			}
-			session.appendRefusal(refused, "ERROR")
-			scratch.out = wire.AppendReady(scratch.out, status)
-			return attemptResult{}
-		}
-		if !session.keepsPosition(at) {
-			session.position, session.positionKnown = at, true
-		}
-	}
-	scratch.out = append(scratch.out, scratch.withheld...)
-	scratch.withheld = scratch.withheld[:0]
-	if confirm {
-		scratch.out = session.appendToken(scratch.out)
-	}
-	scratch.out = wire.AppendReady(scratch.out, status)
-	return attemptResult{}
-}
-
-// keepsPosition reports whether the request certainly wrote nothing, so that the session keeps its position. After a read
-// on the primary, the primary's newer position would exclude lagging replicas although they have replayed everything that
-// the session wrote.
-func (session *Session) keepsPosition(at position.Position) bool {
-	readOnly := session.readOnly && !session.readOnlyLifted
-	return session.positionKnown && (readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
-}
-
 // revertFailed discards the prepared statements whose Parse was not run because of an error.
 func (session *Session) revertFailed() {
 	scratch := session.scratch
 	if session.answer.failed && session.answer.completedSteps < len(scratch.steps) {
 		session.revertStatements(scratch.steps[session.answer.completedSteps].op)
 	}
-	if session.answer.failed && !session.request.endsWithReady {
+	if session.answer.failed && !session.request.answersReady() {
 		session.skipping = true
 	}
 }
--- a/io/session/batch.go
+++ b/io/session/batch.go
@@ -54,6 +54,9 @@
 	simple bool
 	// endsWithReady reports whether the answer ends with ReadyForQuery.
 	endsWithReady bool
+	// flushed reports whether the caller's Flush message is sent to the server as Sync, so that the caller is not told of
+	// ReadyForQuery yet.
+	flushed bool
 	// statements is the number of statements that count against the rate limit.
 	statements int
 	class      class
@@ -63,6 +66,9 @@
 	speculative bool
 }
 
+// answersReady reports whether the answer to the caller ends with ReadyForQuery.
+func (request *request) answersReady() bool { return request.endsWithReady && !request.flushed }
+
 // add merges the class of a further statement into the class of the request.
 func (request *request) add(class class) {
 	if request.class.statements == 0 {
--- a/io/session/receive.go
+++ b/io/session/receive.go
@@ -133,11 +133,11 @@
 		if !session.runAbortedMessage(&session.scratch.ops[index]) {
 			session.revertStatements(index)
 			session.failAborted()
-			session.skipping = !request.endsWithReady
+			session.skipping = !request.answersReady()
 			break
 		}
 	}
-	if request.endsWithReady {
+	if request.answersReady() {
 		session.scratch.out = wire.AppendReady(session.scratch.out, session.txStatus)
 	}
 	return nil
--- a/io/session/refuse.go
+++ b/io/session/refuse.go
@@ -67,7 +67,7 @@
 		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: sqlStateCanceled,
 		Message: "canceling statement due to user request",
 	}).Encode(session.scratch.out)
-	if session.request.endsWithReady {
+	if session.request.answersReady() {
 		session.scratch.out = wire.AppendReady(session.scratch.out, session.txStatus)
 	} else {
 		session.skipping = true
@@ -102,7 +102,7 @@
 		return session.refuseFatal(refused)
 	}
 	session.appendRefusal(refused, "ERROR")
-	if session.request.endsWithReady || session.request.simple {
+	if session.request.answersReady() || session.request.simple {
 		session.scratch.out = wire.AppendReady(session.scratch.out, session.txStatus)
 	} else {
 		session.skipping = true
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -238,6 +238,10 @@
 		if session.skipping || len(session.scratch.ops) == 0 {
 			return session.flush()
 		}
+		if session.request.class.commits {
+			// COMMIT takes effect on the server before Sync, so it must be confirmed before the caller sees its answer.
+			session.request.endsWithReady, session.request.flushed = true, true
+		}
 		err := session.runRequest()
 		session.resetBatch()
 		if err != nil {
