Sessions: a COMMIT that the text does not show is confirmed before its acknowledgement

Callers saw: CommandComplete COMMIT followed by outcome_unknown, that is, an acknowledgement before the write was durable, in a session that had set standard_conforming_strings to off and sent a COMMIT behind a string with a backslash.

Cause: only the text decided whether the answer is withheld until the confirmation, and the text is read with standard_conforming_strings = on.

Evidence, before the change (go test ./io/session -run TestUnrecognisedCommitIsConfirmed):

caller > Query "SELECT '\\''; COMMIT --'" caller < CommandComplete SELECT 1 caller < CommandComplete COMMIT caller < ErrorResponse ERROR 08007 it is not known whether the request took effect

Change: the answer is also withheld from the server's tag COMMIT on.

Measured: the test passes, and so does go test ./io/session.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -351,7 +351,9 @@
 		session.scratch.withheld = session.scratch.withheld[:0]
 		_ = session.flush()
 	}
-	session.answer.withholding = session.answer.withholding || session.answer.needsConfirmation
+	// The tag shows a COMMIT also if the text was read by other rules than the server's, as with standard_conforming_strings = off.
+	commits := session.answer.needsConfirmation || tag == "COMMIT" && session.primary && session.request.endsWithReady
+	session.answer.withholding = session.answer.withholding || commits
 	session.emit(frame)
 	switch tag {
 	case "PREPARE TRANSACTION":
--- a/io/session/confirm_test.go
+++ b/io/session/confirm_test.go
@@ -39,3 +39,19 @@
 		})
 	}
 }
+
+// TestUnrecognisedCommitIsConfirmed guards against a COMMIT that is acknowledged before it is durable because its text is read by
+// other rules than those of the server.
+func TestUnrecognisedCommitIsConfirmed(t *testing.T) {
+	proxy := newProxy(t, 4)
+	caller := proxy.dial("app", "")
+	for _, text := range []string{"SET standard_conforming_strings = off", "BEGIN", "INSERT a"} {
+		caller.query(text)
+	}
+	refuse := outcomeUnknown
+	proxy.confirm.Store(&refuse)
+	caller.query(hiddenCommit)
+	if lines := string(caller.transcript()); strings.Contains(lines, "caller < CommandComplete COMMIT") || !strings.Contains(lines, "08007") {
+		t.Errorf("got:\n%s", lines)
+	}
+}
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -274,6 +274,10 @@
 		}
 		connection.status, connection.readWrite = 'I', false
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(verb)})
+	case query == hiddenCommit:
+		connection.rows(query, simple, "x")
+		connection.status = 'I'
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("COMMIT")})
 	case connection.status == 'E':
 		connection.fail("25P02", "current transaction is aborted")
 	case verb == "BEGIN":
@@ -343,6 +347,9 @@
 	return fields
 }
 
+// hiddenCommit is a SELECT and a COMMIT for a server whose standard_conforming_strings is off, and one SELECT otherwise.
+const hiddenCommit = `SELECT '\''; COMMIT --'`
+
 // temporaryTags maps statements that create a temporary object to their command tags in PostgreSQL. The fake server keeps the
 // object as a setting named v, because the next session would see either.
 var temporaryTags = map[string]string{
