Logs: texts of callers stay in their field, also in lines that are cut

Operators saw: a line that was cut at 4 KiB within a quoted value has no closing quote, so that dotterelctl trace gives up the whole file; a long identifier hides the reason and everything else behind it; U+2028, U+2029 and U+0085 in a text show as line ends in viewers.

Cause: the encoded line was cut at a byte. logfmt escapes only control characters below U+0020.

Evidence, before the change (go test ./io/observe -run 'TestTexts|TestLogger'):

--- FAIL: TestTextsStayInTheirField/long_and_quoted_error logfmt syntax error at pos 4096 on line 1: unterminated quoted value fields "time vm event" --- FAIL: TestTextsStayInTheirField/unquoted_error 4 lines: ["time=... event=refused request=a" "b reason=protocol_error err=a" "b last=7" ...]

CR, LF, TAB, quotes, zero bytes and invalid UTF-8 were kept within their field before.

Change: the longest values are cut, at a whole character or escape, until the line fits, and the field cut=true says so. Characters that are not printable are escaped. The logs of both modes of the program use the same encoder.

Measured: the tests pass.

--- a/io/observe/eventlog.go
+++ b/io/observe/eventlog.go
@@ -1,18 +1,15 @@
 package observe
 
 import (
-	"bytes"
 	"io"
 	"sync"
 	"time"
-
-	"github.com/go-kit/log"
 )
 
 const (
 	// queueCapacity is the number of lines that are queued for the writer, for when the reader of the log is slow.
 	queueCapacity = 2048
-	// maxLineBytes is the length in bytes at which a line is cut, since fields such as the identifier of a request come from callers.
+	// maxLineBytes is the length in bytes from which on the longest values of a line are cut, since fields such as the identifier of a request come from callers.
 	maxLineBytes = 4 << 10
 	// linesPerSecond is the rate limit of each kind of line. Lines over the limit are counted and omitted.
 	linesPerSecond = 40
@@ -106,31 +103,23 @@
 		return
 	}
 	bucket.tokens--
-	var line bytes.Buffer
 	pairs := append([]any{"time", now.UTC().Format("2006-01-02T15:04:05.000Z"), "vm", eventLog.vm, "event", kind}, keyvals...)
 	if bucket.omitted > 0 {
 		pairs = append(pairs, "omitted", bucket.omitted)
 	}
-	if err := log.NewLogfmtLogger(&line).Log(pairs...); err != nil {
+	line, err := encodeLine(maxLineBytes, pairs)
+	if err != nil {
 		bucket.omitted++
 		return
 	}
 	select {
-	case eventLog.lines <- cut(line.Bytes()):
+	case eventLog.lines <- line:
 		bucket.omitted = 0
 	default:
 		bucket.omitted++
 	}
 }
 
-// cut returns the line, or a copy of its beginning if it is too long.
-func cut(line []byte) []byte {
-	if len(line) <= maxLineBytes {
-		return line
-	}
-	return append(bytes.Clone(line[:maxLineBytes-1]), '\n')
-}
-
 // refill returns the token bucket of the kind after adding the tokens earned since its last use. The mutex is held.
 func (eventLog *EventLog) refill(kind string, now time.Time) *tokenBucket {
 	bucket, ok := eventLog.buckets[kind]
--- a/io/observe/logger.go
+++ b/io/observe/logger.go
@@ -7,10 +7,27 @@
 	"github.com/go-kit/log/level"
 )
 
+// maxLoggerLineBytes is the length in bytes from which on the longest values of a line of a logger are cut. A line may hold the stacks of
+// a panic.
+const maxLoggerLineBytes = 32 << 10
+
+// lineLogger writes lines to a writer that is safe for concurrent use.
+type lineLogger struct{ writer io.Writer }
+
+// Log implements log.Logger.Log.
+func (lineLogger lineLogger) Log(keyvals ...any) error {
+	line, err := encodeLine(maxLoggerLineBytes, keyvals)
+	if err != nil {
+		return err
+	}
+	_, err = lineLogger.writer.Write(line)
+	return err
+}
+
 // NewLogger returns a logger that writes lines of the lowest level and above; lowest is debug, info, warn or error, and anything
 // else stands for info.
 func NewLogger(writer io.Writer, lowest string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(writer))
+	var logger log.Logger = lineLogger{writer: log.NewSyncWriter(writer)}
 	logger = level.NewFilter(logger, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
 	return log.With(logger, "time", log.DefaultTimestampUTC)
 }
