trace: logs with foreign lines, and identifiers as they stand in a log

Operators saw: dotterelctl trace gives up at the first line that is no log line, such as the stack of a panic or a line of an earlier version that was cut within a quote; "token too long" at a line of 64 KiB; an identifier that is pasted from a log with its escapes is not found.

Evidence, before the change (go test ./io/trace):

--- FAIL: TestFindAmongOtherTexts/behind_a_stack 0 lines: reading a log: logfmt syntax error at pos 8 on line 1: unexpected '"' --- FAIL: TestFindAmongOtherTexts/behind_a_long_line 0 lines: reading a log: bufio.Scanner: token too long --- FAIL: TestFindAmongOtherTexts/as_it_stands_in_the_log 0 lines: request "a\nb\u2028": no line names the request

Change: each line is decoded by itself, up to its first fault; longer lines are skipped. The identifier is also read as a value of a log, with its quotes or without them, and a line with cut=true may name the beginning of a long one.

Measured: the test passes, and so do go test ./io/trace ./cmd/dotterelctl.

--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/go-logfmt/logfmt"
-
 	"dotterelgw/core/refusal"
 )
 
@@ -101,10 +99,11 @@
 // Find reads the logs and returns the timeline of the request, or ErrNotFound.
 func Find(request string, logs ...io.Reader) (Timeline, error) {
 	var requestLines, stateChanges []Line
+	identifiers := spellings(request)
 	for _, log := range logs {
 		err := scan(log, func(line Line) {
 			switch {
-			case line.Get(requestKey) == request:
+			case slices.ContainsFunc(identifiers, line.isAbout):
 				requestLines = append(requestLines, line)
 			case stateChangeEvents[line.Get(eventKey)]:
 				stateChanges = append(stateChanges, line)
@@ -127,32 +126,6 @@
 	return timeline, nil
 }
 
-// scan calls the function with each line of the log.
-func scan(log io.Reader, each func(Line)) error {
-	decoder := logfmt.NewDecoder(log)
-	for decoder.ScanRecord() {
-		each(decode(decoder))
-	}
-	if err := decoder.Err(); err != nil {
-		return fmt.Errorf("reading a log: %w", err)
-	}
-	return nil
-}
-
-// decode decodes the current line.
-func decode(decoder *logfmt.Decoder) Line {
-	var line Line
-	for decoder.ScanKeyval() {
-		field := Field{Key: string(decoder.Key()), Value: string(decoder.Value())}
-		if field.Key == timeKey {
-			// A line with an invalid time is kept with a zero time and sorts first.
-			line.Time, _ = time.Parse(time.RFC3339Nano, field.Value)
-		}
-		line.Fields = append(line.Fields, field)
-	}
-	return line
-}
-
 // mayExplain states whether a state change may explain a line of the request: it was logged at most lookback before the line, on
 // the same VM or about the same server.
 func mayExplain(change, request Line) bool {
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -42,3 +42,26 @@
 		t.Errorf("an unknown request: %v", err)
 	}
 }
+
+// Guards against a trace that misses a request because of other texts in the log, or whose identifier needs escapes.
+func TestFindAmongOtherTexts(t *testing.T) {
+	const served = "time=2026-06-24T20:34:38.413Z vm=a-1 event=served server=s1 request="
+	cases := map[string]struct{ log, request string }{
+		"escaped":                 {served + `"a\nb\u2028"`, "a\nb\u2028"},
+		"as it stands in the log": {served + `"a\nb\u2028"`, `"a\nb\u2028"`},
+		"without its quotes":      {served + `"a\nb\u2028"`, `a\nb\u2028`},
+		"a backslash":             {served + `a\b`, `a\b`},
+		"behind a stack":          {"panic: \"x\n\ngoroutine 1 [running]:\nmain.main(0x1=)\n" + served + "q1", "q1"},
+		"behind a long line":      {strings.Repeat("x", 1<<20) + "\n" + served + "q1", "q1"},
+		"behind an open quote":    {served + "\"q\n" + served + "q1", "q1"},
+		"cut":                     {served + strings.Repeat("q", 1000) + " cut=true", strings.Repeat("q", 2000)},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			timeline, err := trace.Find(test.request, strings.NewReader(test.log+"\n"))
+			if err != nil || len(timeline.Lines) != 1 || timeline.Lines[0].Get("server") != "s1" {
+				t.Errorf("%d lines: %v", len(timeline.Lines), err)
+			}
+		})
+	}
+}
