Logs: which connection a statement used

Operators could not see on which connection to a server a statement ran, so neither whether two statements shared one, nor which statements followed an answer that did not fit.

Change: connections to servers are numbered within their process. served, turned_away and answer_lost carry connection; it is 0 where a home holds the connection, and the home logs ran_for_vm with its own number, once for each time that it sent the statement.

--- a/io/dbpool/acquire.go
+++ b/io/dbpool/acquire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/ids"
@@ -159,6 +160,9 @@
 	return pool.room.remove(waiting)
 }
 
+// opened counts the connections that this process has opened.
+var opened atomic.Int64
+
 // dial opens a connection, for which there is permission since the time.
 func (pool *Pool) dial(ctx context.Context, organisation ids.OrganisationID, since time.Time, slot *slot) (*Conn, error) {
 	deadline := deadlineOf(ctx)
@@ -174,7 +178,7 @@
 		}
 		return nil, fmt.Errorf("opening a connection: %w", err)
 	}
-	return &Conn{link: link, pool: pool, organisation: organisation, acquiredAt: since, slot: slot}, nil
+	return &Conn{link: link, pool: pool, organisation: organisation, acquiredAt: since, slot: slot, number: opened.Add(1)}, nil
 }
 
 // pauseAfter stops opening connections for a while if the server has too many.
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -28,11 +28,16 @@
 	pending    int
 	// slot is the right to run a statement under a schedule, nil if there is none.
 	slot *slot
+	// number tells the connections to servers of this process apart in logs; 0 if another VM holds the connection.
+	number int64
 }
 
 // Server returns the server at the other end of the connection.
 func (conn *Conn) Server() catalog.Server { return conn.pool.server }
 
+// Number returns the number of the connection in the logs of this process, 0 if another VM holds the connection.
+func (conn *Conn) Number() int64 { return conn.number }
+
 // SyncSession returns the calls that set the session's values on the connection and prepare the named statement, if any.
 // It assumes that the calls succeed.
 func (conn *Conn) SyncSession(values map[string]string, name string, prepared statement.Prepared) []Call {
--- a/io/home/served.go
+++ b/io/home/served.go
@@ -76,13 +76,15 @@
 		} else {
 			held.server.Failed(sentAt)
 		}
-		service.eventLog.LimitedEvent("answer_lost", "request", message.ID, "server", held.server.ID(), "organisation", message.Organisation,
-			"waited_ms", time.Since(received).Milliseconds(), "for_caller_vm", true, "err", err)
+		service.eventLog.LimitedEvent("answer_lost", "request", message.ID, "server", held.server.ID(),
+			"connection", held.conn.Number(), "organisation", message.Organisation, "waited_ms", time.Since(received).Milliseconds(), "for_caller_vm", true, "err", err)
 		held.conn.Break()
 		held.release(statement.FailedTransaction)
 		return kindLost, lost{Note: err.Error(), NoMemory: noMemory}
 	}
 	held.server.Answered(sentAt, answer, answer.Code == statement.Complete)
+	service.eventLog.LimitedEvent("ran_for_vm", "request", message.ID, "server", held.server.ID(), "connection", held.conn.Number(),
+		"code", answer.Code, "position", answer.Position.Log, "took_ms", time.Since(received).Milliseconds())
 	if answer.Code == statement.UnknownStatement {
 		held.conn.ForgetPrepared()
 	}
--- a/io/proxy/autocommit.go
+++ b/io/proxy/autocommit.go
@@ -59,7 +59,9 @@
 	}
 	call, name, prepared := session.call(request)
 	call.MinPosition = target.after
-	session.routing = routing{server: target.server.ID(), required: target.after, attempts: attempts.count + 1}
+	session.routing = routing{
+		server: target.server.ID(), required: target.after, attempts: attempts.count + 1, connection: target.conn.Number(),
+	}
 	prefix := target.conn.SyncSession(session.names.values, name, prepared)
 	sentAt := target.server.Begin()
 	deadline := attempts.deadline
@@ -114,7 +116,8 @@
 // prepareRetry prepares the next attempt after a server reported that it did not run the statement. It returns false if
 // too little time is left for one.
 func (session *session) prepareRetry(request statement.Request, operation *operation, attempts *attempts, target target, reply statement.Reply) bool {
-	session.server.EventLog.LimitedEvent("turned_away", "request", request.ID, "server", target.server.ID(), "code", reply.Code,
+	session.server.EventLog.LimitedEvent("turned_away", "request", request.ID, "server", target.server.ID(),
+		"connection", target.conn.Number(), "code", reply.Code,
 		"position", target.after.Log, "server_position", reply.Position.Log, "attempt", attempts.count)
 	switch reply.Code {
 	case statement.Busy:
@@ -135,8 +138,8 @@
 func (session *session) handleLostAnswer(request statement.Request, operation *operation, attempts *attempts, target target, sentAt time.Duration, err error) (statement.Reply, bool, *refused) {
 	recordLoss(target.server, sentAt, err)
 	target.conn.Release(statement.FailedTransaction)
-	session.server.EventLog.LimitedEvent("answer_lost", "request", request.ID, "server", target.server.ID(), "organisation", session.organisation,
-		"waited_ms", (clock.Now() - sentAt).Milliseconds(), "writes", operation.writes, "attempt", attempts.count, "err", err)
+	session.server.EventLog.LimitedEvent("answer_lost", "request", request.ID, "server", target.server.ID(),
+		"connection", target.conn.Number(), "organisation", session.organisation, "waited_ms", (clock.Now() - sentAt).Milliseconds(), "writes", operation.writes, "attempt", attempts.count, "err", err)
 	if operation.writes {
 		return statement.Reply{}, false, refuse(refusal.OutcomeUnknown, 0, err.Error())
 	}
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -61,6 +61,8 @@
 	server   ids.BackendServerID
 	required position.Position
 	attempts int
+	// connection is the number of the connection to the server, 0 if a home holds it.
+	connection int64
 }
 
 func newSession(server *Server, caller Caller) *session {
@@ -280,7 +282,7 @@
 		return
 	}
 	session.server.EventLog.LimitedEvent("served", "request", request.ID, "kind", request.Statement.Kind, "route", session.route,
-		"organisation", session.organisation, "server", session.routing.server, "required", session.routing.required.Log,
+		"organisation", session.organisation, "server", session.routing.server, "connection", session.routing.connection, "required", session.routing.required.Log,
 		"position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routing.attempts,
 		"configuration", session.version, "took_ms", took.Milliseconds())
 }
--- a/io/proxy/transaction_statements.go
+++ b/io/proxy/transaction_statements.go
@@ -196,7 +196,9 @@
 func (session *session) exchange(request statement.Request, attempts *attempts) (statement.Reply, error) {
 	transaction := session.transaction
 	call, name, prepared := session.call(request)
-	session.routing = routing{server: transaction.server.ID(), required: transaction.after, attempts: attempts.count + 1}
+	session.routing = routing{
+		server: transaction.server.ID(), required: transaction.after, attempts: attempts.count + 1, connection: transaction.conn.Number(),
+	}
 	prefix := transaction.conn.SyncSession(session.names.values, name, prepared)
 	sentAt := transaction.server.Begin()
 	deadline := attempts.deadline
@@ -208,7 +210,7 @@
 	if err != nil {
 		recordLoss(transaction.server, sentAt, err)
 		session.server.EventLog.LimitedEvent("answer_lost", "request", request.ID, "server", transaction.server.ID(),
-			"organisation", session.organisation, "waited_ms", (clock.Now() - sentAt).Milliseconds(), "kind", request.Statement.Kind,
+			"connection", session.routing.connection, "organisation", session.organisation, "waited_ms", (clock.Now() - sentAt).Milliseconds(), "kind", request.Statement.Kind,
 			"wrote", transaction.wrote, "err", err)
 		return reply, err
 	}
