--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -7,7 +7,6 @@
 
 	"dotterelgw/core/contract"
 	"dotterelgw/core/position"
-	"dotterelgw/core/refusal"
 	"dotterelgw/core/retry"
 	"dotterelgw/io/backend"
 	"dotterelgw/io/backend/wire"
@@ -44,7 +43,7 @@
 	readOnlyRefused bool
 	// unresponsive reports whether the server did not answer. The pool then cancels the statement on the connection.
 	unresponsive bool
-	// unpin reports whether the caller reset the session's settings.
+	// unpin reports whether the caller discarded all settings of the session.
 	unpin bool
 	// preamble reports whether readOnlySetting was sent before the request.
 	preamble bool
@@ -117,70 +116,13 @@
 	return attemptResult{failed: attempt, err: err}
 }
 
-// completeRequest confirms that the changes of the request are durable and appends the rest of the answer.
-func (session *Session) completeRequest(attempt *retry.Attempt, status byte, at position.Position, asksPosition bool) attemptResult {
-	server := session.backend.Server()
-	confirm := status == wire.Idle && session.primary && session.answer.completed
-	if confirm && !asksPosition {
-		// The request ended a transaction although no statement in it was recognised as doing so.
-		var err error
-		if _, err = session.backend.Send(wire.AppendQuery(nil, positionQuery), 1); err == nil {
-			at, err = session.readPosition(status)
-		}
-		if err != nil {
-			return session.connectionLost(attempt, err)
-		}
-	}
-	session.txStatus = status
-	if session.answer.unpin {
-		session.pinned = false
-	}
-	if status == wire.Idle {
-		clear(session.portals)
-		if !session.pinned {
-			session.release()
-		}
-	}
-	scratch := session.scratch
-	if confirm {
-		if err := session.server.Groups.Confirm(session.ctx, session.route.Group, server, at); err != nil {
-			scratch.withheld = scratch.withheld[:0]
-			session.positionKnown = false
-			var refused *refusal.Refusal
-			if !errors.As(err, &refused) {
-				refused = refusal.New(refusal.OutcomeUnknown, err.Error())
-			}
-			session.appendRefusal(refused, "ERROR")
-			scratch.out = wire.AppendReady(scratch.out, status)
-			return attemptResult{}
-		}
-		if !session.keepsPosition(at) {
-			session.position, session.positionKnown = at, true
-		}
-	}
-	scratch.out = append(scratch.out, scratch.withheld...)
-	scratch.withheld = scratch.withheld[:0]
-	if confirm {
-		scratch.out = session.appendToken(scratch.out)
-	}
-	scratch.out = wire.AppendReady(scratch.out, status)
-	return attemptResult{}
-}
-
-// keepsPosition reports whether the request certainly wrote nothing, so that the session keeps its position. After a read
-// on the primary, the primary's newer position would exclude lagging replicas although they have replayed everything that
-// the session wrote.
-func (session *Session) keepsPosition(at position.Position) bool {
-	return session.positionKnown && (session.readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
-}
-
 // revertFailed discards the prepared statements whose Parse was not run because of an error.
 func (session *Session) revertFailed() {
 	scratch := session.scratch
 	if session.answer.failed && session.answer.completedSteps < len(scratch.steps) {
 		session.revertStatements(scratch.steps[session.answer.completedSteps].op)
 	}
-	if session.answer.failed && !session.request.endsWithReady {
+	if session.answer.failed && !session.request.answersReady() {
 		session.skipping = true
 	}
 }
@@ -191,7 +133,7 @@
 	scratch.withheld = scratch.withheld[:0]
 	send := scratch.send[:0]
 	due := 0
-	if session.readOnly && session.primary && session.txStatus == wire.Idle && !session.awaitingSync {
+	if session.setsReadOnly() {
 		send = wire.AppendQuery(send, readOnlySetting)
 		due++
 		session.backend.SetDirty()
@@ -219,6 +161,15 @@
 	return session.backend.Send(send, due)
 }
 
+// setsReadOnly reports whether readOnlySetting precedes the request. It must not undo a setting that the caller made on the
+// connection it is pinned to, unless the route takes reads only.
+func (session *Session) setsReadOnly() bool {
+	if !session.readOnly || !session.primary || session.txStatus != wire.Idle || session.awaitingSync {
+		return false
+	}
+	return !(session.pinned && session.readOnlyOff) || session.route.Access == contract.Read
+}
+
 // forwardAnswer forwards the answer to the request up to ReadyForQuery or, after a Flush, to the last message of the batch.
 func (session *Session) forwardAnswer() error {
 	if session.answer.preamble {
@@ -400,22 +351,28 @@
 		session.scratch.withheld = session.scratch.withheld[:0]
 		_ = session.flush()
 	}
-	session.answer.withholding = session.answer.withholding || session.answer.needsConfirmation
+	// The tag shows a COMMIT also if the text was read by other rules than the server's, as with standard_conforming_strings = off.
+	commits := session.answer.needsConfirmation || tag == "COMMIT" && session.primary && session.request.endsWithReady
+	session.answer.withholding = session.answer.withholding || commits
 	session.emit(frame)
 	switch tag {
-	case "SET", "PREPARE", "DECLARE CURSOR", "LOAD", "CREATE TABLE":
-		if session.request.class.pins {
-			session.pin()
-		}
-	case "DISCARD ALL", "RESET":
-		session.answer.unpin = tag == "DISCARD ALL" || session.request.class.statements == 1
-		if tag == "DISCARD ALL" {
-			session.backend.SetClean()
-			session.forgetStatements()
-		}
+	case "PREPARE TRANSACTION":
+	case "RESET":
+		session.readOnlyOff = false
+	case "DISCARD ALL":
+		// RESET does not end the pinning: it leaves other settings in place, and a rollback reverts it.
+		session.answer.unpin, session.readOnlyOff = true, false
+		session.backend.SetClean()
+		session.forgetStatements()
 	case "DEALLOCATE ALL":
 		session.forgetStatements()
 		session.backend.ForgetPrepared()
+	default:
+		// The tag does not tell whether an object is temporary, so any tag counts.
+		if session.request.class.pins {
+			session.pin()
+			session.readOnlyOff = session.readOnlyOff || session.request.class.readWrite
+		}
 	}
 }
 
--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -37,8 +37,9 @@
 			continue
 		}
 		class.statements++
-		class.add(rest)
-		rest = skipStatement(rest)
+		remaining := skipStatement(rest)
+		class.add(rest[:len(rest)-len(remaining)])
+		rest = remaining
 	}
 	if class.statements != 1 {
 		class.begins, class.selectOnly, class.beginsReadOnly = false, false, false
@@ -46,13 +47,16 @@
 	return class
 }
 
-// add updates the class with one statement of the text.
+// add updates the class with one statement.
 func (class *class) add(statement string) {
 	first, rest := nextWord(statement)
 	second, rest := nextWord(rest)
 	switch {
 	case isKeyword(first, "SELECT"):
 		class.selectOnly = true
+		class.pins = class.pins || selectsIntoTemporary(statement)
+	case isKeyword(first, "WITH"):
+		class.pins = class.pins || selectsIntoTemporary(statement)
 	case isKeyword(first, "BEGIN"), isKeyword(first, "START"):
 		class.begins = true
 		class.beginsReadOnly = declaresReadOnly(second, rest)
@@ -73,18 +77,55 @@
 		class.readWrite = class.readWrite || requestsReadWrite(statement)
 	case isKeyword(first, "SET"):
 		class.readWrite = class.readWrite || requestsReadWrite(statement)
-		if !isKeyword(second, "LOCAL") && !isKeyword(second, "TRANSACTION") && !isKeyword(second, "CONSTRAINTS") {
-			class.pins = true
-		}
+		class.pins = class.pins || !endsWithTransaction(second, rest)
 	case isKeyword(first, "LOAD"), isKeyword(first, "DECLARE"):
 		class.pins = true
 	case isKeyword(first, "CREATE"):
-		for _, name := range []string{"TEMP", "TEMPORARY", "LOCAL", "GLOBAL"} {
-			if isKeyword(second, name) {
-				class.pins = true
-			}
+		class.pins = class.pins || createsTemporary(statement, second, rest)
+	case isKeyword(first, "EXPLAIN"):
+		// EXPLAIN ANALYZE runs CREATE TABLE AS and SELECT INTO.
+		class.pins = class.pins || strings.Contains(strings.ToLower(statement), "temp")
+	}
+}
+
+// createsTemporary reports whether the CREATE statement with the given word and text after CREATE creates a temporary object.
+func createsTemporary(statement, second, rest string) bool {
+	for isKeyword(second, "OR") || isKeyword(second, "REPLACE") {
+		second, rest = nextWord(rest)
+	}
+	return isTemporary(second) || strings.Contains(strings.ToLower(statement), temporarySchema)
+}
+
+// selectsIntoTemporary reports whether the statement contains INTO and a word for temporary tables. It ignores quotes, so a
+// quoted text may count too.
+func selectsIntoTemporary(statement string) bool {
+	const into = "INTO"
+	for at := 1; at+len(into) < len(statement); at++ {
+		if statement[at]|0x20 != 'i' || isLetter(statement[at-1]) || !isKeyword(statement[at:at+len(into)], into) {
+			continue
+		}
+		if next, _ := nextWord(statement[at+len(into):]); isTemporary(next) || isKeyword(next, temporarySchema) {
+			return true
 		}
 	}
+	return false
+}
+
+// temporarySchema is the name of the schema of temporary objects.
+const temporarySchema = "pg_temp"
+
+// isTemporary reports whether the word marks a temporary object after CREATE or INTO. LOCAL and GLOBAL precede TEMPORARY.
+func isTemporary(word string) bool {
+	return isKeyword(word, "TEMP") || isKeyword(word, "TEMPORARY") || isKeyword(word, "LOCAL") || isKeyword(word, "GLOBAL")
+}
+
+// endsWithTransaction reports whether the effect of a SET statement with the given word and text after SET ends with the
+// transaction. A keyword before a period is part of the name of a custom setting, as in SET local.name.
+func endsWithTransaction(second, rest string) bool {
+	if strings.HasPrefix(skipBlank(rest), ".") {
+		return false
+	}
+	return isKeyword(second, "LOCAL") || isKeyword(second, "TRANSACTION") || isKeyword(second, "CONSTRAINTS")
 }
 
 // declaresReadOnly reports whether the modes after BEGIN include READ ONLY. The last of READ ONLY and READ WRITE applies.
@@ -108,7 +149,6 @@
 // requestsReadWrite reports whether the statement contains READ WRITE or names a setting that makes transactions read-only,
 // whatever the new value of that setting.
 func requestsReadWrite(statement string) bool {
-	statement = statement[:len(statement)-len(skipStatement(statement))]
 	if strings.Contains(strings.ToLower(statement), "transaction_read_only") {
 		return true
 	}
@@ -152,7 +192,8 @@
 		text = strings.TrimLeft(text, " \t\r\n\f\v")
 		switch {
 		case strings.HasPrefix(text, "--"):
-			end := strings.IndexByte(text, '\n')
+			// As in PostgreSQL, a carriage return ends the comment too.
+			end := strings.IndexAny(text, "\r\n")
 			if end < 0 {
 				return ""
 			}
@@ -190,13 +231,16 @@
 		switch char := text[at]; {
 		case char == ';':
 			return text[at:]
-		case char == '\'':
-			escapes := at > 0 && (text[at-1] == 'e' || text[at-1] == 'E') && (at < 2 || !isLetter(text[at-2]))
-			at += quotedLength(text[at:], '\'', escapes)
-		case char == '"':
-			at += quotedLength(text[at:], '"', false)
-		case char == '$' && (at == 0 || !isLetter(text[at-1])):
+		case char == '\'', char == '"':
+			at += quotedLength(text[at:], char)
+		case char == '$':
 			at += dollarQuotedLength(text[at:])
+		case isLetter(char) && !isDigit(char):
+			name := identifierLength(text[at:])
+			if strings.HasPrefix(text[at+name:], "'") && isKeyword(text[at:at+name], "E") {
+				name += escapeStringLength(text[at+name:])
+			}
+			at += name
 		case strings.HasPrefix(text[at:], "--"), strings.HasPrefix(text[at:], "/*"):
 			at = len(text) - len(skipBlank(text[at:]))
 		default:
@@ -206,27 +250,76 @@
 	return ""
 }
 
+func isDigit(char byte) bool { return char >= '0' && char <= '9' }
+
+// identifierLength returns the length of the identifier at the start of the text. Behind its first letter, it may contain
+// dollar signs.
+func identifierLength(text string) int {
+	end := 0
+	for end < len(text) && (isLetter(text[end]) || text[end] == '$') {
+		end++
+	}
+	return end
+}
+
 // quotedLength returns the length of the quoted text. Text with a doubled quote counts as two adjacent quoted texts.
-func quotedLength(text string, quote byte, escapes bool) int {
+func quotedLength(text string, quote byte) int {
+	if end := strings.IndexByte(text[1:], quote); end >= 0 {
+		return end + 2
+	}
+	return len(text)
+}
+
+// escapeStringLength returns the length of the string, in which a backslash escapes a quote. A doubled quote and the parts
+// of a string that goes on behind a line end belong to it, because their backslashes are escapes too.
+func escapeStringLength(text string) int {
 	for at := 1; at < len(text); at++ {
-		if escapes && text[at] == '\\' {
+		switch text[at] {
+		case '\\':
 			at++
-			continue
+		case '\'':
+			next := continuationLength(text[at+1:])
+			if next == 0 {
+				return at + 1
+			}
+			at += next
 		}
-		if text[at] == quote {
+	}
+	return len(text)
+}
+
+// continuationLength returns the length up to the quote with which a string goes on, or 0 if it has ended: the quote follows
+// either at once or behind white space and line comments that contain a line end.
+func continuationLength(text string) int {
+	lineEnded := false
+	for at := 0; at < len(text); at++ {
+		switch char := text[at]; {
+		case char == '\'' && (at == 0 || lineEnded):
 			return at + 1
+		case char == '\n', char == '\r':
+			lineEnded = true
+		case char == ' ', char == '\t', char == '\f', char == '\v':
+		case strings.HasPrefix(text[at:], "--"):
+			end := strings.IndexAny(text[at:], "\r\n")
+			if end < 0 {
+				return 0
+			}
+			at, lineEnded = at+end, true
+		default:
+			return 0
 		}
 	}
-	return len(text)
+	return 0
 }
 
-// dollarQuotedLength returns the length of the dollar-quoted text, or of the dollar sign and letters that are none.
+// dollarQuotedLength returns the length of the dollar-quoted text, or of the dollar sign and letters that are none. A tag does
+// not begin with a digit, which makes a parameter such as $1.
 func dollarQuotedLength(text string) int {
 	end := 1
 	for end < len(text) && isLetter(text[end]) {
 		end++
 	}
-	if end == len(text) || text[end] != '$' {
+	if end == len(text) || text[end] != '$' || isDigit(text[1]) {
 		return end
 	}
 	tag := text[:end+1]
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -27,8 +29,9 @@
 	nextID   uint32
 	quiet    bool
 	// fault maps a statement text to the fault injected into its next execution: "drop" closes the connection before the
-	// statement runs, "drop after" closes it afterwards, "twice" sends the answer twice, "crossed" sends the answer to another
-	// statement, "write" refuses it as a write, and "late" delays the answer until release is closed.
+	// statement runs, "drop after" closes it afterwards, "twice" sends the answer twice, "twice later" sends
+	// the second one 20 ms later, "crossed" sends the answer to another
+	// statement, "write" refuses it as a write, "notice" precedes the answer with unsolicited messages, and "late" delays the answer until release is closed.
 	fault   map[string]string
 	release chan struct{}
 }
@@ -83,6 +86,10 @@
 	portals  map[string]string
 	skip     bool
 	readOnly bool
+	// readWrite reports whether the transaction was begun as READ WRITE.
+	readWrite bool
+	// values holds the settings of the session, and saved those that a rollback restores.
+	values, saved map[string]string
 	// readAhead is the number of further messages to read before the pending answers are flushed, so that the server has read
 	// everything that was sent to it.
 	readAhead int
@@ -92,7 +99,7 @@
 	defer conn.Close()
 	connection := &connection{
 		database: database, conn: conn, status: 'I', backend: pgproto3.NewBackend(conn, conn), cancel: make(chan struct{}, 1),
-		prepared: make(map[string]string), portals: make(map[string]string),
+		prepared: make(map[string]string), portals: make(map[string]string), values: make(map[string]string),
 	}
 	message, err := connection.backend.ReceiveStartupMessage()
 	if err != nil {
@@ -126,6 +133,20 @@
 	}
 }
 
+// repeatRow sends the answer to a query for one row again.
+func (connection *connection) repeatRow(query string, status byte) {
+	time.Sleep(20 * time.Millisecond)
+	var answer []byte
+	for _, message := range []pgproto3.BackendMessage{
+		&pgproto3.RowDescription{Fields: fields(query)}, &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Trim(query[6:], " '"))}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: status},
+	} {
+		answer, _ = message.Encode(answer)
+	}
+	_, _ = connection.conn.Write(answer)
+	connection.logLine(connection.id, "second answer")
+}
+
 func (connection *connection) send(messages ...pgproto3.BackendMessage) {
 	for _, message := range messages {
 		connection.backend.Send(message)
@@ -209,6 +230,8 @@
 		return false
 	case "late":
 		<-connection.release
+	case "notice":
+		connection.send(&pgproto3.NoticeResponse{Severity: "NOTICE", Message: "note"}, &pgproto3.ParameterStatus{Name: "a", Value: "b"})
 	case "crossed":
 		query = "SELECT 'answer of another'"
 		simple = !simple
@@ -229,10 +252,14 @@
 		}
 		connection.answer(query, simple)
 	}
+	if fault == "twice later" {
+		go connection.repeatRow(query, connection.status)
+	}
 	return fault != "drop after"
 }
 
 func (connection *connection) answer(query string, simple bool) {
+	query = withoutComment(query)
 	verb := firstWord(query)
 	var replica bool
 	var term, log int
@@ -242,12 +269,21 @@
 		if connection.status == 'E' {
 			verb = "ROLLBACK"
 		}
-		connection.status = 'I'
+		if verb == "ROLLBACK" && connection.status != 'I' {
+			connection.values = connection.saved
+		}
+		connection.status, connection.readWrite = 'I', false
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(verb)})
+	case query == hiddenCommit:
+		connection.rows(query, simple, "x")
+		connection.status = 'I'
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("COMMIT")})
 	case connection.status == 'E':
 		connection.fail("25P02", "current transaction is aborted")
 	case verb == "BEGIN":
 		connection.status = 'T'
+		connection.readWrite = query == "BEGIN READ WRITE"
+		connection.saved = maps.Clone(connection.values)
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("BEGIN")})
 	case query == "SELECT * FROM group_position()":
 		connection.rows(query, simple, strconv.Itoa(term), strconv.Itoa(log))
@@ -257,18 +293,30 @@
 	case query == "SELECT writes()":
 		connection.withLock(func() { connection.log++ })
 		connection.rows(query, simple, "done")
+	case temporaryTags[query] != "":
+		connection.values["v"] = "held"
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(temporaryTags[query])})
 	case verb == "SELECT":
 		connection.rows(query, simple, strings.Trim(query[6:], " '"))
-	case verb == "INSERT" && (replica || connection.readOnly):
+	case verb == "INSERT" && (replica || connection.readOnly && !connection.readWrite):
 		connection.fail("25006", "cannot execute INSERT in a read-only transaction")
 	case verb == "INSERT":
 		connection.withLock(func() { connection.log++ })
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
 	case verb == "SET":
-		connection.readOnly = connection.readOnly || query == "SET default_transaction_read_only = on"
+		connection.readOnly = (connection.readOnly || query == "SET default_transaction_read_only = on") && query != "SET default_transaction_read_only = off"
+		name, value, _ := strings.Cut(query[len("SET "):], " = ")
+		connection.values[name] = value
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+	case verb == "SHOW":
+		connection.rows(query, simple, connection.values[query[len("SHOW "):]])
+	case verb == "RESET":
+		connection.readOnly = connection.readOnly && !strings.Contains(query, "read_only") && query != "RESET ALL"
+		delete(connection.values, query[len("RESET "):])
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("RESET")})
 	case verb == "DISCARD":
 		connection.readOnly = false
+		clear(connection.values)
 		clear(connection.prepared)
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")})
 	default:
@@ -299,6 +347,27 @@
 	return fields
 }
 
+// hiddenCommit is a SELECT and a COMMIT for a server whose standard_conforming_strings is off, and one SELECT otherwise.
+const hiddenCommit = `SELECT '\''; COMMIT --'`
+
+// temporaryTags maps statements that create a temporary object to their command tags in PostgreSQL. The fake server keeps the
+// object as a setting named v, because the next session would see either.
+var temporaryTags = map[string]string{
+	"CREATE OR REPLACE TEMP VIEW v":   "CREATE VIEW",
+	"CREATE TEMPORARY SEQUENCE v":     "CREATE SEQUENCE",
+	"CREATE TEMP TABLE v AS SELECT 1": "SELECT 1",
+	"SELECT 1 /* c */ INTO TEMP v":    "SELECT 1",
+	"CREATE TABLE PG_TEMP.v (a int)":  "CREATE TABLE",
+}
+
+// withoutComment removes a comment at the start of the query, which ends at a carriage return or line feed as in PostgreSQL.
+func withoutComment(query string) string {
+	if end := strings.IndexAny(query, "\r\n"); strings.HasPrefix(query, "--") && end > 0 {
+		return query[end+1:]
+	}
+	return query
+}
+
 // firstWord returns the first word of the query in upper case.
 func firstWord(query string) string {
 	first, _, _ := strings.Cut(strings.ToUpper(strings.TrimSpace(query)), " ")
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -61,6 +61,9 @@
 	readOnly bool
 	// readOnlyLifted reports whether the caller may have overridden its own read-only default.
 	readOnlyLifted bool
+	// readOnlyOff reports whether the caller's last setting of its read-only default on the connection that it is pinned to may
+	// allow writes.
+	readOnlyOff bool
 
 	// mutex guards backend and waiting against cancel requests, which come from other goroutines.
 	mutex   sync.Mutex
@@ -235,6 +238,10 @@
 		if session.skipping || len(session.scratch.ops) == 0 {
 			return session.flush()
 		}
+		if session.request.class.commits {
+			// COMMIT takes effect on the server before Sync, so it must be confirmed before the caller sees its answer.
+			session.request.endsWithReady, session.request.flushed = true, true
+		}
 		err := session.runRequest()
 		session.resetBatch()
 		if err != nil {
--- /dev/null
+++ b/io/session/unsolicited_test.go
@@ -0,0 +1,42 @@
+package session_test
+
+import (
+	"strings"
+	"testing"
+)
+
+// positionQuery is the text with which the proxy asks for the log position.
+const positionQuery = "SELECT * FROM group_position()"
+
+// TestNoticeInPosition guards against a write that is reported as unknown because the server sent a notice or the new value of a
+// setting within its answer for the log position.
+func TestNoticeInPosition(t *testing.T) {
+	proxy := newProxy(t, 4)
+	caller := proxy.dial("app", "")
+	proxy.primary.withLock(func() { proxy.primary.fault[positionQuery] = "notice" })
+	caller.query("INSERT a")
+	lines := string(caller.transcript())
+	if !acknowledged(caller) || !strings.Contains(lines, "caller < NoticeResponse") || !strings.Contains(lines, "caller < ParameterStatus") {
+		t.Errorf("got:\n%s", lines)
+	}
+}
+
+// TestSurplusAnswerOnHeldConnection guards against a second answer to an earlier statement that is taken for the answer to the next
+// one, on a connection that a transaction or the settings of a session hold.
+func TestSurplusAnswerOnHeldConnection(t *testing.T) {
+	for name, first := range map[string]string{"transaction": "BEGIN", "settings": "SET v = held"} {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 4)
+			caller := proxy.dial("app", "")
+			caller.query(first)
+			proxy.primary.withLock(func() { proxy.primary.fault["SELECT 'x'"] = "twice later" })
+			caller.query("SELECT 'x'")
+			proxy.primary.awaitLine(t, "second answer")
+			caller.query("SELECT 'y'")
+			lines := string(caller.transcript())
+			if strings.Count(lines, "DataRow x") != 1 || !strings.Contains(lines, "08006") || strings.Contains(lines, "primary #1 > Query \"SELECT 'y'\"") {
+				t.Errorf("got:\n%s", lines)
+			}
+		})
+	}
+}
