Event log: a line that is cut can still be decoded

A caller's identifier of over 4 KiB with a line feed, blank or quote was cut inside of its quoted value. dotterelctl trace stopped at such a line and didn't read the rest of the log: one caller could make the log of a VM useless.

The line is cut after a whole character or escape sequence, and an open quote is closed.

--- a/io/observe/decisions_test.go
+++ b/io/observe/decisions_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"strings"
 	"sync"
 	"testing"
 	"time"
+	"unicode/utf8"
+
+	"github.com/go-logfmt/logfmt"
 )
 
 // blockedWriter blocks each write until it is released, as a standard output does that nobody reads.
@@ -108,3 +112,33 @@
 		eventLog.Event("configuration_applied", "version", 7, "revision", 12, "routes", 19)
 	}
 }
+
+// Guards against a long text of a caller that leaves a line with an open quote, an escape or a character cut in two, with which the rest of
+// the log can't be read.
+func TestCutLinesCanBeRead(t *testing.T) {
+	for name, text := range map[string]string{
+		"line feeds": "\n", "quotes": `"`, "backslashes": `\`, "zero bytes": "\x00", "blanks": " ", "outside ASCII": "ü", "quoted, outside ASCII": "日 ", "pairs": "a=b ",
+	} {
+		for shift := range 8 {
+			t.Run(fmt.Sprintf("%s, shifted by %d", name, shift), func(t *testing.T) {
+				var output lockedBuffer
+				eventLog := NewEventLog(&output, "vm1"+strings.Repeat("x", shift))
+				eventLog.Event("refused", "request", strings.Repeat(text, 1<<13), "reason", "protocol_error")
+				eventLog.Event("refused", "request", "short")
+				eventLog.Close(time.Second)
+				if lines := strings.Split(output.String(), "\n"); len(lines) != 3 || len(lines[0]) >= maxLineBytes || !utf8.ValidString(lines[0]) {
+					t.Errorf("%d lines, the first of %d bytes: %.200q", len(lines)-1, len(lines[0]), lines[0])
+				}
+				decoder, last := logfmt.NewDecoder(&output.Buffer), ""
+				for decoder.ScanRecord() {
+					for decoder.ScanKeyval() {
+						last = string(decoder.Value())
+					}
+				}
+				if err := decoder.Err(); err != nil || last != "short" {
+					t.Errorf("last value %.40q, error %v", last, err)
+				}
+			})
+		}
+	}
+}
--- a/io/observe/eventlog.go
+++ b/io/observe/eventlog.go
@@ -5,6 +5,7 @@
 	"io"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-kit/log"
 )
@@ -123,12 +124,41 @@
 	}
 }
 
-// cut returns the line, or a copy of its beginning if it is too long.
+// cut returns the line, or a copy of its beginning if it is too long. A quoted value in which it is cut is closed, so that the log can still
+// be decoded.
 func cut(line []byte) []byte {
 	if len(line) <= maxLineBytes {
 		return line
 	}
-	return append(bytes.Clone(line[:maxLineBytes-1]), '\n')
+	end, quoted := 0, false
+	for {
+		size, opened := characterBytes(line[end:], quoted), quoted != (line[end] == '"')
+		rest := 1
+		if opened {
+			rest = 2
+		}
+		if end+size+rest > maxLineBytes {
+			break
+		}
+		end, quoted = end+size, opened
+	}
+	kept := bytes.Clone(line[:end])
+	if quoted {
+		kept = append(kept, '"')
+	}
+	return append(kept, '\n')
+}
+
+// characterBytes returns the length of the first character of the text, or of its escape sequence in a quoted value.
+func characterBytes(text []byte, quoted bool) int {
+	if quoted && text[0] == '\\' {
+		if text[1] == 'u' {
+			return len(`\u0000`)
+		}
+		return len(`\n`)
+	}
+	_, size := utf8.DecodeRune(text)
+	return size
 }
 
 // refill returns the token bucket of the kind after adding the tokens earned since its last use. The mutex is held.
