Relay: a value that is too long is refused and not cut

A record of over 2 MiB that a VM got from another VM was cut without a word. The store's bound on values is lower, so this has not been seen; such a record would have been decoded from its beginning.

--- a/io/relay/compress.go
+++ b/io/relay/compress.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"errors"
 	"fmt"
 	"io"
 
@@ -17,6 +18,9 @@
 	maxDecompressedBytes = 2 << 20
 )
 
+// errValueTooLong states that a decompressed value exceeds maxDecompressedBytes.
+var errValueTooLong = errors.New("value too long")
+
 // record is an entry as VMs send it to each other.
 type record struct {
 	Key      string       `cbor:"key"`
@@ -64,7 +68,10 @@
 		return entry, nil
 	}
 	reader := flate.NewReader(bytes.NewReader(record.Value))
-	value, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes))
+	value, err := io.ReadAll(io.LimitReader(reader, maxDecompressedBytes+1))
+	if err == nil && len(value) > maxDecompressedBytes {
+		err = errValueTooLong
+	}
 	if err != nil {
 		return config.Entry{}, fmt.Errorf("decompressing the value of key %q: %w", record.Key, err)
 	}
--- a/io/relay/transfer_test.go
+++ b/io/relay/transfer_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"dotterelgw/core/config"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/relay"
@@ -93,15 +95,35 @@
 // Guards against an entry that reaches other VMs without its lease, or with another value.
 func TestRecordOfAnEntry(t *testing.T) {
 	for name, entry := range map[string]config.Entry{
+		"empty":        {Key: "k", Value: []byte{}, Revision: 3},
+		"removed":      {Key: "k", Revision: 3},
+		"any bytes":    {Key: "k\r\n", Value: []byte("\r\n\x00\xff\n"), Revision: 3},
+		"longest":      {Key: "k", Value: bytes.Repeat([]byte("v"), maxDecompressedBytes), Revision: 3},
 		"short":        {Key: "k", Value: []byte("v"), Revision: 3},
 		"under lease":  {Key: "k", Value: []byte("v"), Revision: 3, Leased: true},
 		"long, leased": {Key: "k", Value: bytes.Repeat([]byte("v"), minCompressBytes), Revision: 3, Leased: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, err := make(compressionCache).record(entry).entry()
-			if err != nil || got.Key != entry.Key || !bytes.Equal(got.Value, entry.Value) || got.Revision != entry.Revision || got.Leased != entry.Leased {
+			encoded, err := cbor.Marshal(make(compressionCache).record(entry))
+			if err != nil {
+				t.Fatal(err)
+			}
+			var received record
+			if err := cbor.Unmarshal(encoded, &received); err != nil {
+				t.Fatal(err)
+			}
+			got, err := received.entry()
+			if err != nil || got.Key != entry.Key || (got.Value == nil) != (entry.Value == nil) || !bytes.Equal(got.Value, entry.Value) || got.Revision != entry.Revision || got.Leased != entry.Leased {
 				t.Errorf("got %+v, error %v, want %+v", got, err, entry)
 			}
 		})
 	}
 }
+
+// Guards against a value that is cut because it is longer than expected once it is decompressed.
+func TestRecordTooLong(t *testing.T) {
+	entry := config.Entry{Key: "k", Value: bytes.Repeat([]byte("v"), maxDecompressedBytes+1), Revision: 3}
+	if got, err := make(compressionCache).record(entry).entry(); !errors.Is(err, errValueTooLong) {
+		t.Errorf("got %d bytes, error %v", len(got.Value), err)
+	}
+}
