Settings: the name of a VM has no blanks or control characters

The name is sent in the header of each order to promote. A blank at its end is lost there, so that the platform hears of another holder, and with a line feed no order can be sent. The check of the settings accepted both.

After: ./io/node passes.

--- a/io/node/settings.go
+++ b/io/node/settings.go
@@ -175,8 +175,8 @@
 	fault := func(key, value, allowed string) {
 		invalidSettings = append(invalidSettings, settings.InvalidSetting{Key: key, Value: value, Allowed: allowed})
 	}
-	if read.VM == "" {
-		fault("vm", "", "a name")
+	if !ids.IsIdentifier(string(read.VM)) {
+		fault("vm", string(read.VM), "a name without blanks and control characters")
 	}
 	// The peer port is a UDP port, so it may have the same number as a TCP port.
 	addresses := []struct{ key, value, network string }{
--- a/io/node/settings_test.go
+++ b/io/node/settings_test.go
@@ -57,6 +57,10 @@
 	}{
 		"unknown key": {"vm = ", "speed = 1\nvm = ", []string{"speed"}},
 		"no name":     {`"vm1"`, `""`, []string{"vm"}},
+		// The name is sent in a header, which would lose the blank, or be refused.
+		"name with a blank last":   {`"vm1"`, `"vm1 "`, []string{"vm"}},
+		"name with a line feed":    {`"vm1"`, `"vm1\n"`, []string{"vm"}},
+		"name with a blank inside": {`"vm1"`, `"vm 1"`, []string{"vm"}},
 		"evacuation out of range": {
 			"[drain]", "[evacuation]\napply_ms = 10\ncold_overage = -1\ncold_slack = -1\n[drain]",
 			[]string{"evacuation.apply_ms", "evacuation.cold_overage", "evacuation.cold_slack"},
