Sessions: set_config and advisory locks pin the session

Callers saw: a setting that another session had made with set_config(..., false), and lost their own; on a route with access = "auto" it was made on a replica that the next statement did not use. Session locks were kept by the connection for its next user.

Cause: only SET was recognised as a statement that changes the session.

Evidence, before the change (go test ./io/session -run 'TestSettingsStay|TestClassify'):

Change: a statement that calls set_config without the literal true as its last argument, or pg_advisory_lock and its like, pins its session and runs on the primary unless the route takes reads only. The functions for transactions (xact) don't. A call within the body of a function on the server is not seen. What pins a session moves to a file of its own.

--- a/io/session/classify.go
+++ b/io/session/classify.go
@@ -51,6 +51,7 @@
 func (class *class) add(statement string) {
 	first, rest := nextWord(statement)
 	second, rest := nextWord(rest)
+	class.pins = class.pins || callsSessionFunction(statement)
 	switch {
 	case isKeyword(first, "SELECT"):
 		class.selectOnly = true
@@ -88,46 +89,6 @@
 	}
 }
 
-// createsTemporary reports whether the CREATE statement with the given word and text after CREATE creates a temporary object.
-func createsTemporary(statement, second, rest string) bool {
-	for isKeyword(second, "OR") || isKeyword(second, "REPLACE") {
-		second, rest = nextWord(rest)
-	}
-	return isTemporary(second) || strings.Contains(strings.ToLower(statement), temporarySchema)
-}
-
-// selectsIntoTemporary reports whether the statement contains INTO and a word for temporary tables. It ignores quotes, so a
-// quoted text may count too.
-func selectsIntoTemporary(statement string) bool {
-	const into = "INTO"
-	for at := 1; at+len(into) < len(statement); at++ {
-		if statement[at]|0x20 != 'i' || isLetter(statement[at-1]) || !isKeyword(statement[at:at+len(into)], into) {
-			continue
-		}
-		if next, _ := nextWord(statement[at+len(into):]); isTemporary(next) || isKeyword(next, temporarySchema) {
-			return true
-		}
-	}
-	return false
-}
-
-// temporarySchema is the name of the schema of temporary objects.
-const temporarySchema = "pg_temp"
-
-// isTemporary reports whether the word marks a temporary object after CREATE or INTO. LOCAL and GLOBAL precede TEMPORARY.
-func isTemporary(word string) bool {
-	return isKeyword(word, "TEMP") || isKeyword(word, "TEMPORARY") || isKeyword(word, "LOCAL") || isKeyword(word, "GLOBAL")
-}
-
-// endsWithTransaction reports whether the effect of a SET statement with the given word and text after SET ends with the
-// transaction. A keyword before a period is part of the name of a custom setting, as in SET local.name.
-func endsWithTransaction(second, rest string) bool {
-	if strings.HasPrefix(skipBlank(rest), ".") {
-		return false
-	}
-	return isKeyword(second, "LOCAL") || isKeyword(second, "TRANSACTION") || isKeyword(second, "CONSTRAINTS")
-}
-
 // declaresReadOnly reports whether the modes after BEGIN include READ ONLY. The last of READ ONLY and READ WRITE applies.
 func declaresReadOnly(next, rest string) bool {
 	readOnly := false
@@ -227,29 +188,33 @@
 
 // skipStatement returns the text from the semicolon that ends the first statement, or "" if there is none.
 func skipStatement(text string) string {
-	for at := 0; at < len(text); {
-		switch char := text[at]; {
-		case char == ';':
+	for at := 0; at < len(text); at += tokenLength(text[at:]) {
+		if text[at] == ';' {
 			return text[at:]
-		case char == '\'', char == '"':
-			at += quotedLength(text[at:], char)
-		case char == '$':
-			at += dollarQuotedLength(text[at:])
-		case isLetter(char) && !isDigit(char):
-			name := identifierLength(text[at:])
-			if strings.HasPrefix(text[at+name:], "'") && isKeyword(text[at:at+name], "E") {
-				name += escapeStringLength(text[at+name:])
-			}
-			at += name
-		case strings.HasPrefix(text[at:], "--"), strings.HasPrefix(text[at:], "/*"):
-			at = len(text) - len(skipBlank(text[at:]))
-		default:
-			at++
 		}
 	}
 	return ""
 }
 
+// tokenLength returns the length of the quoted text, identifier or comment at the start of the text, or 1 for any other character.
+func tokenLength(text string) int {
+	switch char := text[0]; {
+	case char == '\'', char == '"':
+		return quotedLength(text, char)
+	case char == '$':
+		return dollarQuotedLength(text)
+	case isLetter(char) && !isDigit(char):
+		name := identifierLength(text)
+		if strings.HasPrefix(text[name:], "'") && isKeyword(text[:name], "E") {
+			return name + escapeStringLength(text[name:])
+		}
+		return name
+	case strings.HasPrefix(text, "--"), strings.HasPrefix(text, "/*"):
+		return len(text) - len(skipBlank(text))
+	}
+	return 1
+}
+
 func isDigit(char byte) bool { return char >= '0' && char <= '9' }
 
 // identifierLength returns the length of the identifier at the start of the text. Behind its first letter, it may contain
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -293,6 +293,9 @@
 	case query == "SELECT writes()":
 		connection.withLock(func() { connection.log++ })
 		connection.rows(query, simple, "done")
+	case query == "SELECT set_config('v', 'held', false)":
+		connection.values["v"] = "held"
+		connection.rows(query, simple, "held")
 	case temporaryTags[query] != "":
 		connection.values["v"] = "held"
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte(temporaryTags[query])})
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -254,7 +254,7 @@
 		return false, false
 	case session.readOnly, request.class.beginsReadOnly:
 		return true, false
-	case session.route.Access == contract.Auto && request.class.selectOnly:
+	case session.route.Access == contract.Auto && request.class.selectOnly && !request.class.pins:
 		return true, true
 	}
 	return false, false
