Sessions: DEALLOCATE of a statement that the connection holds for others

Callers saw: 26000 (no such prepared statement) for a statement that their session had prepared, after another session had removed it from the connection by its name on the server.

Evidence, before the change (go test ./io/session -run TestDeallocatedStatement):

Change: the connection is cleared with DISCARD ALL before the next session uses it.

Measured: the test passes, and so does go test ./io/session.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -359,6 +359,9 @@
 	case "PREPARE TRANSACTION":
 	case "RESET":
 		session.readOnlyOff = false
+	case "DEALLOCATE":
+		// The removed statement may be one that the connection is believed to hold for other sessions.
+		session.backend.SetDirty()
 	case "DISCARD ALL":
 		// RESET does not end the pinning: it leaves other settings in place, and a rollback reverts it.
 		session.answer.unpin, session.readOnlyOff = true, false
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -313,6 +313,14 @@
 		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
 	case verb == "SHOW":
 		connection.rows(query, simple, connection.values[query[len("SHOW "):]])
+	case verb == "DEALLOCATE":
+		name := query[len("DEALLOCATE "):]
+		if connection.prepared[name] == "" {
+			connection.fail("26000", "prepared statement does not exist")
+			return
+		}
+		delete(connection.prepared, name)
+		connection.send(&pgproto3.CommandComplete{CommandTag: []byte("DEALLOCATE")})
 	case verb == "RESET":
 		connection.readOnly = connection.readOnly && !strings.Contains(query, "read_only") && query != "RESET ALL"
 		delete(connection.values, query[len("RESET "):])
--- a/io/session/settings_test.go
+++ b/io/session/settings_test.go
@@ -1,8 +1,12 @@
 package session_test
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"strings"
 	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
 // TestSettingsStayWithTheirSession guards against settings of a session that reach the next user of its connection, or that the
@@ -44,3 +48,23 @@
 		})
 	}
 }
+
+// TestDeallocatedStatement guards against a prepared statement that a session cannot use because another session removed it from the
+// connection by its name on the server, which pg_prepared_statements shows.
+func TestDeallocatedStatement(t *testing.T) {
+	proxy := newProxy(t, 4)
+	owner, other := proxy.dial("app", ""), proxy.dial("app", "")
+	owner.send(append(extendedMessages("s1", "SELECT 'x'"), &pgproto3.Sync{})...)
+	owner.readUntilReady(1)
+	hash := sha256.Sum256([]byte("[]SELECT 'x'"))
+	other.query("DEALLOCATE dotterel_" + hex.EncodeToString(hash[:16]))
+	if lines := string(other.transcript()); !strings.Contains(lines, "CommandComplete DEALLOCATE") {
+		t.Fatalf("not removed:\n%s", lines)
+	}
+	owner.lines = nil
+	owner.send(&pgproto3.Bind{PreparedStatement: "s1"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	owner.readUntilReady(1)
+	if lines := string(owner.transcript()); !strings.Contains(lines, "DataRow x") {
+		t.Errorf("got:\n%s", lines)
+	}
+}
