Sessions: a late second answer is not taken for that of the next request

Callers saw: rows of an earlier statement as the answer to another one (MIXED), within a transaction or on a replica's connection that another session had used before, if a server answers twice and the second answer arrives once the next request was sent. PostgreSQL doesn't answer twice; the users' databases may. On the primary, outside of transactions, the query for the log position behind each request showed such answers already.

Cause: answers carry no identifier, and only bytes that lie there before a request is sent were noticed.

Evidence, before the change (go test -count=5 -run TestSurplusAnswerBehindNextRequest ./io/session, 5 of 5 runs):

Change: a request without a query for the position is followed by a Sync message in the same write. A server answers it with ReadyForQuery alone, so that an answer in front of the right one shows there; then the connection is closed, and the caller gets no success.

Measured: the test passes, 10 of 10, and so does go test ./io/session.

Not covered: a second answer of which also the ReadyForQuery to the Sync is repeated, and one of a part of an answer that arrives after a whole one.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -47,6 +47,8 @@
 	unpin bool
 	// preamble reports whether readOnlySetting was sent before the request.
 	preamble bool
+	// fenced reports whether a Sync message follows the request, whose answer shows that no other answer came before.
+	fenced bool
 	// completedSteps is the number of steps whose answer was received.
 	completedSteps int
 	// comparesPosition reports whether the log position is also queried before the request.
@@ -64,12 +66,13 @@
 	// A single SELECT may call a function that writes. It wrote nothing if the log position did not change.
 	session.answer.comparesPosition = asksPosition && request.class.selectOnly && session.route.Access == contract.Auto && session.positionKnown &&
 		!session.readOnly && session.txStatus == wire.Idle && !session.awaitingSync
+	session.answer.fenced = request.endsWithReady && !asksPosition
 	sent, err := session.send(asksPosition)
 	attempt.Sent = sent
 	if err == nil {
 		err = session.forwardAnswer()
 	}
-	if err == nil && request.endsWithReady && session.backend.PendingReady() > 0 != asksPosition {
+	if err == nil && request.endsWithReady && session.backend.PendingReady() != 1 {
 		session.backend.SetBroken()
 		err = fmt.Errorf("after the answer: %w", backend.ErrUnexpected)
 	}
@@ -87,6 +90,8 @@
 		if at, err = session.readPosition(status); err != nil && session.answer.completed {
 			return session.connectionLost(attempt, err)
 		}
+	} else if err = session.readFence(status); err != nil {
+		return session.connectionLost(attempt, err)
 	}
 	if session.answer.readOnlyRefused {
 		attempt.SQLState = sqlStateReadOnly
@@ -157,10 +162,27 @@
 		send = wire.AppendQuery(send, positionQuery)
 		due++
 	}
+	if session.answer.fenced {
+		send = wire.AppendEmpty(send, wire.Sync)
+		due++
+	}
 	scratch.send = send
 	return session.backend.Send(send, due)
 }
 
+// readFence reads the answer to the Sync message behind the request. Any other message means that the answer before it belongs to an
+// earlier request, which the server has answered twice.
+func (session *Session) readFence(status byte) error {
+	frame, err := session.receive()
+	if err != nil {
+		return err
+	}
+	if frame.Type() != wire.ReadyForQuery || session.backend.Status() != status {
+		return session.invalidAnswer(fmt.Sprintf("%q behind the answer", frame.Type()))
+	}
+	return nil
+}
+
 // setsReadOnly reports whether readOnlySetting precedes the request. It must not undo a setting that the caller made on the
 // connection it is pinned to, unless the route takes reads only.
 func (session *Session) setsReadOnly() bool {
--- a/io/session/unsolicited_test.go
+++ b/io/session/unsolicited_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 )
 
 // positionQuery is the text with which the proxy asks for the log position.
@@ -40,3 +41,31 @@
 		})
 	}
 }
+
+// TestSurplusAnswerBehindNextRequest guards against a second answer to an earlier statement that arrives once the next request was
+// sent and is taken for its answer, in a transaction or on a replica's connection that another session used before.
+func TestSurplusAnswerBehindNextRequest(t *testing.T) {
+	for name, test := range map[string]struct{ route, begin string }{"transaction": {"app", "BEGIN"}, "replica": {"read", "SELECT 'w'"}} {
+		t.Run(name, func(t *testing.T) {
+			proxy := newProxy(t, 4)
+			first, next := proxy.dial(test.route, ""), proxy.dial(test.route, "")
+			if test.begin == "BEGIN" {
+				next = first
+			}
+			for _, server := range []*database{proxy.primary, proxy.replica} {
+				server.withLock(func() { server.fault["SELECT 'x'"], server.fault["SELECT 'y'"] = "twice later", "late" })
+			}
+			first.query(test.begin)
+			first.query("SELECT 'x'")
+			next.lines = nil
+			time.AfterFunc(100*time.Millisecond, func() {
+				close(proxy.primary.release)
+				close(proxy.replica.release)
+			})
+			next.query("SELECT 'y'")
+			if lines := string(next.transcript()); strings.Contains(lines, "DataRow x") {
+				t.Errorf("got:\n%s", lines)
+			}
+		})
+	}
+}
