Sessions: an error that belongs to an earlier statement is not passed on

Callers saw: an SQL error, which promises that nothing was done, for a write that ran (REFUSED), if the server answers an earlier statement twice with an error. If that error was 25006, the request would have been sent to another server as well.

Cause: messages that do not fit the query for the log position were overlooked behind an error.

Evidence, before the change (go test ./io/session -run TestErrorOfAnotherStatement):

Change: such messages close the connection, and the outcome of the request is reported as unknown.

--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -87,7 +87,8 @@
 	status := session.backend.Status()
 	var at position.Position
 	if asksPosition {
-		if at, err = session.readPosition(status); err != nil && session.answer.completed {
+		// Behind an error only a connection that was lost does no harm; an unexpected message shows that the error is not of this request.
+		if at, err = session.readPosition(status); err != nil && (session.answer.completed || errors.Is(err, backend.ErrUnexpected)) {
 			return session.connectionLost(attempt, err)
 		}
 	} else if err = session.readFence(status); err != nil {
--- a/io/session/database_test.go
+++ b/io/session/database_test.go
@@ -133,14 +133,18 @@
 	}
 }
 
-// repeatRow sends the answer to a query for one row again.
-func (connection *connection) repeatRow(query string, status byte) {
+// repeatAnswer sends the answer to a query for one row, or the error for any other statement, again.
+func (connection *connection) repeatAnswer(query string, status byte) {
 	time.Sleep(20 * time.Millisecond)
+	messages := []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Severity: "ERROR", Code: "42601", Message: "syntax error"}}
+	if row, ok := strings.CutPrefix(query, "SELECT "); ok {
+		messages = []pgproto3.BackendMessage{
+			&pgproto3.RowDescription{Fields: fields(query)}, &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Trim(row, "'"))}},
+			&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")},
+		}
+	}
 	var answer []byte
-	for _, message := range []pgproto3.BackendMessage{
-		&pgproto3.RowDescription{Fields: fields(query)}, &pgproto3.DataRow{Values: [][]byte{[]byte(strings.Trim(query[6:], " '"))}},
-		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: status},
-	} {
+	for _, message := range append(messages, &pgproto3.ReadyForQuery{TxStatus: status}) {
 		answer, _ = message.Encode(answer)
 	}
 	_, _ = connection.conn.Write(answer)
@@ -253,7 +257,7 @@
 		connection.answer(query, simple)
 	}
 	if fault == "twice later" {
-		go connection.repeatRow(query, connection.status)
+		go connection.repeatAnswer(query, connection.status)
 	}
 	return fault != "drop after"
 }
--- a/io/session/unsolicited_test.go
+++ b/io/session/unsolicited_test.go
@@ -69,3 +69,18 @@
 		})
 	}
 }
+
+// TestErrorOfAnotherStatement guards against a write that ran although the caller got an error, because the error was the second answer to
+// an earlier statement.
+func TestErrorOfAnotherStatement(t *testing.T) {
+	proxy := newProxy(t, 4)
+	caller := proxy.dial("app", "")
+	proxy.primary.withLock(func() { proxy.primary.fault["WRONG"], proxy.primary.fault["INSERT a"] = "twice later", "late" })
+	caller.query("WRONG")
+	caller.lines = nil
+	time.AfterFunc(100*time.Millisecond, func() { close(proxy.primary.release) })
+	caller.query("INSERT a")
+	if lines := string(caller.transcript()); strings.Contains(lines, "42601") || !strings.Contains(lines, "08007") {
+		t.Errorf("got:\n%s", lines)
+	}
+}
