--- a/io/observe/logger.go
+++ b/io/observe/logger.go
@@ -1,6 +1,7 @@
 package observe
 
 import (
+	"fmt"
 	"io"
 
 	"github.com/go-kit/log"
@@ -20,8 +21,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = lineLogger.writer.Write(line)
-	return err
+	if _, err = lineLogger.writer.Write(line); err != nil {
+		return fmt.Errorf("writing a log line: %w", err)
+	}
+	return nil
 }
 
 // NewLogger returns a logger that writes lines of the lowest level and above; lowest is debug, info, warn or error, and anything
