Log and count answers of servers that can't belong to their call

Answers carry no identifier of their call. A server that answers twice makes every later answer on the connection one too late, and neither the log nor the metrics show it: a connection with unread bytes is closed without a word, and nothing compares an answer with its call.

core/answer checks each answer on a connection against the kind of its call: signature, transaction state, rows, and whether an earlier answer had the signature. dbpool logs what can't fit as answer_unmatched, with the cause, and the beginning of what lay unread on a connection that is closed for it; both are counted by cause. Decisions do not change yet. Links to other VMs match answers by identifiers and are not checked.

A commit of a transaction that only read is signed.

--- /dev/null
+++ b/core/answer/tracker.go
@@ -0,0 +1,131 @@
+package answer
+
+import (
+	"hash/maphash"
+
+	"dotterelgw/core/statement"
+)
+
+// Cause tells why an answer can't belong to its call.
+type Cause string
+
+const (
+	// Unsigned means that a read, write or commit succeeded without a signature.
+	Unsigned Cause = "unsigned"
+	// Signed means that the answer has a signature although calls of the kind get none.
+	Signed Cause = "signed"
+	// Repeated means that an earlier answer on the connection had the same signature.
+	Repeated Cause = "repeated"
+	// State means that the call can't lead to the transaction state in the answer.
+	State Cause = "state"
+	// Rows means that the answer has rows although calls of the kind get none, or lacks the row of a status.
+	Rows Cause = "rows"
+)
+
+// Causes holds all causes.
+var Causes = []Cause{Unsigned, Signed, Repeated, State, Rows}
+
+// noSignature stands for an absent signature in answers to calls that get none.
+const noSignature = "-"
+
+// rememberedSignatures is the number of signatures that a tracker remembers, over a second of work of a busy connection.
+const rememberedSignatures = 64
+
+// Tracker checks the answers on one connection, in their order. The zero value is that of a new connection. It is not safe for concurrent use.
+type Tracker struct {
+	state statement.TransactionState
+	// signatures holds the hashes of the latest signatures, next the index of the oldest one.
+	signatures [rememberedSignatures]uint64
+	next       int
+	errors     int
+}
+
+// Errors returns the number of answers that reported an error.
+func (tracker *Tracker) Errors() int { return tracker.errors }
+
+// Check records the next answer, which is taken for that of a call of the kind. It returns why the answer can't belong to the call, or
+// false if it may.
+func (tracker *Tracker) Check(kind statement.Kind, reply statement.Reply) (Cause, bool) {
+	before := tracker.state
+	tracker.state = reply.State
+	if reply.Code != statement.Complete {
+		tracker.errors++
+		return State, !mayFail(before, kind, reply.State)
+	}
+	signed := reply.Signature != "" && reply.Signature != noSignature
+	switch {
+	case signed && !isSigned(kind):
+		return Signed, true
+	case !signed && isSigned(kind):
+		return Unsigned, true
+	case signed && !tracker.remember(reply.Signature):
+		return Repeated, true
+	case reply.State != stateAfter(before, kind):
+		return State, true
+	case isControl(kind) != (len(reply.Rows) > 0) && !mayHaveRows(kind):
+		return Rows, true
+	}
+	return "", false
+}
+
+// seed is that of the hashes of signatures.
+var seed = maphash.MakeSeed()
+
+// remember records a signature; false if it is remembered already.
+func (tracker *Tracker) remember(signature string) bool {
+	// 0 marks an unused place.
+	hash := max(maphash.String(seed, signature), 1)
+	for _, known := range tracker.signatures {
+		if known == hash {
+			return false
+		}
+	}
+	tracker.signatures[tracker.next] = hash
+	tracker.next = (tracker.next + 1) % rememberedSignatures
+	return true
+}
+
+// isSigned reports whether successful calls of the kind get a signature.
+func isSigned(kind statement.Kind) bool {
+	switch kind {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit:
+		return true
+	}
+	return false
+}
+
+// isControl reports whether successful calls of the kind get a row with the state of the server.
+func isControl(kind statement.Kind) bool {
+	switch kind {
+	case statement.Status, statement.Pause, statement.Resume, statement.StepDown:
+		return true
+	}
+	return false
+}
+
+// mayHaveRows reports whether successful calls of the kind may get any number of rows.
+func mayHaveRows(kind statement.Kind) bool {
+	return kind == statement.Read || kind == statement.Execute
+}
+
+// stateAfter returns the state after a successful call of the kind.
+func stateAfter(before statement.TransactionState, kind statement.Kind) statement.TransactionState {
+	switch kind {
+	case statement.Begin, statement.BeginReadOnly:
+		return statement.InTransaction
+	case statement.Commit, statement.Rollback:
+		return statement.Idle
+	}
+	return before
+}
+
+// mayFail reports whether a call of the kind that fails can lead to the state. The end of a transaction may have any.
+func mayFail(before statement.TransactionState, kind statement.Kind, after statement.TransactionState) bool {
+	switch {
+	case kind == statement.Commit, kind == statement.Rollback:
+		return true
+	case before == statement.Idle:
+		return after != statement.InTransaction
+	}
+	return after != statement.Idle
+}
--- a/io/dbpool/acquire.go
+++ b/io/dbpool/acquire.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"dotterelgw/core/answer"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/schedule"
 	"dotterelgw/core/statement"
@@ -174,7 +175,11 @@
 		}
 		return nil, fmt.Errorf("opening a connection: %w", err)
 	}
-	return &Conn{link: link, pool: pool, organisation: organisation, acquiredAt: since, slot: slot}, nil
+	conn := &Conn{link: link, pool: pool, organisation: organisation, acquiredAt: since, slot: slot}
+	if _, ok := link.(orderedLink); ok {
+		conn.answers = new(answer.Tracker)
+	}
+	return conn, nil
 }
 
 // pauseAfter stops opening connections for a while if the server has too many.
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -5,6 +5,7 @@
 	"maps"
 	"time"
 
+	"dotterelgw/core/answer"
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/ids"
 	"dotterelgw/core/leader"
@@ -25,7 +26,10 @@
 	idleAt time.Time
 	// acquiredAt is the time from which the hold time of the connection counts.
 	acquiredAt time.Time
-	pending    int
+	// unanswered holds the calls that are unanswered, oldest first.
+	unanswered []Call
+	// answers checks the answers against their calls; nil on a link whose answers are matched by identifiers.
+	answers *answer.Tracker
 	// slot is the right to run a statement under a schedule, nil if there is none.
 	slot *slot
 }
@@ -76,7 +80,9 @@
 		conn.broken = true
 		return fmt.Errorf("sending to %s: %w", conn.pool.server.ID, err)
 	}
-	conn.pending += len(calls)
+	for _, call := range calls {
+		conn.unanswered = append(conn.unanswered, Call{ID: call.ID, Kind: call.Kind})
+	}
 	return nil
 }
 
@@ -103,7 +109,7 @@
 		conn.broken = true
 		return reply, fmt.Errorf("receiving from %s: %w", conn.pool.server.ID, err)
 	}
-	conn.pending--
+	conn.matchAnswer(reply)
 	return reply, nil
 }
 
@@ -156,5 +162,5 @@
 // Release returns the connection to the pool. A connection that is broken, has an answer outstanding or is inside a
 // transaction is closed.
 func (conn *Conn) Release(state statement.TransactionState) {
-	conn.pool.release(conn, !conn.broken && conn.pending == 0 && state == statement.Idle)
+	conn.pool.release(conn, !conn.broken && len(conn.unanswered) == 0 && state == statement.Idle)
 }
--- a/io/dbpool/link.go
+++ b/io/dbpool/link.go
@@ -45,6 +45,12 @@
 	Close(orderly bool)
 }
 
+// orderedLink is a link whose answers carry no identifier of their call, so that only their order matches them.
+type orderedLink interface {
+	// Surplus returns the escaped beginning of what lies unread; empty if there is nothing. It doesn't block.
+	Surplus() string
+}
+
 // Dialer opens links.
 type Dialer interface {
 	// Dial opens a link for statements of the organisation. The error is a *RefusedError if the server refused the
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -36,6 +36,8 @@
 	// room holds the requests that wait. observer is told what its schedule decides.
 	room     waitingRoom
 	observer *ScheduleObserver
+	// answers is told of answers that can't belong to a call.
+	answers *AnswerObserver
 	// pausedUntil is the time until which no connection is opened.
 	pausedUntil time.Time
 	// avgHold is the moving average of the time for which a connection is held.
@@ -175,6 +177,7 @@
 		if time.Since(conn.idleAt) < checkAfterIdle || conn.link.Usable() {
 			return conn, true
 		}
+		conn.reportSurplus()
 		pool.open--
 		conn.link.Close(false)
 	}
--- a/io/monitor/homes.go
+++ b/io/monitor/homes.go
@@ -28,6 +28,12 @@
 	monitor.homes, monitor.schedules = homes, schedules
 }
 
+// SetAnswerObserver sets who is told of answers of backend servers that can't belong to a call. It must be called before the first
+// SetServers.
+func (monitor *Monitor) SetAnswerObserver(observer *dbpool.AnswerObserver) {
+	monitor.answers = observer
+}
+
 // Server returns the server with the identifier, nil if it is not registered.
 func (monitor *Monitor) Server(id ids.BackendServerID) *Server {
 	for _, group := range monitor.Groups() {
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -66,6 +66,8 @@
 	homes Homes
 	// schedules is told what the schedules of pools decide; nil if nobody is.
 	schedules *dbpool.ScheduleObserver
+	// answers is told of answers that can't belong to a call; nil if nobody is.
+	answers *dbpool.AnswerObserver
 	// zonePolicy weighs traffic between availability zones; nil chooses servers by their expected time alone.
 	zonePolicy *zonebalance.Policy
 	registry   metrics.Registry
@@ -203,6 +205,8 @@
 		Pool: dbpool.New(info, monitor.dialer, defaultConnections), control: newControlPool(info, monitor.dialer),
 	}
 	server.Pool.SetScheduleObserver(monitor.schedules)
+	server.Pool.SetAnswerObserver(monitor.answers)
+	server.control.SetAnswerObserver(monitor.answers)
 	server.askedAt.Store(int64(clock.Now()))
 	server.register(info)
 	return server
--- a/io/node/homes.go
+++ b/io/node/homes.go
@@ -12,6 +12,7 @@
 func (node *Node) startHomes() {
 	node.homes = home.NewClient(node.settings.VM, node.mesh, node.eventLog, node.metrics)
 	node.monitor.SetHomes(node.homes, dbpool.NewScheduleObserver(node.metrics, node.eventLog))
+	node.monitor.SetAnswerObserver(dbpool.NewAnswerObserver(node.metrics, node.eventLog))
 	listener, err := net.Listen("tcp", node.mesh.Address())
 	if err != nil {
 		node.eventLog.Event("home_unavailable", "address", node.mesh.Address(), "err", err)
