Match each answer of a server with its call, or end the connection

Callers got rows and signatures of other statements, BUSY for writes that ran, and transactions that never began, if a server answered a call twice: answers are matched by their order alone, and the second one was taken for the answer to the next call. Unread bytes were looked for only after 50 ms without use.

- Nothing may lie unread before a call, in a transaction as well: the connection is looked at when it is taken from the pool and before each call, without blocking.
Surplus or a close by the server ends it, and nothing was sent, so the statement may go to another connection.
- An answer must fit its call (core/answer): signature, transaction state, rows, and no signature twice.
One that doesn't fit counts as lost: outcome unknown for writes and commits that were sent, a read is repeated elsewhere, a transaction ends with its connection.
- Errors carry nothing that tells them apart.
A connection is closed after the statement or transaction in which one was received, and a second one on a connection counts as a lost answer.
- A question for the state is followed by RESET, whose answer has no row: a second answer to an earlier question shifts the two.
- Answers to other calls, and connections that turn out to be unusable, are no sign that a server can't be reached.

--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -20,10 +20,12 @@
 	State Cause = "state"
 	// Rows means that the answer has rows although calls of the kind get none, or lacks the row of a status.
 	Rows Cause = "rows"
+	// SecondError means that an earlier answer on the connection reported an error as well. Errors carry nothing that tells them apart.
+	SecondError Cause = "second_error"
 )
 
 // Causes holds all causes.
-var Causes = []Cause{Unsigned, Signed, Repeated, State, Rows}
+var Causes = []Cause{Unsigned, Signed, Repeated, State, Rows, SecondError}
 
 // noSignature stands for an absent signature in answers to calls that get none.
 const noSignature = "-"
@@ -37,11 +39,13 @@
 	// signatures holds the hashes of the latest signatures, next the index of the oldest one.
 	signatures [rememberedSignatures]uint64
 	next       int
-	errors     int
+	// failed reports whether an answer has reported an error.
+	failed bool
 }
 
-// Errors returns the number of answers that reported an error.
-func (tracker *Tracker) Errors() int { return tracker.errors }
+// Failed reports whether an answer has reported an error. The second answer of that call may be taken for any later one, so the connection
+// must not be given to another user.
+func (tracker *Tracker) Failed() bool { return tracker.failed }
 
 // Check records the next answer, which is taken for that of a call of the kind. It returns why the answer can't belong to the call, or
 // false if it may.
@@ -49,8 +53,7 @@
 	before := tracker.state
 	tracker.state = reply.State
 	if reply.Code != statement.Complete {
-		tracker.errors++
-		return State, !mayFail(before, kind, reply.State)
+		return tracker.checkError(before, kind, reply.State)
 	}
 	signed := reply.Signature != "" && reply.Signature != noSignature
 	switch {
@@ -62,12 +65,24 @@
 		return Repeated, true
 	case reply.State != stateAfter(before, kind):
 		return State, true
-	case isControl(kind) != (len(reply.Rows) > 0) && !mayHaveRows(kind):
+	case !mayHaveRows(kind) && isControl(kind) != (len(reply.Rows) > 0):
 		return Rows, true
 	}
 	return "", false
 }
 
+// checkError is Check for an answer that reports an error.
+func (tracker *Tracker) checkError(before statement.TransactionState, kind statement.Kind, after statement.TransactionState) (Cause, bool) {
+	if tracker.failed {
+		return SecondError, true
+	}
+	tracker.failed = true
+	if !mayFail(before, kind, after) {
+		return State, true
+	}
+	return "", false
+}
+
 // seed is that of the hashes of signatures.
 var seed = maphash.MakeSeed()
 
--- a/io/dbpool/answer_observer.go
+++ b/io/dbpool/answer_observer.go
@@ -32,12 +32,12 @@
 }
 
 // unmatched records an answer that can't belong to the call for which it was taken.
-func (observer *AnswerObserver) unmatched(server ids.BackendServerID, cause answer.Cause, call Call, reply statement.Reply) {
+func (observer *AnswerObserver) unmatched(server ids.BackendServerID, cause answer.Cause, call sentCall, reply statement.Reply) {
 	if observer == nil {
 		return
 	}
 	observer.counter(cause).Inc(1)
-	observer.eventLog.LimitedEvent("answer_unmatched", "cause", cause, "server", server, "request", call.ID, "kind", call.Kind,
+	observer.eventLog.LimitedEvent("answer_unmatched", "cause", cause, "server", server, "request", call.id, "kind", call.kind,
 		"code", reply.Code, "signature", reply.Signature, "rows", len(reply.Rows), "state", reply.State, "term", reply.Position.Term,
 		"position", reply.Position.Log)
 }
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -26,8 +26,7 @@
 	idleAt time.Time
 	// acquiredAt is the time from which the hold time of the connection counts.
 	acquiredAt time.Time
-	// unanswered holds the calls that are unanswered, oldest first.
-	unanswered []Call
+	unanswered sentCalls
 	// answers checks the answers against their calls; nil on a link whose answers are matched by identifiers.
 	answers *answer.Tracker
 	// slot is the right to run a statement under a schedule, nil if there is none.
@@ -74,15 +73,17 @@
 	return true
 }
 
-// Send writes the calls.
+// Send writes the calls. It returns a *NotRunError if the connection turns out to be unusable before.
 func (conn *Conn) Send(deadline time.Time, calls ...Call) error {
+	if err := conn.checkQuiet(); err != nil {
+		conn.broken = true
+		return err
+	}
 	if err := conn.link.Send(deadline, calls...); err != nil {
 		conn.broken = true
 		return fmt.Errorf("sending to %s: %w", conn.pool.server.ID, err)
 	}
-	for _, call := range calls {
-		conn.unanswered = append(conn.unanswered, Call{ID: call.ID, Kind: call.Kind})
-	}
+	conn.unanswered.add(calls)
 	return nil
 }
 
@@ -109,7 +110,10 @@
 		conn.broken = true
 		return reply, fmt.Errorf("receiving from %s: %w", conn.pool.server.ID, err)
 	}
-	conn.matchAnswer(reply)
+	if err := conn.matchAnswer(reply); err != nil {
+		conn.broken = true
+		return statement.Reply{}, err
+	}
 	return reply, nil
 }
 
@@ -137,13 +141,18 @@
 	return conn.Receive(deadline)
 }
 
-// Status sends one control call and returns the server's state from its answer.
+// Status sends one control call and returns the server's state from its answer. States don't show to which question they belong, so a call
+// without a row follows: a second answer to an earlier question shifts the others, and its row is taken for the answer to that call.
 func (conn *Conn) Status(deadline time.Time, call Call) (leader.Status, statement.Code, error) {
-	if err := conn.Send(deadline, call); err != nil {
+	conn.values, conn.prepared = nil, nil
+	if err := conn.Send(deadline, call, Call{Kind: statement.Reset}); err != nil {
 		return leader.Status{}, 0, err
 	}
 	reply, err := conn.Receive(deadline)
-	if err != nil || reply.Code != statement.Complete {
+	if err != nil {
+		return leader.Status{}, 0, err
+	}
+	if err := conn.readSetupReplies(deadline, 1); err != nil || reply.Code != statement.Complete {
 		return leader.Status{}, reply.Code, err
 	}
 	status, err := conn.link.Status(reply)
@@ -159,8 +168,9 @@
 // Break marks the connection as unusable.
 func (conn *Conn) Break() { conn.broken = true }
 
-// Release returns the connection to the pool. A connection that is broken, has an answer outstanding or is inside a
-// transaction is closed.
+// Release returns the connection to the pool. A connection that is broken, has an answer outstanding, is inside a
+// transaction or has reported an error is closed.
 func (conn *Conn) Release(state statement.TransactionState) {
-	conn.pool.release(conn, !conn.broken && len(conn.unanswered) == 0 && state == statement.Idle)
+	failed := conn.answers != nil && conn.answers.Failed()
+	conn.pool.release(conn, !conn.broken && !failed && conn.unanswered.len() == 0 && state == statement.Idle)
 }
--- a/io/dbpool/match.go
+++ b/io/dbpool/match.go
@@ -1,19 +1,40 @@
 package dbpool
 
-import "dotterelgw/core/statement"
+import (
+	"errors"
+	"fmt"
 
-// matchAnswer takes the answer for that of the oldest unanswered call, and reports one that can't belong to it.
-func (conn *Conn) matchAnswer(reply statement.Reply) {
-	call := conn.unanswered[0]
-	if conn.unanswered = conn.unanswered[1:]; len(conn.unanswered) == 0 {
-		conn.unanswered = nil
+	"dotterelgw/core/statement"
+)
+
+var (
+	// ErrUnmatched reports an answer that can't belong to the call for which it was taken. Whether that call ran is not known.
+	ErrUnmatched = errors.New("the answer belongs to another call")
+	// ErrUnusable reports a connection that the server closed, or on which it sent more than it was asked for. Nothing was sent.
+	ErrUnusable = errors.New("the connection is closed or holds an answer to no call")
+)
+
+// checkQuiet reports an error if something lies unread on a connection without unanswered calls, which would be taken for the next answer.
+func (conn *Conn) checkQuiet() error {
+	if conn.answers == nil || conn.unanswered.len() > 0 || conn.link.Usable() {
+		return nil
 	}
+	conn.reportSurplus()
+	return &NotRunError{Cause: fmt.Errorf("%s: %w", conn.pool.server.ID, ErrUnusable)}
+}
+
+// matchAnswer takes the answer for that of the oldest unanswered call. It reports one that can't belong to it.
+func (conn *Conn) matchAnswer(reply statement.Reply) error {
+	call := conn.unanswered.take()
 	if conn.answers == nil {
-		return
+		return nil
 	}
-	if cause, unmatched := conn.answers.Check(call.Kind, reply); unmatched {
-		conn.pool.answers.unmatched(conn.pool.server.ID, cause, call, reply)
+	cause, unmatched := conn.answers.Check(call.kind, reply)
+	if !unmatched {
+		return nil
 	}
+	conn.pool.answers.unmatched(conn.pool.server.ID, cause, call, reply)
+	return fmt.Errorf("%s to %s of %s: %w", cause, call.kind, conn.pool.server.ID, ErrUnmatched)
 }
 
 // reportSurplus reports what lies unread on the connection, if anything does.
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// checkAfterIdle is the idle time after which a connection is checked before it is reused.
-	checkAfterIdle = 50 * time.Millisecond
 	// controlConnections is the number of connections beyond the limit for control statements of the proxy, which must
 	// not wait for transactions of callers.
 	controlConnections = 1
@@ -174,7 +172,7 @@
 		}
 		conn := pool.idle[index]
 		pool.idle = append(pool.idle[:index], pool.idle[index+1:]...)
-		if time.Since(conn.idleAt) < checkAfterIdle || conn.link.Usable() {
+		if conn.link.Usable() {
 			return conn, true
 		}
 		conn.reportSurplus()
--- a/io/monitor/homes.go
+++ b/io/monitor/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -143,3 +144,12 @@
 
 // Abandoned records that a statement got no answer for a reason that says nothing about the server.
 func (server *Server) Abandoned() { server.inFlight.Add(-1) }
+
+// unanswered records that a control statement got no answer of its own.
+func (server *Server) unanswered(sentAt time.Duration, err error) {
+	if errors.Is(err, dbpool.ErrUnmatched) || errors.Is(err, dbpool.ErrUnusable) {
+		server.Abandoned()
+		return
+	}
+	server.Failed(sentAt)
+}
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -264,7 +264,7 @@
 	if err != nil {
 		conn.Break()
 		conn.Release(statement.FailedTransaction)
-		server.Failed(sentAt)
+		server.unanswered(sentAt, err)
 		monitor.eventLog.LimitedEvent("status_unanswered", "server", server.ID(), "group", server.group.id,
 			"waited_ms", (clock.Now() - sentAt).Milliseconds(), "err", err)
 		return leader.Status{}, fmt.Errorf("control statement to %s: %w", server.ID(), err)
--- a/io/proxy/handed_over.go
+++ b/io/proxy/handed_over.go
@@ -20,23 +20,23 @@
 	return isNotRun(err) && (errors.Is(err, dbpool.ErrQueueFull) || errors.Is(err, dbpool.ErrAcquireTimeout))
 }
 
-// recordLoss records that a statement got no answer. The loss of the VM to which it was handed over, or memory that this VM lacks, says
-// nothing about the server.
+// recordLoss records that a statement got no answer. The loss of the VM to which it was handed over, memory that this VM lacks, or an answer
+// to another call says nothing about whether the server can be reached.
 func recordLoss(server *monitor.Server, sentAt time.Duration, err error) {
-	if errors.Is(err, dbpool.ErrHomeLost) || errors.Is(err, dbpool.ErrNoMemory) || isNotRun(err) {
+	if errors.Is(err, dbpool.ErrHomeLost) || errors.Is(err, dbpool.ErrNoMemory) || errors.Is(err, dbpool.ErrUnmatched) || isNotRun(err) {
 		server.Abandoned()
 		return
 	}
 	server.Failed(sentAt)
 }
 
-// handleNotRun prepares the next attempt after a home did not run a statement. It returns a refusal if there is none.
+// handleNotRun prepares the next attempt after a statement was not sent to its server. It returns a refusal if there is none.
 func (session *session) handleNotRun(operation *operation, attempts *attempts, target target, err error) *refused {
 	target.server.Abandoned()
 	target.conn.Release(statement.FailedTransaction)
 	switch {
-	case errors.Is(err, dbpool.ErrHomeUnavailable):
-		// The next attempt takes another home or a connection of this VM.
+	case errors.Is(err, dbpool.ErrHomeUnavailable), errors.Is(err, dbpool.ErrUnusable):
+		// The next attempt takes another home or another connection.
 		return nil
 	case errors.Is(err, dbpool.ErrSuspended):
 		// The home knows of an evacuation that this VM is about to learn of.
--- a/io/proxy/loss_test.go
+++ b/io/proxy/loss_test.go
@@ -17,7 +17,7 @@
 func TestLossThatSaysNothingAboutTheServer(t *testing.T) {
 	eventLog := observe.NewEventLog(io.Discard, "vm1")
 	t.Cleanup(func() { eventLog.Close(time.Second) })
-	for name, cause := range map[string]error{"home lost": dbpool.ErrHomeLost, "no memory": dbpool.ErrNoMemory} {
+	for name, cause := range map[string]error{"home lost": dbpool.ErrHomeLost, "no memory": dbpool.ErrNoMemory, "answer to another call": dbpool.ErrUnmatched} {
 		groups := monitor.New(t.Context(), statusDialer{}, "z", eventLog)
 		groups.SetServers(0, []catalog.Server{{ID: "a", Group: "group", Role: catalog.RolePrimary, Slots: 4}})
 		server := groups.Server("a")
