Positions of answers that may be old are not used

A read that must see recent writes could be sent to a replica that lacks them: the second answer to an earlier BEGIN fits a later BEGIN, and its position, which is older, counted as that of the log after the later one (core/leader History). BEGIN, ROLLBACK and calls that set up a session are answered without a signature, so nothing tells the two apart; what follows such an answer is caught, as it is shifted.

Conn.Receive returns the position only of answers that have a signature, of control statements, which RESET follows, and of the first error on a connection.

--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -83,6 +83,12 @@
 	return "", false
 }
 
+// IsCurrent reports whether an answer that fits a call of the kind tells the position of the log after that call. The second answer to an
+// earlier call of the kind fits as well if it has no signature; for control statements the caller excludes that.
+func IsCurrent(kind statement.Kind, reply statement.Reply) bool {
+	return reply.Code != statement.Complete || isSigned(kind) || isControl(kind)
+}
+
 // seed is that of the hashes of signatures.
 var seed = maphash.MakeSeed()
 
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -110,11 +110,10 @@
 		conn.broken = true
 		return reply, fmt.Errorf("receiving from %s: %w", conn.pool.server.ID, err)
 	}
-	if err := conn.matchAnswer(reply); err != nil {
+	if reply, err = conn.matchAnswer(reply); err != nil {
 		conn.broken = true
-		return statement.Reply{}, err
 	}
-	return reply, nil
+	return reply, err
 }
 
 // Run sends the prefix, which are the calls of SyncSession, followed by the call, and returns the answer to the call. It frees the
--- a/io/dbpool/match.go
+++ b/io/dbpool/match.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"dotterelgw/core/answer"
+	"dotterelgw/core/position"
 	"dotterelgw/core/statement"
 )
 
@@ -23,18 +25,22 @@
 	return &NotRunError{Cause: fmt.Errorf("%s: %w", conn.pool.server.ID, ErrUnusable)}
 }
 
-// matchAnswer takes the answer for that of the oldest unanswered call. It reports one that can't belong to it.
-func (conn *Conn) matchAnswer(reply statement.Reply) error {
+// matchAnswer takes the answer for that of the oldest unanswered call and returns what it tells. The error is ErrUnmatched if it can't belong
+// to that call.
+func (conn *Conn) matchAnswer(reply statement.Reply) (statement.Reply, error) {
 	call := conn.unanswered.take()
 	if conn.answers == nil {
-		return nil
+		return reply, nil
 	}
 	cause, unmatched := conn.answers.Check(call.kind, reply)
 	if !unmatched {
-		return nil
+		if !answer.IsCurrent(call.kind, reply) {
+			reply.Position = position.Position{}
+		}
+		return reply, nil
 	}
 	conn.pool.answers.unmatched(conn.pool.server.ID, cause, call, reply)
-	return fmt.Errorf("%s to %s of %s: %w", cause, call.kind, conn.pool.server.ID, ErrUnmatched)
+	return statement.Reply{}, fmt.Errorf("%s to %s of %s: %w", cause, call.kind, conn.pool.server.ID, ErrUnmatched)
 }
 
 // reportSurplus reports what lies unread on the connection, if anything does.
