Remember the last 1,024 signatures of a connection

A second answer was recognised among the last 64 signed answers of its connection only, half a second of a busy one. 1,024 are 10 s at 100 statements a second, and at most 8 KiB for such a connection.

The hash is FNV-1a, as core/ has no random numbers.

--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -1,7 +1,8 @@
 package answer
 
 import (
-	"hash/maphash"
+	"hash/fnv"
+	"slices"
 
 	"dotterelgw/core/statement"
 )
@@ -30,14 +31,15 @@
 // noSignature stands for an absent signature in answers to calls that get none.
 const noSignature = "-"
 
-// rememberedSignatures is the number of signatures that a tracker remembers, over a second of work of a busy connection.
-const rememberedSignatures = 64
+// rememberedSignatures is the number of signatures that a tracker remembers: those of the last 10 s of a connection with 100 statements a
+// second. A second answer that comes later than that is not recognised.
+const rememberedSignatures = 1024
 
 // Tracker checks the answers on one connection, in their order. The zero value is that of a new connection. It is not safe for concurrent use.
 type Tracker struct {
 	state statement.TransactionState
-	// signatures holds the hashes of the latest signatures, next the index of the oldest one.
-	signatures [rememberedSignatures]uint64
+	// signatures holds the hashes of the latest signatures, next the index of the oldest one once there are enough.
+	signatures []uint64
 	next       int
 	// failed reports whether an answer has reported an error.
 	failed bool
@@ -89,17 +91,18 @@
 	return reply.Code != statement.Complete || isSigned(kind) || isControl(kind)
 }
 
-// seed is that of the hashes of signatures.
-var seed = maphash.MakeSeed()
-
 // remember records a signature; false if it is remembered already.
 func (tracker *Tracker) remember(signature string) bool {
-	// 0 marks an unused place.
-	hash := max(maphash.String(seed, signature), 1)
-	for _, known := range tracker.signatures {
-		if known == hash {
-			return false
-		}
+	digest := fnv.New64a()
+	// Writing to a hash does not fail.
+	_, _ = digest.Write([]byte(signature))
+	hash := digest.Sum64()
+	if slices.Contains(tracker.signatures, hash) {
+		return false
+	}
+	if len(tracker.signatures) < rememberedSignatures {
+		tracker.signatures = append(tracker.signatures, hash)
+		return true
 	}
 	tracker.signatures[tracker.next] = hash
 	tracker.next = (tracker.next + 1) % rememberedSignatures
--- a/core/answer/tracker_test.go
+++ b/core/answer/tracker_test.go
@@ -1,6 +1,7 @@
 package answer_test
 
 import (
+	"strconv"
 	"testing"
 
 	"dotterelgw/core/answer"
@@ -71,6 +72,27 @@
 	}
 }
 
+// Guards against a second answer that is not recognised since many others came between, and against a memory of signatures that grows without
+// end.
+func TestManySignatures(t *testing.T) {
+	const between = 1000
+	var tracker answer.Tracker
+	check := func(number int) (answer.Cause, bool) {
+		return tracker.Check(statement.Read, statement.Reply{Signature: strconv.Itoa(number)})
+	}
+	for number := range 10 * between {
+		if cause, unmatched := check(number); unmatched {
+			t.Fatalf("answer %d: %s", number, cause)
+		}
+	}
+	if cause, _ := check(9 * between); cause != answer.Repeated {
+		t.Errorf("the answer %d answers before: cause %q", between, cause)
+	}
+	if cause, _ := check(0); cause != "" {
+		t.Errorf("the first answer is still remembered: cause %q", cause)
+	}
+}
+
 // BenchmarkCheck measures the check of an answer with a signature among all that are remembered.
 func BenchmarkCheck(b *testing.B) {
 	var tracker answer.Tracker
