--- /dev/null
+++ b/io/dbpool/match.go
@@ -0,0 +1,58 @@
+package dbpool
+
+import (
+	"errors"
+	"fmt"
+
+	"dotterelgw/core/answer"
+	"dotterelgw/core/position"
+	"dotterelgw/core/statement"
+)
+
+var (
+	// ErrUnmatched reports an answer that can't belong to the call for which it was taken. Whether that call ran is not known.
+	ErrUnmatched = errors.New("the answer belongs to another call")
+	// ErrUnusable reports a connection that the server closed, or on which it sent more than it was asked for. Nothing was sent.
+	ErrUnusable = errors.New("the connection is closed or holds an answer to no call")
+)
+
+// checkQuiet reports an error if something lies unread on a connection without unanswered calls, which would be taken for the next answer.
+func (conn *Conn) checkQuiet() error {
+	if conn.answers == nil || conn.unanswered.len() > 0 || conn.link.Usable() {
+		return nil
+	}
+	conn.reportSurplus()
+	return &NotRunError{Cause: fmt.Errorf("%s: %w", conn.pool.server.ID, ErrUnusable)}
+}
+
+// matchAnswer takes the answer for that of the oldest unanswered call and returns what it tells. The error is ErrUnmatched if it can't belong
+// to that call.
+func (conn *Conn) matchAnswer(reply statement.Reply) (statement.Reply, error) {
+	call := conn.unanswered.take()
+	if conn.answers == nil {
+		return reply, nil
+	}
+	cause, unmatched := conn.answers.Check(call.kind, reply)
+	if !unmatched {
+		if !answer.IsCurrent(call.kind, reply) {
+			reply.Position = position.Position{}
+		}
+		return reply, nil
+	}
+	conn.pool.answers.unmatched(conn.pool.server.ID, cause, call, reply)
+	return statement.Reply{}, fmt.Errorf("%s to %s of %s: %w", cause, call.kind, conn.pool.server.ID, ErrUnmatched)
+}
+
+// reportSurplus reports what lies unread on the connection, if anything does.
+func (conn *Conn) reportSurplus() {
+	link, ok := conn.link.(orderedLink)
+	if !ok {
+		return
+	}
+	if beginning := link.Surplus(); beginning != "" {
+		conn.pool.answers.surplus(conn.pool.server.ID, beginning)
+	}
+}
+
+// SetAnswerObserver sets who is told of answers that can't belong to a call. It must be called before the pool is used.
+func (pool *Pool) SetAnswerObserver(observer *AnswerObserver) { pool.answers = observer }
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// checkAfterIdle is the idle time after which a connection is checked before it is reused.
-	checkAfterIdle = 50 * time.Millisecond
 	// controlConnections is the number of connections beyond the limit for control statements of the proxy, which must
 	// not wait for transactions of callers.
 	controlConnections = 1
@@ -36,6 +34,8 @@
 	// room holds the requests that wait. observer is told what its schedule decides.
 	room     waitingRoom
 	observer *ScheduleObserver
+	// answers is told of answers that can't belong to a call.
+	answers *AnswerObserver
 	// pausedUntil is the time until which no connection is opened.
 	pausedUntil time.Time
 	// avgHold is the moving average of the time for which a connection is held.
@@ -172,9 +172,10 @@
 		}
 		conn := pool.idle[index]
 		pool.idle = append(pool.idle[:index], pool.idle[index+1:]...)
-		if time.Since(conn.idleAt) < checkAfterIdle || conn.link.Usable() {
+		if conn.link.Usable() {
 			return conn, true
 		}
+		conn.reportSurplus()
 		pool.open--
 		conn.link.Close(false)
 	}
--- a/io/monitor/homes.go
+++ b/io/monitor/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -28,6 +29,12 @@
 	monitor.homes, monitor.schedules = homes, schedules
 }
 
+// SetAnswerObserver sets who is told of answers of backend servers that can't belong to a call. It must be called before the first
+// SetServers.
+func (monitor *Monitor) SetAnswerObserver(observer *dbpool.AnswerObserver) {
+	monitor.answers = observer
+}
+
 // Server returns the server with the identifier, nil if it is not registered.
 func (monitor *Monitor) Server(id ids.BackendServerID) *Server {
 	for _, group := range monitor.Groups() {
@@ -137,3 +144,12 @@
 
 // Abandoned records that a statement got no answer for a reason that says nothing about the server.
 func (server *Server) Abandoned() { server.inFlight.Add(-1) }
+
+// unanswered records that a control statement got no answer of its own.
+func (server *Server) unanswered(sentAt time.Duration, err error) {
+	if errors.Is(err, dbpool.ErrUnmatched) || errors.Is(err, dbpool.ErrUnusable) {
+		server.Abandoned()
+		return
+	}
+	server.Failed(sentAt)
+}
