--- a/io/proxy/cold_test.go
+++ b/io/proxy/cold_test.go
@@ -87,20 +87,26 @@
 	})
 	group := groups.Group(coldGroup)
 	const staleness = time.Minute
+	awaitPosition(t, group, staleness)
+	server := New(Dependencies{Groups: groups, Cold: budget, EventLog: eventLog, Metrics: metrics.NewRegistry()})
+	return newSession(server, &floodingCaller{}), &operation{
+		route:        &catalog.Route{Group: coldGroup, Consistency: catalog.BoundedStaleness, MaxStaleness: staleness},
+		organisation: &catalog.Organisation{ID: "org"}, arrived: clock.Now(), reads: true,
+	}, groups
+}
+
+// awaitPosition waits until a position of the primary that is not older is known.
+func awaitPosition(t *testing.T, group *monitor.Group, staleness time.Duration) {
+	t.Helper()
 	for began := time.Now(); ; time.Sleep(10 * time.Millisecond) {
 		group.MarkUsed()
 		if _, ok := group.MinReadPosition(clock.Now() - staleness + stalenessMargin); ok {
-			break
+			return
 		}
 		if time.Since(began) > coldWait {
 			t.Fatal("no position of the primary is known")
 		}
 	}
-	server := New(Dependencies{Groups: groups, Cold: budget, EventLog: eventLog, Metrics: metrics.NewRegistry()})
-	return newSession(server, &floodingCaller{}), &operation{
-		route:        &catalog.Route{Group: coldGroup, Consistency: catalog.BoundedStaleness, MaxStaleness: staleness},
-		organisation: &catalog.Organisation{ID: "org"}, arrived: clock.Now(), reads: true,
-	}, groups
 }
 
 // Guards against a read that asks for the budgets of cold servers without a pause until one has room, beyond its deadline, instead of being
