io/proxy: requests sent ahead behind a refused BEGIN, SET or PREPARE don't run

Seen by callers: BEGIN, WRITE and COMMIT sent ahead; the BEGIN is refused (rate, memory) with BUSY, which promises that nothing is kept, and the WRITE then runs outside of a transaction and is kept (REFUSED). A SET or PREPARE that is refused inside of a transaction left it open, so that a COMMIT sent ahead kept the writes around it, with other session values than the caller relies on.

Cause: each request was served for itself. refusals.md has the rule for open transactions already, updateSession and begin didn't follow it.

Change: a refused SET or PREPARE fails the open transaction. A refused BEGIN opens a failed transaction, and a SET or PREPARE refused outside of one ends the session, if requests of the caller have arrived behind it (Caller.Pending).

--- a/io/proxy/names.go
+++ b/io/proxy/names.go
@@ -95,20 +95,30 @@
 		return statement.Reply{State: session.state}
 	}
 	if count, known := session.names.count(stmt); !known && count >= maxNames {
-		return session.malformed(request, "too many session values or prepared statements")
+		return session.refuseSetUp(request, refuse(refusal.ProtocolError, 0, "too many session values or prepared statements"))
 	}
 	size := session.names.sizeWith(stmt)
 	if size > session.server.MaxSessionBytes {
 		note := fmt.Sprintf("session values and prepared statements of %d bytes, limit %d", size, session.server.MaxSessionBytes)
-		return session.refusalReply(request, refuse(refusal.MessageTooLarge, 0, note), session.state)
+		return session.refuseSetUp(request, refuse(refusal.MessageTooLarge, 0, note))
 	}
 	if err := session.keep(size); err != nil {
-		return session.refusalReply(request, refuse(refusal.MemoryShort, retrySoon, err.Error()), session.state)
+		return session.refuseSetUp(request, refuse(refusal.MemoryShort, retrySoon, err.Error()))
 	}
 	session.names.set(stmt)
 	return statement.Reply{State: session.state}
 }
 
+// refuseSetUp refuses a SET or PREPARE. What the caller has sent ahead relies on it and must not run: an open transaction fails, and outside
+// of one the session ends.
+func (session *session) refuseSetUp(request statement.Request, refused *refused) statement.Reply {
+	if session.transaction != nil {
+		session.failTransaction(refused.Reason)
+	}
+	session.ending = session.transaction == nil && session.caller.Pending()
+	return session.refusalReply(request, refused, session.state)
+}
+
 // keep tells the caller's connection what the session keeps: its names, and the identifier of an open transaction's begin.
 func (session *session) keep(names budget.Bytes) error {
 	if session.transaction != nil {
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -52,6 +52,8 @@
 	// time of the last answer.
 	replied   bool
 	idleSince time.Duration
+	// ending reports whether the session ends after the answer to the current request.
+	ending bool
 	// opened is set once the start-up message has been read.
 	opened atomic.Bool
 }
@@ -174,7 +176,7 @@
 	}
 	session.replied, session.idleSince = true, clock.Now()
 	session.recordServed(request, reply, arrived)
-	if reply.Code == statement.KeyUnknown {
+	if reply.Code == statement.KeyUnknown || session.ending {
 		return errEnded
 	}
 	return nil
--- /dev/null
+++ b/io/proxy/state_test.go
@@ -0,0 +1,60 @@
+package proxy
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/statement"
+)
+
+// A caller sends requests ahead, and the first one that is refused sets up the others. Guards against statements that run without what they
+// rely on, so that a write is kept although the caller was told that nothing is.
+func TestRequestsBehindARefusedOne(t *testing.T) {
+	begin, write, commit := statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Write}, statement.Statement{Kind: statement.Commit}
+	tooLarge := statement.Statement{Kind: statement.Set, Name: "v", Value: strings.Repeat("x", 2<<20)}
+	for name, test := range map[string]struct {
+		limiter Limiter
+		sent    []statement.Statement
+		want    string
+	}{
+		"begin":                {refusingLimiter{}, []statement.Statement{begin, write, commit}, "busy E, malformed E, aborted I"},
+		"set in a transaction": {unlimited{}, []statement.Statement{begin, write, tooLarge, write, commit}, "complete T, complete T, too_large E, malformed E, aborted I"},
+		"set":                  {unlimited{}, []statement.Statement{tooLarge, write}, "too_large I"},
+		"last":                 {refusingLimiter{}, []statement.Statement{begin}, "busy I"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, ledger := newLedgerServer(t, 2)
+			caller, session := &scriptedCaller{}, newLedgerSession(server)
+			session.caller = caller
+			for index, stmt := range test.sent {
+				caller.requests = append(caller.requests, statement.Request{ID: statement.RequestID(rune('a' + index)), Statement: stmt})
+			}
+			server.Limiter = &firstFrom{first: test.limiter}
+			for session.next() == nil {
+				continue
+			}
+			var got []string
+			for _, reply := range caller.replies {
+				got = append(got, reply.Code.String()+" "+"ITE"[reply.State:reply.State+1])
+			}
+			if answers := strings.Join(got, ", "); answers != test.want || len(ledger.committed) > 0 {
+				t.Errorf("answered %q, want %q; %q is committed", answers, test.want, ledger.committed)
+			}
+		})
+	}
+}
+
+// firstFrom asks a limiter for the first operation and admits the others.
+type firstFrom struct {
+	unlimited
+	first Limiter
+}
+
+// Admit implements Limiter.Admit.
+func (limiter *firstFrom) Admit(organisation *catalog.Organisation) (bool, time.Duration) {
+	first := limiter.first
+	limiter.first = limiter.unlimited
+	return first.Admit(organisation)
+}
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -45,7 +45,7 @@
 	}
 	operation, refused := session.admit(arrived)
 	if refused != nil {
-		return session.refusalReply(request, refused, statement.Idle)
+		return session.refuseBegin(request, refused)
 	}
 	readOnly := request.Statement.Kind == statement.BeginReadOnly
 	operation.writes, operation.reads = !readOnly, true
@@ -54,12 +54,22 @@
 	}
 	if err := session.keep(session.names.size); err != nil {
 		session.transaction = nil
-		return session.refusalReply(request, refuse(refusal.MemoryShort, retrySoon, err.Error()), statement.Idle)
+		return session.refuseBegin(request, refuse(refusal.MemoryShort, retrySoon, err.Error()))
 	}
 	session.state = statement.InTransaction
 	return statement.Reply{State: statement.InTransaction}
 }
 
+// refuseBegin refuses to open a transaction. If the caller has sent statements of it ahead, the session enters a failed transaction:
+// outside of a transaction they would run and be kept.
+func (session *session) refuseBegin(request statement.Request, refused *refused) statement.Reply {
+	if session.caller.Pending() {
+		session.transaction = &transaction{}
+		session.failTransaction(refused.Reason)
+	}
+	return session.refusalReply(request, refused, session.state)
+}
+
 // rollback rolls the transaction back on its server, or closes its connection if that fails.
 func (session *session) rollback(request statement.Request) statement.Reply {
 	transaction := session.transaction
@@ -109,11 +119,16 @@
 	_ = session.keep(session.names.size)
 }
 
-// abort rolls the transaction back after one of its statements failed. The caller still has to end it.
-func (session *session) abort(request statement.Request, refused *refused) statement.Reply {
+// failTransaction rolls the transaction back. The caller still has to end it.
+func (session *session) failTransaction(reason refusal.Reason) {
 	session.closeConnection()
-	session.transaction.endReason = refused.Reason
+	session.transaction.endReason = reason
 	session.state = statement.FailedTransaction
+}
+
+// abort rolls the transaction back after one of its statements failed. The caller still has to end it.
+func (session *session) abort(request statement.Request, refused *refused) statement.Reply {
+	session.failTransaction(refused.Reason)
 	refused.Refusal = refused.WithOutcome(refusal.RolledBack)
 	reply := session.refusalReply(request, refused, statement.FailedTransaction)
 	if reply.Code != statement.KeyUnknown {
