io/proxy: failing test of a transaction that its server ended

Cause: begin on a server looks at the code of the answer only, and a statement in a transaction overwrites the state of its answer. If the state says that no transaction is open, because the server ended it or the answer is that of another call, the next statements run outside of the transaction. Behind a home they even go to another connection, as the home has released the first.

The change belongs where answers are checked against their calls (dbpool.Conn).

--- a/io/proxy/state_test.go
+++ b/io/proxy/state_test.go
@@ -7,8 +7,34 @@
 
 	"dotterelgw/core/catalog"
 	"dotterelgw/core/statement"
+	"dotterelgw/io/dbpool"
 )
 
+// A server answers a BEGIN, or a statement in a transaction, with success and the state outside of a transaction. Guards against later
+// statements of the transaction that run outside of it and are kept although the caller rolls back.
+func TestTransactionThatItsServerEnded(t *testing.T) {
+	for name, ends := range map[string]statement.Kind{"at begin": statement.Begin, "at a statement": statement.Read} {
+		t.Run(name, func(t *testing.T) {
+			server, ledger := newLedgerServer(t, 2)
+			session := newLedgerSession(server)
+			ledger.fault = func(link *ledgerLink, call dbpool.Call) (*statement.Reply, bool, error) {
+				if call.Kind != ends {
+					return nil, true, nil
+				}
+				link.run(call)
+				link.state = statement.Idle
+				return nil, false, nil
+			}
+			for index, kind := range []statement.Kind{statement.Begin, statement.Read, statement.Write, statement.Rollback} {
+				do(session, statement.RequestID(rune('a'+index)), statement.Statement{Kind: kind})
+			}
+			if len(ledger.committed) > 0 {
+				t.Errorf("%v is committed outside of the transaction that was rolled back", ledger.committed)
+			}
+		})
+	}
+}
+
 // A caller sends requests ahead, and the first one that is refused sets up the others. Guards against statements that run without what they
 // rely on, so that a write is kept although the caller was told that nothing is.
 func TestRequestsBehindARefusedOne(t *testing.T) {
