io/dbpool: a connection knows the shape behind a prepared name

Names are derived from shapes and differ within one build. Frames travel between builds, and the home took the name of a frame for its shape.

Change: the connection keeps a hash of the shape with the name, and a name that stands for another shape is reset and prepared again. The hash keeps the memory of a connection as it was.

Before the change (TestNameOfTwoShapes): ran "READ one", want "READ other" After it the packages io/home and io/dbpool pass.

--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"time"
 
@@ -18,8 +19,9 @@
 	organisation ids.OrganisationID
 	// values holds the session values set on the connection.
 	values map[string]string
-	// prepared holds the names of the statements prepared on the connection.
-	prepared map[string]bool
+	// prepared holds the hashes of the shapes that were prepared on the connection, by name. VMs of another build that hand statements
+	// over may give other names to the same shapes, and the same name to others.
+	prepared map[string]uint64
 	// broken reports whether the connection must not be reused.
 	broken bool
 	idleAt time.Time
@@ -37,7 +39,9 @@
 // It assumes that the calls succeed.
 func (conn *Conn) SyncSession(values map[string]string, name string, prepared statement.Prepared) []Call {
 	var calls []Call
-	if !covers(values, conn.values) {
+	shape := maphash.String(shapeSeed, prepared.Text)
+	held, known := conn.prepared[name]
+	if !covers(values, conn.values) || known && held != shape {
 		calls = append(calls, Call{Kind: statement.Reset})
 		conn.values, conn.prepared = nil, nil
 	}
@@ -50,16 +54,19 @@
 	if len(calls) > 0 {
 		conn.values = maps.Clone(values)
 	}
-	if name != "" && !conn.prepared[name] {
+	if _, known := conn.prepared[name]; name != "" && !known {
 		calls = append(calls, Call{Kind: statement.Prepare, Name: name, Value: prepared.Text})
 		if conn.prepared == nil {
-			conn.prepared = make(map[string]bool)
+			conn.prepared = make(map[string]uint64)
 		}
-		conn.prepared[name] = true
+		conn.prepared[name] = shape
 	}
 	return calls
 }
 
+// shapeSeed seeds the hashes of shapes. Callers that know it could choose shapes of the same hash.
+var shapeSeed = maphash.MakeSeed()
+
 // covers reports whether every key that is held is also wanted, so that no Reset is needed.
 func covers(wanted, held map[string]string) bool {
 	for key := range held {
--- a/io/home/home_test.go
+++ b/io/home/home_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// Two VMs, of which one runs another build, give two shapes the same name. Guards against a prepared statement that runs the shape of
+// another session.
+func TestNameOfTwoShapes(t *testing.T) {
+	home := startHome(t, "s")
+	client := startClient(t, map[ids.VMID]string{"home": home.address})
+	for _, shape := range []string{"READ one", "READ other", "READ one"} {
+		conn := open(t, client, "home", testServer)
+		prefix := conn.SyncSession(nil, "name", statement.Prepared{Text: shape})
+		reply, err := conn.Run(time.Now().Add(testTimeout), prefix, dbpool.Call{ID: "q", Kind: statement.Execute, Name: "name"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Release(reply.State)
+		runs := home.backend.ran()
+		if ran := runs[len(runs)-1].shapes["name"]; ran != shape {
+			t.Errorf("ran %q, want %q", ran, shape)
+		}
+	}
+}
+
 // Guards against a transaction whose statements run on several connections, and a statement of another session inside it.
 func TestTransactionKeepsItsConnection(t *testing.T) {
 	home := startHome(t, "s")
