io/proxy: fuzz target for the names of prepared statements on servers

Sessions share the prepared statements of a connection by name, so that two shapes with one name would run each other's statements (PINNED).

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(GO) test -run '^$$' -fuzz '^FuzzReader$$' -fuzztime 2s ./platform/lineprotocol
 	$(GO) test -run '^$$' -fuzz FuzzReaderBudget -fuzztime 2s ./platform/lineprotocol
 	$(GO) test -run '^$$' -fuzz FuzzDecode -fuzztime 2s ./platform/records
+	$(GO) test -run '^$$' -fuzz FuzzServerStatementName -fuzztime 2s ./io/proxy
 	$(GO) test -run '^$$' -fuzz FuzzDecodeVM -fuzztime 2s ./io/fleet
 	$(GO) test -run '^$$' -fuzz FuzzDecodeMembers -fuzztime 2s ./io/promoter
 
