io/proxy: a request that the protocol doesn't allow fails the open transaction

Seen by callers: BEGIN, WRITE, a text that is no statement (or a second BEGIN) and COMMIT sent ahead; the text is answered with MALFORMED and state T, and the COMMIT keeps the part of the transaction that was understood. refusals.md: a refusal inside an open transaction rolls it back, so that a pipelined COMMIT cannot keep half of it.

Change: MALFORMED in an open transaction fails it (state E).

--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -36,7 +36,12 @@
 	return session.malformed(request, "no such statement")
 }
 
+// malformed refuses a request that the protocol doesn't allow. An open transaction fails, so that a commit that was sent ahead doesn't keep
+// the part of it that was understood.
 func (session *session) malformed(request statement.Request, note string) statement.Reply {
+	if session.state == statement.InTransaction {
+		session.failTransaction(refusal.ProtocolError)
+	}
 	return session.refusalReply(request, refuse(refusal.ProtocolError, 0, note), session.state)
 }
 
--- a/io/proxy/state_test.go
+++ b/io/proxy/state_test.go
@@ -47,6 +47,8 @@
 	}{
 		"begin":                {refusingLimiter{}, []statement.Statement{begin, write, commit}, "busy E, malformed E, aborted I"},
 		"set in a transaction": {unlimited{}, []statement.Statement{begin, write, tooLarge, write, commit}, "complete T, complete T, too_large E, malformed E, aborted I"},
+		"no statement":         {unlimited{}, []statement.Statement{begin, write, {Kind: statement.Invalid}, write, commit}, "complete T, complete T, malformed E, malformed E, aborted I"},
+		"second begin":         {unlimited{}, []statement.Statement{begin, write, begin, write, commit}, "complete T, complete T, malformed E, malformed E, aborted I"},
 		"set":                  {unlimited{}, []statement.Statement{tooLarge, write}, "too_large I"},
 		"last":                 {refusingLimiter{}, []statement.Statement{begin}, "busy I"},
 	} {
