io/home: a link with a statement that was given up carries no other

Results name their link but not their statement. A result that arrives after its statement was given up would be taken for that of the next statement on the link (MIXED). No caller can see it today: each user of a connection closes it after an error, and a closed link takes no results (io/proxy, io/home and io/monitor read for this). The link itself didn't hold it.

Change: a link refuses to hand a statement over while one is unanswered. Frames stay as they are, since then no result can meet another statement.

Before the change (TestLateAnswerReachesNoOtherStatement): q2 was answered with {Code:complete Signature:of q1}, 2 statements were handed over. After it the package io/home passes.

--- a/io/home/home_test.go
+++ b/io/home/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -374,6 +375,28 @@
 	}
 }
 
+// A statement is given up at its deadline, and its answer arrives late. Guards against the answer being taken for that of another statement
+// on the link, and against that statement being handed over.
+func TestLateAnswerReachesNoOtherStatement(t *testing.T) {
+	client := startClient(t, nil)
+	local, remote := net.Pipe()
+	t.Cleanup(func() { _ = remote.Close() })
+	go func() { _, _ = io.Copy(io.Discard, remote) }()
+	stream := newOutgoing("home")
+	stream.stream = newStream(local)
+	now := time.Now()
+	link := &link{client: client, stream: stream, answer: make(chan result, 1), waitBy: now, answerBy: now}
+	conn := dbpool.NewConn(testServer, "org1", link)
+	if _, err := conn.Run(now, nil, dbpool.Call{ID: "q1", Kind: statement.Write, Text: "WRITE a 1"}); err == nil {
+		t.Fatal("an answer without a home")
+	}
+	link.deliver(result{reply: statement.Reply{Signature: "of q1"}})
+	reply, err := conn.Run(now, nil, dbpool.Call{ID: "q2", Kind: statement.Read, Text: "READ b"})
+	if err == nil || client.handedOver.Count() > 1 {
+		t.Errorf("q2 was answered with %+v, %d statements were handed over", reply, client.handedOver.Count())
+	}
+}
+
 // A home stops by plan while the VM of a caller reads slowly. Guards against a process that ends before its last answers are written.
 func TestPlannedStopWritesAnswers(t *testing.T) {
 	home := startHome(t, "s")
--- a/io/home/link.go
+++ b/io/home/link.go
@@ -23,8 +23,12 @@
 	answerMargin = 20 * time.Millisecond
 )
 
-// errUnsupported reports a call that only a connection of this VM can carry.
-var errUnsupported = errors.New("the call can't be handed over")
+var (
+	// errUnsupported reports a call that only a connection of this VM can carry.
+	errUnsupported = errors.New("the call can't be handed over")
+	// errUnanswered reports a call on a link whose last statement got no answer.
+	errUnanswered = errors.New("the last statement of the link is unanswered")
+)
 
 // link is a virtual connection to a backend server, whose statements run on a connection of a home. It implements dbpool.Link.
 type link struct {
@@ -90,8 +94,12 @@
 	return entries
 }
 
-// handOver sends a statement to the home.
+// handOver sends a statement to the home. Results name their link but not their statement, so that a link on which one was given up carries
+// no other.
 func (link *link) handOver(deadline time.Time, call dbpool.Call) error {
+	if link.outstanding {
+		return errUnanswered
+	}
 	now := time.Now()
 	message := run{
 		AnswerMS: deadline.Sub(now).Milliseconds(), Values: link.values, ID: call.ID, Kind: call.Kind, Text: call.Text,
