io/dbpool: a server that refused a session value has its set-up awaited

Seen by callers: a server answers SET, PREPARE or RESET with an error, and each statement that needs it runs nevertheless, with other session values (PINNED); a read up to six times, as it is repeated.

Cause: SyncSession's calls leave together with their statement, and their answers are read afterwards.

Change: once a server has refused such a call, the statements of its pool follow only when their session is set up; one that is not is not sent, which callers are told. The first one still runs. Event set_up_refused.

--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"maps"
@@ -36,7 +37,7 @@
 func (conn *Conn) Server() catalog.Server { return conn.pool.server }
 
 // SyncSession returns the calls that set the session's values on the connection and prepare the named statement, if any.
-// It assumes that the calls succeed.
+// It assumes that the calls succeed, see Run.
 func (conn *Conn) SyncSession(values map[string]string, name string, prepared statement.Prepared) []Call {
 	var calls []Call
 	shape := maphash.String(shapeSeed, prepared.Text)
@@ -96,7 +97,8 @@
 		}
 		if reply.Code != statement.Complete {
 			conn.broken = true
-			return fmt.Errorf("%s refused a call that sets up the session: %s %s", conn.pool.server.ID, reply.Code, reply.Message)
+			conn.pool.awaitsSetUp.Store(true)
+			return fmt.Errorf("%s: %w: %s %s", conn.pool.server.ID, ErrSetUpRefused, reply.Code, reply.Message)
 		}
 	}
 	return nil
@@ -114,7 +116,11 @@
 	return reply, nil
 }
 
-// Run sends the prefix, which are the calls of SyncSession, followed by the call, and returns the answer to the call. It frees the
+// ErrSetUpRefused reports that a server refused a call that sets up the session.
+var ErrSetUpRefused = errors.New("the server refused to set up the session")
+
+// Run sends the prefix, which are the calls of SyncSession, followed by the call, and returns the answer to the call. They leave together,
+// unless the server has refused a call of a prefix before: then the call follows once the session is set up. It frees the
 // slot of the connection. Outside of a transaction that is left to Release: another statement that got the slot now would find the
 // connection in use, and open one.
 func (conn *Conn) Run(deadline time.Time, prefix []Call, call Call) (statement.Reply, error) {
@@ -129,6 +135,12 @@
 }
 
 func (conn *Conn) run(deadline time.Time, prefix []Call, call Call) (statement.Reply, error) {
+	if len(prefix) > 0 && conn.pool.awaitsSetUp.Load() {
+		if err := conn.setUp(deadline, prefix); err != nil {
+			return statement.Reply{}, &NotRunError{Cause: err}
+		}
+		prefix = nil
+	}
 	if err := conn.Send(deadline, append(prefix, call)...); err != nil {
 		return statement.Reply{}, err
 	}
@@ -138,6 +150,14 @@
 	return conn.Receive(deadline)
 }
 
+// setUp sends the calls of SyncSession and awaits their answers.
+func (conn *Conn) setUp(deadline time.Time, prefix []Call) error {
+	if err := conn.Send(deadline, prefix...); err != nil {
+		return err
+	}
+	return conn.readSetupReplies(deadline, len(prefix))
+}
+
 // Status sends one control call and returns the server's state from its answer.
 func (conn *Conn) Status(deadline time.Time, call Call) (leader.Status, statement.Code, error) {
 	if err := conn.Send(deadline, call); err != nil {
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dotterelgw/core/catalog"
@@ -22,6 +23,9 @@
 type Pool struct {
 	server catalog.Server
 	dialer Dialer
+	// awaitsSetUp reports whether the server has refused to set up a session. A statement that left together with the refused call ran with
+	// other values than those of its session.
+	awaitsSetUp atomic.Bool
 
 	mutex sync.Mutex
 	limit int
--- a/io/home/served.go
+++ b/io/home/served.go
@@ -69,6 +69,12 @@
 	prefix := held.conn.SyncSession(message.Values, name, statement.Prepared{Text: message.Shape})
 	sentAt := held.server.Begin()
 	answer, err := held.conn.Run(deadline, prefix, call)
+	var notRun *dbpool.NotRunError
+	if errors.As(err, &notRun) {
+		held.server.Abandoned()
+		held.release(statement.FailedTransaction)
+		return kindRefusal, &refused{Cause: causeTimeout, Note: err.Error()}
+	}
 	if err != nil {
 		noMemory := errors.Is(err, dbpool.ErrNoMemory)
 		if noMemory {
--- a/io/proxy/handed_over.go
+++ b/io/proxy/handed_over.go
@@ -30,10 +30,14 @@
 	server.Failed(sentAt)
 }
 
-// handleNotRun prepares the next attempt after a home did not run a statement. It returns a refusal if there is none.
+// handleNotRun prepares the next attempt after a statement was not sent to its server. It returns a refusal if there is none.
 func (session *session) handleNotRun(operation *operation, attempts *attempts, target target, err error) *refused {
 	target.server.Abandoned()
 	target.conn.Release(statement.FailedTransaction)
+	if errors.Is(err, dbpool.ErrSetUpRefused) {
+		session.server.EventLog.LimitedEvent("set_up_refused", "server", target.server.ID(), "organisation", session.organisation,
+			"attempt", attempts.count, "err", err)
+	}
 	switch {
 	case errors.Is(err, dbpool.ErrHomeUnavailable):
 		// The next attempt takes another home or a connection of this VM.
--- a/io/proxy/state_test.go
+++ b/io/proxy/state_test.go
@@ -74,6 +74,35 @@
 	}
 }
 
+// A server refuses to set a session value. Guards against a write that ran beside the refusal and is repeated or said not to have run, and
+// against all further statements that run with other values than those of their session.
+func TestServerThatRefusesSessionValues(t *testing.T) {
+	for name, newServer := range map[string]func(*testing.T, int) (*Server, *ledger){"direct": newLedgerServer, "home": newServerBehindHome} {
+		t.Run(name, func(t *testing.T) {
+			server, ledger := newServer(t, 2)
+			ledger.fault = func(link *ledgerLink, call dbpool.Call) (*statement.Reply, bool, error) {
+				if call.Kind == statement.Set {
+					return &statement.Reply{Code: statement.Error, State: link.state}, false, nil
+				}
+				return nil, true, nil
+			}
+			session := newLedgerSession(server)
+			do(session, "a", statement.Statement{Kind: statement.Set, Name: "v", Value: "1"})
+			if reply := do(session, "b", statement.Statement{Kind: statement.Write}); reply.Code != statement.InDoubt || len(ledger.runs) > 1 {
+				t.Errorf("the first write was answered with %s and ran %d times", reply.Code, len(ledger.runs))
+			}
+			for id, kind := range map[statement.RequestID]statement.Kind{"c": statement.Write, "d": statement.Read} {
+				if reply := do(session, id, statement.Statement{Kind: kind}); reply.Code != statement.Busy {
+					t.Errorf("%s was answered with %s", kind, reply.Code)
+				}
+			}
+			if len(ledger.runs) > 1 {
+				t.Errorf("statements ran with other values: %+v", ledger.runs[1:])
+			}
+		})
+	}
+}
+
 // firstFrom asks a limiter for the first operation and admits the others.
 type firstFrom struct {
 	unlimited
