io/proxy: histories with streams that are cut and set-up that is refused

The streams to the home are cut while statements run and transactions are open, and a third set of histories has a server that refuses SET, PREPARE and RESET after it was seen to.

--- a/io/proxy/history_test.go
+++ b/io/proxy/history_test.go
@@ -38,6 +38,8 @@
 	sent   map[statement.RequestID]*sent
 	// asked holds the transactions whose commit was sent, refused those that were promised to have left nothing.
 	asked, refused map[statement.RequestID]bool
+	// refusesSetUp reports whether the server refuses SET, PREPARE and RESET now and then.
+	refusesSetUp bool
 }
 
 // historyCaller is the caller of a session and what it has set up.
@@ -53,7 +55,11 @@
 // faultOf draws a fault that the page of the protocol allows.
 func (history *history) faultOf(link *ledgerLink, call dbpool.Call) (*statement.Reply, bool, error) {
 	switch call.Kind {
-	case statement.Set, statement.Prepare, statement.Reset, statement.Rollback:
+	case statement.Set, statement.Prepare, statement.Reset:
+		if !history.refusesSetUp {
+			return nil, true, nil
+		}
+	case statement.Rollback:
 		return nil, true, nil
 	}
 	failed := link.state
@@ -77,7 +83,7 @@
 			return refuse(statement.UnknownStatement)
 		}
 	case 5:
-		if link.state == statement.Idle {
+		if link.state == statement.Idle && call.Kind != statement.Begin {
 			return &statement.Reply{Code: statement.Error}, true, nil
 		}
 		return refuse(statement.Error)
@@ -85,6 +91,10 @@
 		return nil, false, errors.New("cut before the statement ran")
 	case 7:
 		return nil, true, errors.New("cut after the statement ran")
+	case 8:
+		if link.ledger.cut != nil {
+			link.ledger.cut()
+		}
 	}
 	return nil, true, nil
 }
@@ -216,12 +226,23 @@
 	}
 }
 
+// learnRefusal lets the pool of the server learn that it refuses to set up sessions, after which it relies on no set-up without an answer.
+func learnRefusal(session *session, ledger *ledger) {
+	ledger.fault = func(link *ledgerLink, call dbpool.Call) (*statement.Reply, bool, error) {
+		return &statement.Reply{Code: statement.Error, State: link.state}, false, nil
+	}
+	do(session, "", statement.Statement{Kind: statement.Set, Name: "v"})
+	do(session, "", statement.Statement{Kind: statement.Write})
+}
+
 // Sessions take turns on the connections of a server that refuses, loses and forgets as the page of the protocol allows. Guards against
 // statements with the values, shape or transaction of another session, against writes that are kept twice, unasked for or in spite of a
 // promise, and against acknowledged writes that are not kept.
 func TestHistories(t *testing.T) {
 	const steps, callers = 300, 3
-	for name, newServer := range map[string]func(*testing.T, int) (*Server, *ledger){"direct": newLedgerServer, "home": newServerBehindHome} {
+	for name, newServer := range map[string]func(*testing.T, int) (*Server, *ledger){
+		"direct": newLedgerServer, "home": newServerBehindHome, "home, refused set-up": newServerBehindHome,
+	} {
 		for seed := *historySeed; seed < *historySeed+*historySeeds; seed++ {
 			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
 				t.Parallel()
@@ -230,6 +251,10 @@
 					t: t, random: rand.New(rand.NewPCG(seed, 0)), ledger: ledger, sent: make(map[statement.RequestID]*sent),
 					asked: make(map[statement.RequestID]bool), refused: make(map[statement.RequestID]bool),
 				}
+				if name == "home, refused set-up" {
+					history.refusesSetUp = true
+					learnRefusal(newLedgerSession(server), ledger)
+				}
 				ledger.fault = history.faultOf
 				all := make([]*historyCaller, callers)
 				for index := range all {
--- a/io/proxy/ledger_test.go
+++ b/io/proxy/ledger_test.go
@@ -47,8 +47,10 @@
 	fault fault
 	// conns and signed count the connections and the signatures.
 	conns, signed int
-	runs          []ledgerRun
-	committed     []statement.RequestID
+	// cut cuts the streams to the home of the ledger; nil if there is none.
+	cut       func()
+	runs      []ledgerRun
+	committed []statement.RequestID
 }
 
 // Dial implements dbpool.Dialer.Dial.
@@ -286,6 +288,62 @@
 	return bytes.Equal(data, authenticator)
 }
 
+// relay passes connections on until they are cut.
+type relay struct {
+	listener net.Listener
+	mutex    sync.Mutex
+	conns    []net.Conn
+}
+
+func newRelay(t *testing.T, address string) *relay {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	relay := &relay{listener: listener}
+	t.Cleanup(func() {
+		_ = listener.Close()
+		relay.cut()
+	})
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", address)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			relay.mutex.Lock()
+			relay.conns = append(relay.conns, near, far)
+			relay.mutex.Unlock()
+			go pass(near, far)
+			go pass(far, near)
+		}
+	}()
+	return relay
+}
+
+// pass copies one direction of a connection and ends both with it.
+func pass(to, from net.Conn) {
+	_, _ = io.Copy(to, from)
+	_ = to.Close()
+	_ = from.Close()
+}
+
+// cut ends all connections.
+func (relay *relay) cut() {
+	relay.mutex.Lock()
+	defer relay.mutex.Unlock()
+	for _, conn := range relay.conns {
+		_ = conn.Close()
+	}
+	relay.conns = nil
+}
+
 // newServerBehindHome returns a server whose statements run on the connections of another VM to a ledger.
 func newServerBehindHome(t *testing.T, connections int) (*Server, *ledger) {
 	t.Helper()
@@ -297,7 +355,9 @@
 	service := home.NewService(listener, sharedSecret{}, newLedgerMonitor(t, ledger, connections), newEventLog(t), metrics.NewRegistry())
 	go service.Run(t.Context())
 	client := home.NewClient("vm1", sharedSecret{}, newEventLog(t), metrics.NewRegistry())
-	client.SetVMs([]fleet.VM{{ID: "home", Peer: listener.Addr().String()}})
+	relay := newRelay(t, listener.Addr().String())
+	ledger.cut = relay.cut
+	client.SetVMs([]fleet.VM{{ID: "home", Peer: relay.listener.Addr().String()}})
 	groups := monitor.New(t.Context(), ledger, "z", newEventLog(t))
 	groups.SetHomes(oneHome{client}, nil)
 	groups.SetCatalog(&catalog.Catalog{Groups: map[ids.GroupID]*catalog.Group{ledgerInfo.Group: {ID: ledgerInfo.Group, Connections: 2}}})
