--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -1,7 +1,9 @@
 package dbpool
 
 import (
+	"errors"
 	"fmt"
+	"hash/maphash"
 	"maps"
 	"time"
 
@@ -19,8 +21,9 @@
 	organisation ids.OrganisationID
 	// values holds the session values set on the connection.
 	values map[string]string
-	// prepared holds the names of the statements prepared on the connection.
-	prepared map[string]bool
+	// prepared holds the hashes of the shapes that were prepared on the connection, by name. VMs of another build that hand statements
+	// over may give other names to the same shapes, and the same name to others.
+	prepared map[string]uint64
 	// broken reports whether the connection must not be reused.
 	broken bool
 	idleAt time.Time
@@ -42,10 +45,12 @@
 func (conn *Conn) Number() int64 { return conn.number }
 
 // SyncSession returns the calls that set the session's values on the connection and prepare the named statement, if any.
-// It assumes that the calls succeed.
+// It assumes that the calls succeed, see Run.
 func (conn *Conn) SyncSession(values map[string]string, name string, prepared statement.Prepared) []Call {
 	var calls []Call
-	if !covers(values, conn.values) {
+	shape := maphash.String(shapeSeed, prepared.Text)
+	held, known := conn.prepared[name]
+	if !covers(values, conn.values) || known && held != shape {
 		calls = append(calls, Call{Kind: statement.Reset})
 		conn.values, conn.prepared = nil, nil
 	}
@@ -58,16 +63,19 @@
 	if len(calls) > 0 {
 		conn.values = maps.Clone(values)
 	}
-	if name != "" && !conn.prepared[name] {
+	if _, known := conn.prepared[name]; name != "" && !known {
 		calls = append(calls, Call{Kind: statement.Prepare, Name: name, Value: prepared.Text})
 		if conn.prepared == nil {
-			conn.prepared = make(map[string]bool)
+			conn.prepared = make(map[string]uint64)
 		}
-		conn.prepared[name] = true
+		conn.prepared[name] = shape
 	}
 	return calls
 }
 
+// shapeSeed seeds the hashes of shapes. Callers that know it could choose shapes of the same hash.
+var shapeSeed = maphash.MakeSeed()
+
 // covers reports whether every key that is held is also wanted, so that no Reset is needed.
 func covers(wanted, held map[string]string) bool {
 	for key := range held {
@@ -101,7 +109,8 @@
 		}
 		if reply.Code != statement.Complete {
 			conn.broken = true
-			return fmt.Errorf("%s refused a call that sets up the session: %s %s", conn.pool.server.ID, reply.Code, reply.Message)
+			conn.pool.awaitsSetUp.Store(true)
+			return fmt.Errorf("%s: %w: %s %s", conn.pool.server.ID, ErrSetUpRefused, reply.Code, reply.Message)
 		}
 	}
 	return nil
@@ -121,7 +130,11 @@
 	return reply, err
 }
 
-// Run sends the prefix, which are the calls of SyncSession, followed by the call, and returns the answer to the call. It frees the
+// ErrSetUpRefused reports that a server refused a call that sets up the session.
+var ErrSetUpRefused = errors.New("the server refused to set up the session")
+
+// Run sends the prefix, which are the calls of SyncSession, followed by the call, and returns the answer to the call. They leave together,
+// unless the server has refused a call of a prefix before: then the call follows once the session is set up. It frees the
 // slot of the connection. Outside of a transaction that is left to Release: another statement that got the slot now would find the
 // connection in use, and open one.
 func (conn *Conn) Run(deadline time.Time, prefix []Call, call Call) (statement.Reply, error) {
@@ -136,6 +149,12 @@
 }
 
 func (conn *Conn) run(deadline time.Time, prefix []Call, call Call) (statement.Reply, error) {
+	if len(prefix) > 0 && conn.pool.awaitsSetUp.Load() {
+		if err := conn.setUp(deadline, prefix); err != nil {
+			return statement.Reply{}, &NotRunError{Cause: err}
+		}
+		prefix = nil
+	}
 	if err := conn.Send(deadline, append(prefix, call)...); err != nil {
 		return statement.Reply{}, err
 	}
@@ -145,6 +164,14 @@
 	return conn.Receive(deadline)
 }
 
+// setUp sends the calls of SyncSession and awaits their answers.
+func (conn *Conn) setUp(deadline time.Time, prefix []Call) error {
+	if err := conn.Send(deadline, prefix...); err != nil {
+		return err
+	}
+	return conn.readSetupReplies(deadline, len(prefix))
+}
+
 // Status sends one control call and returns the server's state from its answer. States don't show to which question they belong, so a call
 // without a row follows: a second answer to an earlier question shifts the others, and its row is taken for the answer to that call.
 func (conn *Conn) Status(deadline time.Time, call Call) (leader.Status, statement.Code, error) {
--- a/io/home/home_test.go
+++ b/io/home/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -49,6 +50,26 @@
 	}
 }
 
+// Two VMs, of which one runs another build, give two shapes the same name. Guards against a prepared statement that runs the shape of
+// another session.
+func TestNameOfTwoShapes(t *testing.T) {
+	home := startHome(t, "s")
+	client := startClient(t, map[ids.VMID]string{"home": home.address})
+	for _, shape := range []string{"READ one", "READ other", "READ one"} {
+		conn := open(t, client, "home", testServer)
+		prefix := conn.SyncSession(nil, "name", statement.Prepared{Text: shape})
+		reply, err := conn.Run(time.Now().Add(testTimeout), prefix, dbpool.Call{ID: "q", Kind: statement.Execute, Name: "name"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Release(reply.State)
+		runs := home.backend.ran()
+		if ran := runs[len(runs)-1].shapes["name"]; ran != shape {
+			t.Errorf("ran %q, want %q", ran, shape)
+		}
+	}
+}
+
 // Guards against a transaction whose statements run on several connections, and a statement of another session inside it.
 func TestTransactionKeepsItsConnection(t *testing.T) {
 	home := startHome(t, "s")
@@ -354,6 +375,28 @@
 	}
 }
 
+// A statement is given up at its deadline, and its answer arrives late. Guards against the answer being taken for that of another statement
+// on the link, and against that statement being handed over.
+func TestLateAnswerReachesNoOtherStatement(t *testing.T) {
+	client := startClient(t, nil)
+	local, remote := net.Pipe()
+	t.Cleanup(func() { _ = remote.Close() })
+	go func() { _, _ = io.Copy(io.Discard, remote) }()
+	stream := newOutgoing("home")
+	stream.stream = newStream(local)
+	now := time.Now()
+	link := &link{client: client, stream: stream, answer: make(chan result, 1), waitBy: now, answerBy: now}
+	conn := dbpool.NewConn(testServer, "org1", link)
+	if _, err := conn.Run(now, nil, dbpool.Call{ID: "q1", Kind: statement.Write, Text: "WRITE a 1"}); err == nil {
+		t.Fatal("an answer without a home")
+	}
+	link.deliver(result{reply: statement.Reply{Signature: "of q1"}})
+	reply, err := conn.Run(now, nil, dbpool.Call{ID: "q2", Kind: statement.Read, Text: "READ b"})
+	if err == nil || client.handedOver.Count() > 1 {
+		t.Errorf("q2 was answered with %+v, %d statements were handed over", reply, client.handedOver.Count())
+	}
+}
+
 // A home stops by plan while the VM of a caller reads slowly. Guards against a process that ends before its last answers are written.
 func TestPlannedStopWritesAnswers(t *testing.T) {
 	home := startHome(t, "s")
--- a/io/proxy/handed_over.go
+++ b/io/proxy/handed_over.go
@@ -34,6 +34,10 @@
 func (session *session) handleNotRun(operation *operation, attempts *attempts, target target, err error) *refused {
 	target.server.Abandoned()
 	target.conn.Release(statement.FailedTransaction)
+	if errors.Is(err, dbpool.ErrSetUpRefused) {
+		session.server.EventLog.LimitedEvent("set_up_refused", "server", target.server.ID(), "organisation", session.organisation,
+			"attempt", attempts.count, "err", err)
+	}
 	switch {
 	case errors.Is(err, dbpool.ErrHomeUnavailable), errors.Is(err, dbpool.ErrUnusable):
 		// The next attempt takes another home or another connection.
