io/proxy: histories report a RESET inside of a transaction

The page of the protocol doesn't say what RESET does to an open transaction. Values and names of a session only grow while its transaction is open, and the connection is set up at its BEGIN, so that none is sent there.

--- a/io/proxy/history_test.go
+++ b/io/proxy/history_test.go
@@ -202,6 +202,9 @@
 	history.ledger.mutex.Lock()
 	defer history.ledger.mutex.Unlock()
 	t := history.t
+	if count := history.ledger.resetInside; count > 0 {
+		t.Errorf("%d resets inside of transactions, of which the page does not say what they do", count)
+	}
 	// answered holds the connection on which a statement ran last, pinned that of a transaction.
 	answered, pinned := make(map[statement.RequestID]int), make(map[statement.RequestID]int)
 	for _, run := range history.ledger.runs {
--- a/io/proxy/ledger_test.go
+++ b/io/proxy/ledger_test.go
@@ -46,8 +46,8 @@
 type ledger struct {
 	mutex sync.Mutex
 	fault fault
-	// conns and signed count the connections and the signatures.
-	conns, signed int
+	// conns and signed count the connections and the signatures, resetInside the resets inside of transactions.
+	conns, signed, resetInside int
 	// cut cuts the streams to the home of the ledger; nil if there is none.
 	cut       func()
 	runs      []ledgerRun
@@ -129,6 +129,9 @@
 func (link *ledgerLink) run(call dbpool.Call) statement.Code {
 	switch call.Kind {
 	case statement.Reset:
+		if link.state != statement.Idle {
+			link.ledger.resetInside++
+		}
 		link.values, link.shapes = nil, nil
 	case statement.Set:
 		link.values = with(maps.Clone(link.values), call.Name, call.Value)
