--- a/io/proxy/ledger_test.go
+++ b/io/proxy/ledger_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -45,8 +46,8 @@
 type ledger struct {
 	mutex sync.Mutex
 	fault fault
-	// conns and signed count the connections and the signatures.
-	conns, signed int
+	// conns and signed count the connections and the signatures, resetInside the resets inside of transactions.
+	conns, signed, resetInside int
 	// cut cuts the streams to the home of the ledger; nil if there is none.
 	cut       func()
 	runs      []ledgerRun
@@ -70,11 +71,15 @@
 	state  statement.TransactionState
 	writes []statement.RequestID
 	due    []ledgerAnswer
+	// delay is how long the answer to the next call takes.
+	delay time.Duration
 }
 
 type ledgerAnswer struct {
 	reply statement.Reply
 	err   error
+	// delay is how long the answer takes.
+	delay time.Duration
 }
 
 // Send implements dbpool.Link.Send. The calls run at once.
@@ -100,7 +105,8 @@
 		} else {
 			answer.State = link.state
 		}
-		link.due = append(link.due, ledgerAnswer{reply: answer, err: err})
+		link.due = append(link.due, ledgerAnswer{reply: answer, err: err, delay: link.delay})
+		link.delay = 0
 	}
 	return nil
 }
@@ -123,6 +129,9 @@
 func (link *ledgerLink) run(call dbpool.Call) statement.Code {
 	switch call.Kind {
 	case statement.Reset:
+		if link.state != statement.Idle {
+			link.ledger.resetInside++
+		}
 		link.values, link.shapes = nil, nil
 	case statement.Set:
 		link.values = with(maps.Clone(link.values), call.Name, call.Value)
@@ -169,14 +178,17 @@
 }
 
 // Receive implements dbpool.Link.Receive.
-func (link *ledgerLink) Receive(time.Time) (statement.Reply, error) {
-	link.ledger.mutex.Lock()
-	defer link.ledger.mutex.Unlock()
+func (link *ledgerLink) Receive(deadline time.Time) (statement.Reply, error) {
 	if len(link.due) == 0 {
 		return statement.Reply{}, errors.New("nothing is due")
 	}
 	answer := link.due[0]
 	link.due = link.due[1:]
+	if left := time.Until(deadline); answer.delay > left {
+		time.Sleep(left)
+		return statement.Reply{}, os.ErrDeadlineExceeded
+	}
+	time.Sleep(answer.delay)
 	return answer.reply, answer.err
 }
 
