io/proxy: histories with odd names, values and shapes

Blanks at the ends, empty values, line feeds, characters outside of ASCII, names that begin with another name and shapes of the length at which names are hashed.

--- a/io/proxy/history_test.go
+++ b/io/proxy/history_test.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -122,10 +123,17 @@
 	return session.serve(statement.Request{ID: id, Statement: stmt}, clock.Now())
 }
 
+var (
+	// historyNames holds names of values and prepared statements, of which one is the beginning of another.
+	historyNames = []string{"a", "aé", "a\n"}
+	// historyTexts holds values and shapes that differ in what a decoder could lose.
+	historyTexts = []string{"", " ", "x", "x ", " x", "x_20", "x\n", "x\r\nQUERY 1 WRITE a b", strings.Repeat("x", maxEncodedShape)}
+)
+
 // step sends one statement of the caller.
 func (history *history) step(caller *historyCaller, id statement.RequestID) {
 	random := caller.random
-	name := string(rune('a' + random.IntN(3)))
+	name := historyNames[random.IntN(len(historyNames))]
 	stmt := statement.Statement{Name: name}
 	draw := random.IntN(20)
 	switch {
@@ -135,9 +143,9 @@
 			stmt.Kind = statement.Commit
 		}
 	case caller.failed, draw < 3:
-		stmt.Kind, stmt.Value = statement.Set, fmt.Sprint(random.IntN(3))
+		stmt.Kind, stmt.Value = statement.Set, historyTexts[random.IntN(len(historyTexts))]
 	case draw < 6:
-		shape := fmt.Sprintf("WRITE %d", random.IntN(3))
+		shape := "WRITE " + historyTexts[random.IntN(len(historyTexts))]
 		stmt.Kind, stmt.Prepared = statement.Prepare, statement.Prepared{Text: shape, Writes: true}
 	case draw < 7:
 		stmt.Kind = statement.Deallocate
