io/proxy: a fault during COMMIT leaves no transaction open

Seen by callers: none directly. A panic while a COMMIT runs ends the session, and the transaction stays open at its server with its locks and its connection, which the pool counts as in use for ever.

Cause: commit clears the transaction when it returns, also while it panics, so that the end of the session finds no connection to close.

Change: clearing the transaction closes the connection if it is still there.

Before the change (TestFaultInCommit): 1 connections are in use after the session. After it io/proxy passes.

--- a/io/proxy/ledger_test.go
+++ b/io/proxy/ledger_test.go
@@ -237,6 +237,8 @@
 	return nil
 }
 
+func (*scriptedCaller) Close() {}
+
 func (*scriptedCaller) ReplyTo(error) (statement.Reply, bool) { return statement.Reply{}, false }
 
 // ledgerInfo describes a ledger.
--- a/io/proxy/state_test.go
+++ b/io/proxy/state_test.go
@@ -103,6 +103,32 @@
 	}
 }
 
+// A commit meets a fault in the code. Guards against a transaction that stays open at its server, and its connection with it, after the
+// session has ended.
+func TestFaultInCommit(t *testing.T) {
+	server, ledger := newLedgerServer(t, 2)
+	session := newLedgerSession(server)
+	ledger.fault = func(_ *ledgerLink, call dbpool.Call) (*statement.Reply, bool, error) {
+		if call.Kind == statement.Commit {
+			panic("fault")
+		}
+		return nil, true, nil
+	}
+	func() {
+		defer session.end()
+		defer func() { _ = recover() }()
+		for index, kind := range []statement.Kind{statement.Begin, statement.Write, statement.Commit} {
+			do(session, statement.RequestID(rune('a'+index)), statement.Statement{Kind: kind})
+		}
+	}()
+	pool := server.Groups.Group(ledgerInfo.Group).Servers()[0].Pool
+	for began := time.Now(); pool.InUse() > 0; time.Sleep(time.Millisecond) {
+		if time.Since(began) > time.Second {
+			t.Fatalf("%d connections are in use after the session", pool.InUse())
+		}
+	}
+}
+
 // firstFrom asks a limiter for the first operation and admits the others.
 type firstFrom struct {
 	unlimited
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -111,8 +111,9 @@
 	session.transaction.conn = nil
 }
 
-// close clears the transaction.
+// close clears the transaction. Its connection is still there only after a fault in the code, and is closed.
 func (session *session) close() {
+	session.closeConnection()
 	session.transaction = nil
 	session.state = statement.Idle
 	// Giving memory back does not fail.
