Second answers that their signature shows as such are passed over

Callers saw: a write of unknown outcome (INDOUBT), or a transaction that was rolled back, although the server had run and answered it, if the second answer to an earlier statement came in between.

Cause: an answer with a signature that is known on the connection counted as the lost answer of the call. It certainly belongs to an earlier one, and the right answer follows.

Change: such an answer is counted and logged, and the next one is read for the same call. The log line has the number of the connection.

--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -15,7 +15,7 @@
 	Unsigned Cause = "unsigned"
 	// Signed means that the answer has a signature although calls of the kind get none.
 	Signed Cause = "signed"
-	// Repeated means that an earlier answer on the connection had the same signature.
+	// Repeated means that an earlier answer on the connection had the same signature. The answer to the call is still to come.
 	Repeated Cause = "repeated"
 	// State means that the call can't lead to the transaction state in the answer.
 	State Cause = "state"
@@ -50,21 +50,22 @@
 func (tracker *Tracker) Failed() bool { return tracker.failed }
 
 // Check records the next answer, which is taken for that of a call of the kind. It returns why the answer can't belong to the call, or
-// false if it may.
+// false if it may. A repeated answer changes nothing, so that the next one can be checked for the same call.
 func (tracker *Tracker) Check(kind statement.Kind, reply statement.Reply) (Cause, bool) {
+	signed := reply.Code == statement.Complete && reply.Signature != "" && reply.Signature != noSignature
+	if signed && !tracker.remember(reply.Signature) {
+		return Repeated, true
+	}
 	before := tracker.state
 	tracker.state = reply.State
 	if reply.Code != statement.Complete {
 		return tracker.checkError(before, kind, reply.State)
 	}
-	signed := reply.Signature != "" && reply.Signature != noSignature
 	switch {
 	case signed && !isSigned(kind):
 		return Signed, true
 	case !signed && isSigned(kind):
 		return Unsigned, true
-	case signed && !tracker.remember(reply.Signature):
-		return Repeated, true
 	case reply.State != stateAfter(before, kind):
 		return State, true
 	case !mayHaveRows(kind) && isControl(kind) != (len(reply.Rows) > 0):
--- a/io/dbpool/answer_observer.go
+++ b/io/dbpool/answer_observer.go
@@ -32,21 +32,21 @@
 }
 
 // unmatched records an answer that can't belong to the call for which it was taken.
-func (observer *AnswerObserver) unmatched(server ids.BackendServerID, cause answer.Cause, call sentCall, reply statement.Reply) {
+func (observer *AnswerObserver) unmatched(server ids.BackendServerID, connection int64, cause answer.Cause, call sentCall, reply statement.Reply) {
 	if observer == nil {
 		return
 	}
 	observer.counter(cause).Inc(1)
-	observer.eventLog.LimitedEvent("answer_unmatched", "cause", cause, "server", server, "request", call.id, "kind", call.kind,
+	observer.eventLog.LimitedEvent("answer_unmatched", "cause", cause, "server", server, "connection", connection, "request", call.id, "kind", call.kind,
 		"code", reply.Code, "signature", reply.Signature, "rows", len(reply.Rows), "state", reply.State, "term", reply.Position.Term,
 		"position", reply.Position.Log)
 }
 
 // surplus records a connection that is closed since bytes lay unread on it; beginning is the escaped beginning of them.
-func (observer *AnswerObserver) surplus(server ids.BackendServerID, beginning string) {
+func (observer *AnswerObserver) surplus(server ids.BackendServerID, connection int64, beginning string) {
 	if observer == nil {
 		return
 	}
 	observer.counter(surplus).Inc(1)
-	observer.eventLog.LimitedEvent("answer_unmatched", "cause", surplus, "server", server, "beginning", beginning)
+	observer.eventLog.LimitedEvent("answer_unmatched", "cause", surplus, "server", server, "connection", connection, "beginning", beginning)
 }
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -116,18 +116,22 @@
 	return nil
 }
 
-// Receive returns the answer to the oldest unanswered call. After an error an answer is outstanding and the connection
-// must not be reused.
+// Receive returns the answer to the oldest unanswered call. It passes over second answers to earlier calls that their signature shows as such.
+// After an error an answer is outstanding and the connection must not be reused.
 func (conn *Conn) Receive(deadline time.Time) (statement.Reply, error) {
-	reply, err := conn.link.Receive(deadline)
-	if err != nil {
-		conn.broken = true
-		return reply, fmt.Errorf("receiving from %s: %w", conn.pool.server.ID, err)
-	}
-	if reply, err = conn.matchAnswer(reply); err != nil {
-		conn.broken = true
+	for {
+		reply, err := conn.link.Receive(deadline)
+		if err != nil {
+			conn.broken = true
+			return reply, fmt.Errorf("receiving from %s: %w", conn.pool.server.ID, err)
+		}
+		matched, err := conn.matchAnswer(reply)
+		if errors.Is(err, errRepeated) {
+			continue
+		}
+		conn.broken = conn.broken || err != nil
+		return matched, err
 	}
-	return reply, err
 }
 
 // ErrSetUpRefused reports that a server refused a call that sets up the session.
--- a/io/dbpool/match.go
+++ b/io/dbpool/match.go
@@ -14,6 +14,8 @@
 	ErrUnmatched = errors.New("the answer belongs to another call")
 	// ErrUnusable reports a connection that the server closed, or on which it sent more than it was asked for. Nothing was sent.
 	ErrUnusable = errors.New("the connection is closed or holds an answer to no call")
+	// errRepeated reports a second answer to an earlier call. The answer to the call for which it was taken follows.
+	errRepeated = errors.New("second answer to an earlier call")
 )
 
 // checkQuiet reports an error if something lies unread on a connection without unanswered calls, which would be taken for the next answer.
@@ -26,20 +28,27 @@
 }
 
 // matchAnswer takes the answer for that of the oldest unanswered call and returns what it tells. The error is ErrUnmatched if it can't belong
-// to that call.
+// to that call, and errRepeated if it is known to belong to an earlier one.
 func (conn *Conn) matchAnswer(reply statement.Reply) (statement.Reply, error) {
-	call := conn.unanswered.take()
+	call := conn.unanswered.oldest()
 	if conn.answers == nil {
+		conn.unanswered.remove()
 		return reply, nil
 	}
 	cause, unmatched := conn.answers.Check(call.kind, reply)
+	if unmatched {
+		conn.pool.answers.unmatched(conn.pool.server.ID, conn.number, cause, call, reply)
+	}
+	if cause == answer.Repeated {
+		return statement.Reply{}, errRepeated
+	}
+	conn.unanswered.remove()
 	if !unmatched {
 		if !answer.IsCurrent(call.kind, reply) {
 			reply.Position = position.Position{}
 		}
 		return reply, nil
 	}
-	conn.pool.answers.unmatched(conn.pool.server.ID, cause, call, reply)
 	return statement.Reply{}, fmt.Errorf("%s to %s of %s: %w", cause, call.kind, conn.pool.server.ID, ErrUnmatched)
 }
 
@@ -50,7 +59,7 @@
 		return
 	}
 	if beginning := link.Surplus(); beginning != "" {
-		conn.pool.answers.surplus(conn.pool.server.ID, beginning)
+		conn.pool.answers.surplus(conn.pool.server.ID, conn.number, beginning)
 	}
 }
 
--- a/io/dbpool/sent_calls.go
+++ b/io/dbpool/sent_calls.go
@@ -26,16 +26,17 @@
 	}
 }
 
-// take removes and returns the oldest call; there must be one.
-func (sent *sentCalls) take() sentCall {
-	call := sent.calls[sent.answered]
+// oldest returns the oldest call; there must be one.
+func (sent *sentCalls) oldest() sentCall { return sent.calls[sent.answered] }
+
+// remove removes the oldest call; there must be one.
+func (sent *sentCalls) remove() {
 	sent.answered++
 	if sent.len() > 0 {
-		return call
+		return
 	}
 	sent.calls, sent.answered = sent.calls[:0], 0
 	if cap(sent.calls) > maxKeptCalls {
 		sent.calls = nil
 	}
-	return call
 }
