Errors are confirmed on connections that had one, in place of closing these

Callers saw: on a deployment whose servers have two slots and answer BUSY often, more failed and refused statements.

Cause: after an error a connection was closed, and a second error on it counted as a lost answer, as a late second error can't be told from a right one. New connections take slots of a server that is short of slots.

Change: a statement on a connection that has reported an error is followed by a confirmation, PREPARE of a name that no statement uses. If the error belongs to an earlier call, the confirmation gets the answer to the statement, which doesn't fit. Only connections to servers that were seen to answer twice are closed after an error.

--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -21,7 +21,8 @@
 	State Cause = "state"
 	// Rows means that the answer has rows although calls of the kind get none, or lacks the row of a status.
 	Rows Cause = "rows"
-	// SecondError means that an earlier answer on the connection reported an error as well. Errors carry nothing that tells them apart.
+	// SecondError means that an earlier answer on the connection reported an error as well, and nothing confirms this one. Errors carry
+	// nothing that tells them apart.
 	SecondError Cause = "second_error"
 )
 
@@ -41,14 +42,17 @@
 	// signatures holds the hashes of the latest signatures, next the index of the oldest one once there are enough.
 	signatures []uint64
 	next       int
-	// failed reports whether an answer has reported an error.
-	failed bool
+	// failed reports whether an answer has reported an error, confirming whether the next error is going to be confirmed.
+	failed, confirming bool
 }
 
-// Failed reports whether an answer has reported an error. The second answer of that call may be taken for any later one, so the connection
-// must not be given to another user.
+// Failed reports whether an answer has reported an error. The second answer of that call may be taken for any later one.
 func (tracker *Tracker) Failed() bool { return tracker.failed }
 
+// SetConfirming states whether the call whose answer is checked next is followed by one that can only succeed. If an earlier error was taken
+// for the answer, that call gets an answer that doesn't fit.
+func (tracker *Tracker) SetConfirming(confirming bool) { tracker.confirming = confirming }
+
 // Check records the next answer, which is taken for that of a call of the kind. It returns why the answer can't belong to the call, or
 // false if it may. A repeated answer changes nothing, so that the next one can be checked for the same call.
 func (tracker *Tracker) Check(kind statement.Kind, reply statement.Reply) (Cause, bool) {
@@ -76,7 +80,7 @@
 
 // checkError is Check for an answer that reports an error.
 func (tracker *Tracker) checkError(before statement.TransactionState, kind statement.Kind, after statement.TransactionState) (Cause, bool) {
-	if tracker.failed {
+	if tracker.failed && !tracker.confirming {
 		return SecondError, true
 	}
 	tracker.failed = true
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -159,12 +159,20 @@
 		}
 		prefix = nil
 	}
-	if err := conn.Send(deadline, append(prefix, call)...); err != nil {
+	calls := append(prefix, call)
+	confirming := conn.answers != nil && conn.answers.Failed()
+	if confirming {
+		calls = append(calls, confirmation)
+	}
+	if err := conn.Send(deadline, calls...); err != nil {
 		return statement.Reply{}, err
 	}
 	if err := conn.readSetupReplies(deadline, len(prefix)); err != nil {
 		return statement.Reply{}, err
 	}
+	if confirming {
+		return conn.receiveConfirmed(deadline)
+	}
 	return conn.Receive(deadline)
 }
 
@@ -176,6 +184,25 @@
 	return conn.readSetupReplies(deadline, len(prefix))
 }
 
+// receiveConfirmed returns the answer to a call that the confirmation follows. In a failed transaction nothing confirms an error; it ends with
+// its connection, so that nothing of it is kept whatever the call did.
+func (conn *Conn) receiveConfirmed(deadline time.Time) (statement.Reply, error) {
+	conn.answers.SetConfirming(true)
+	reply, err := conn.Receive(deadline)
+	conn.answers.SetConfirming(false)
+	if err != nil {
+		return statement.Reply{}, err
+	}
+	if reply.State == statement.FailedTransaction {
+		conn.broken = true
+		return reply, nil
+	}
+	if _, err := conn.Receive(deadline); err != nil {
+		return statement.Reply{}, err
+	}
+	return reply, nil
+}
+
 // Status sends one control call and returns the server's state from its answer. States don't show to which question they belong, so a call
 // without a row follows: a second answer to an earlier question shifts the others, and its row is taken for the answer to that call.
 func (conn *Conn) Status(deadline time.Time, call Call) (leader.Status, statement.Code, error) {
@@ -183,11 +210,8 @@
 	if err := conn.Send(deadline, call, Call{Kind: statement.Reset}); err != nil {
 		return leader.Status{}, 0, err
 	}
-	reply, err := conn.Receive(deadline)
-	if err != nil {
-		return leader.Status{}, 0, err
-	}
-	if err := conn.readSetupReplies(deadline, 1); err != nil || reply.Code != statement.Complete {
+	reply, err := conn.receiveStatus(deadline)
+	if err != nil || reply.Code != statement.Complete {
 		return leader.Status{}, reply.Code, err
 	}
 	status, err := conn.link.Status(reply)
@@ -197,15 +221,27 @@
 	return status, reply.Code, nil
 }
 
+// receiveStatus returns the answer to a control call that a Reset follows.
+func (conn *Conn) receiveStatus(deadline time.Time) (statement.Reply, error) {
+	if conn.answers != nil {
+		return conn.receiveConfirmed(deadline)
+	}
+	reply, err := conn.Receive(deadline)
+	if err != nil {
+		return statement.Reply{}, err
+	}
+	return reply, conn.readSetupReplies(deadline, 1)
+}
+
 // ForgetPrepared records that the server lost the statements prepared on the connection.
 func (conn *Conn) ForgetPrepared() { conn.prepared = nil }
 
 // Break marks the connection as unusable.
 func (conn *Conn) Break() { conn.broken = true }
 
-// Release returns the connection to the pool. A connection that is broken, has an answer outstanding, is inside a
-// transaction or has reported an error is closed.
+// Release returns the connection to the pool. A connection that is broken, has an answer outstanding or is inside a
+// transaction is closed, and one that has reported an error if the server is known to answer twice.
 func (conn *Conn) Release(state statement.TransactionState) {
-	failed := conn.answers != nil && conn.answers.Failed()
-	conn.pool.release(conn, !conn.broken && !failed && conn.unanswered.len() == 0 && state == statement.Idle)
+	doubtful := conn.answers != nil && conn.answers.Failed() && conn.pool.answersTwice.Load()
+	conn.pool.release(conn, !conn.broken && !doubtful && conn.unanswered.len() == 0 && state == statement.Idle)
 }
--- a/io/dbpool/match.go
+++ b/io/dbpool/match.go
@@ -18,6 +18,10 @@
 	errRepeated = errors.New("second answer to an earlier call")
 )
 
+// confirmation is the call that follows another one on a connection that has reported an error. It changes nothing that a session relies on
+// and is answered without a signature, so that it shows whether the error was taken for the answer to the call before it.
+var confirmation = Call{Kind: statement.Prepare, Name: "confirmation", Value: "READ confirmation"}
+
 // checkQuiet reports an error if something lies unread on a connection without unanswered calls, which would be taken for the next answer.
 func (conn *Conn) checkQuiet() error {
 	if conn.answers == nil || conn.unanswered.len() > 0 || conn.link.Usable() {
@@ -37,6 +41,7 @@
 	}
 	cause, unmatched := conn.answers.Check(call.kind, reply)
 	if unmatched {
+		conn.pool.answersTwice.Store(true)
 		conn.pool.answers.unmatched(conn.pool.server.ID, conn.number, cause, call, reply)
 	}
 	if cause == answer.Repeated {
@@ -59,6 +64,7 @@
 		return
 	}
 	if beginning := link.Surplus(); beginning != "" {
+		conn.pool.answersTwice.Store(true)
 		conn.pool.answers.surplus(conn.pool.server.ID, conn.number, beginning)
 	}
 }
--- a/io/dbpool/pool.go
+++ b/io/dbpool/pool.go
@@ -24,6 +24,8 @@
 	// awaitsSetUp reports whether the server has refused to set up a session. A statement that left together with the refused call ran with
 	// other values than those of its session.
 	awaitsSetUp atomic.Bool
+	// answersTwice reports whether the server has sent an answer that belongs to no call of its own.
+	answersTwice atomic.Bool
 
 	mutex sync.Mutex
 	limit int
