Monitor: a server that closes each connection counts as silent

Callers saw: nothing is sent to a primary that accepts connections, answers the start-up and closes them, or sends more than was asked for; and no other server takes over.

Cause: a control statement whose connection is found unusable before it is sent was recorded as abandoned, which says nothing about the server. Before calls looked at their connections first, the same server gave a failed read, which counted.

Change: an unusable connection counts as a failure of its server, without a latency. Two in a row without an answer for 250 ms make it silent; any answer resets that, so a single second answer doesn't. Answers to other calls still say nothing about the server.

--- a/io/monitor/homes.go
+++ b/io/monitor/homes.go
@@ -147,9 +147,12 @@
 
 // unanswered records that a control statement got no answer of its own.
 func (server *Server) unanswered(sentAt time.Duration, err error) {
-	if errors.Is(err, dbpool.ErrUnmatched) || errors.Is(err, dbpool.ErrUnusable) {
+	switch {
+	case errors.Is(err, dbpool.ErrUnmatched):
 		server.Abandoned()
-		return
+	case errors.Is(err, dbpool.ErrUnusable):
+		server.ConnectionUnusable()
+	default:
+		server.Failed(sentAt)
 	}
-	server.Failed(sentAt)
 }
--- a/io/monitor/server.go
+++ b/io/monitor/server.go
@@ -148,6 +148,13 @@
 	server.mutex.Unlock()
 }
 
+// ConnectionUnusable records that a statement was not sent, since its connection turned out to be closed or to hold an answer to no call.
+// A server that leaves no connection usable answers nothing, although it accepts connections.
+func (server *Server) ConnectionUnusable() {
+	server.inFlight.Add(-1)
+	server.fail(1)
+}
+
 // DialFailed records that no connection to the server could be opened.
 func (server *Server) DialFailed() {
 	server.mutex.Lock()
