Sessions: a read leaves a server that closes each connection

Callers saw: reads refused (BUSY, queue_timeout) although another server would have run them, for as long as one replica accepted connections and closed them, or sent more than was asked for.

Cause: a statement whose connection is found unusable before it is sent went to the same server again. Nothing was counted against that server, so that each later read chose it as well.

Change: the read excludes the server, which is forgotten as before if no other can serve it, and the connection counts as a failure of its server. Statements for the primary still try it again.

--- a/io/proxy/handed_over.go
+++ b/io/proxy/handed_over.go
@@ -32,15 +32,25 @@
 
 // handleNotRun prepares the next attempt after a statement was not sent to its server. It returns a refusal if there is none.
 func (session *session) handleNotRun(operation *operation, attempts *attempts, target target, err error) *refused {
-	target.server.Abandoned()
+	if errors.Is(err, dbpool.ErrUnusable) {
+		target.server.ConnectionUnusable()
+	} else {
+		target.server.Abandoned()
+	}
 	target.conn.Release(statement.FailedTransaction)
 	if errors.Is(err, dbpool.ErrSetUpRefused) {
 		session.server.EventLog.LimitedEvent("set_up_refused", "server", target.server.ID(), "organisation", session.organisation,
 			"attempt", attempts.count, "err", err)
 	}
 	switch {
-	case errors.Is(err, dbpool.ErrHomeUnavailable), errors.Is(err, dbpool.ErrUnusable):
-		// The next attempt takes another home or another connection.
+	case errors.Is(err, dbpool.ErrHomeUnavailable):
+		// The next attempt takes another home or a connection of this VM.
+		return nil
+	case errors.Is(err, dbpool.ErrUnusable):
+		// The next attempt takes another connection, and another server if there is one: this one may leave no connection usable.
+		if !operation.primaryOnly() {
+			attempts.exclude(target.server)
+		}
 		return nil
 	case errors.Is(err, dbpool.ErrSuspended):
 		// The home knows of an evacuation that this VM is about to learn of.
