Homes: a statement whose connection was found closed is tried again

Callers saw: a statement refused (BUSY, queue_timeout) or its transaction rolled back, although the server accepts connections and nothing was sent, where its home found the connection closed.

Cause: a home answered every statement that it didn't send with the cause of a full queue.

Evidence: TestHomeFindsItsConnectionClosed, before the change: write: busy no connection to the database became free in time (queue_timeout, not run) read: busy no connection to the database became free in time (queue_timeout, not run) read: aborted no connection to the database became free in time (queue_timeout, rolled back)

Change: a refusal of its own for this case, which the VM of the caller treats as it does a connection of its own. VMs of earlier builds read an unknown cause as a home that can't be used.

--- a/io/home/admission.go
+++ b/io/home/admission.go
@@ -49,6 +49,8 @@
 		return dbpool.ErrSuspended
 	case causeTimeout:
 		return dbpool.ErrAcquireTimeout
+	case causeUnusable:
+		return dbpool.ErrUnusable
 	}
 	return dbpool.ErrHomeUnavailable
 }
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -109,6 +109,8 @@
 	causeLeaving cause = 4
 	// causeSuspended means that nothing may be sent to the server at present.
 	causeSuspended cause = 5
+	// causeUnusable means that the home's connection was closed, or held an answer to no call. VMs of earlier builds take another home.
+	causeUnusable cause = 6
 )
 
 // refused tells why a statement was not sent to its server.
--- a/io/home/served.go
+++ b/io/home/served.go
@@ -71,9 +71,15 @@
 	answer, err := held.conn.Run(deadline, prefix, call)
 	var notRun *dbpool.NotRunError
 	if errors.As(err, &notRun) {
-		held.server.Abandoned()
+		refusal := &refused{Cause: causeTimeout, Note: err.Error()}
+		if errors.Is(err, dbpool.ErrUnusable) {
+			refusal.Cause = causeUnusable
+			held.server.ConnectionUnusable()
+		} else {
+			held.server.Abandoned()
+		}
 		held.release(statement.FailedTransaction)
-		return kindRefusal, &refused{Cause: causeTimeout, Note: err.Error()}
+		return kindRefusal, refusal
 	}
 	if err != nil {
 		noMemory := errors.Is(err, dbpool.ErrNoMemory)
--- a/io/proxy/ledger_test.go
+++ b/io/proxy/ledger_test.go
@@ -364,13 +364,19 @@
 
 // newServerBehindHome returns a server whose statements run on the connections of another VM to a ledger.
 func newServerBehindHome(t *testing.T, connections int) (*Server, *ledger) {
+	t.Helper()
+	ledger := &ledger{}
+	return newServerBehind(t, newLedgerMonitor(t, ledger, connections), ledger), ledger
+}
+
+// newServerBehind returns a server whose statements run on the connections of a VM with the monitor to a ledger.
+func newServerBehind(t *testing.T, atHome *monitor.Monitor, ledger *ledger) *Server {
 	t.Helper()
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	ledger := &ledger{}
-	service := home.NewService(listener, sharedSecret{}, newLedgerMonitor(t, ledger, connections), newEventLog(t), metrics.NewRegistry())
+	service := home.NewService(listener, sharedSecret{}, atHome, newEventLog(t), metrics.NewRegistry())
 	go service.Run(t.Context())
 	client := home.NewClient("vm1", sharedSecret{}, newEventLog(t), metrics.NewRegistry())
 	relay := newRelay(t, listener.Addr().String())
@@ -381,7 +387,7 @@
 	groups.SetCatalog(&catalog.Catalog{Groups: map[ids.GroupID]*catalog.Group{ledgerInfo.Group: {ID: ledgerInfo.Group, Connections: 2}}})
 	groups.SetVMs([]member.Member{{ID: "home", Zone: "z", ServesAsHome: true}, {ID: "vm2", Zone: "z", ServesAsHome: true}, {ID: "vm3", Zone: "z", ServesAsHome: true}})
 	groups.SetServers(0, []catalog.Server{ledgerInfo})
-	return newServerBefore(t, groups), ledger
+	return newServerBefore(t, groups)
 }
 
 // newLedgerSession returns a session of the server.
--- a/io/proxy/unusable_test.go
+++ b/io/proxy/unusable_test.go
@@ -67,3 +67,41 @@
 		}
 	}
 }
+
+// closingLedger is a ledger that closes the first connection of the organisation.
+type closingLedger struct {
+	ledger
+	closed atomic.Bool
+}
+
+// Dial implements dbpool.Dialer.Dial.
+func (closing *closingLedger) Dial(ctx context.Context, server catalog.Server, organisation ids.OrganisationID) (dbpool.Link, error) {
+	link, err := closing.ledger.Dial(ctx, server, organisation)
+	if err != nil || organisation != "org" || closing.closed.Swap(true) {
+		return link, err
+	}
+	return &replicaLink{ledgerLink: link.(*ledgerLink), closed: true}, nil
+}
+
+// Guards against statements and transactions that are refused because the home found its connection closed before it sent them, although
+// the server accepts others.
+func TestHomeFindsItsConnectionClosed(t *testing.T) {
+	for name, statements := range map[string][]statement.Kind{"write": {statement.Write}, "read": {statement.Read}, "transaction": {statement.Begin, statement.Read}} {
+		t.Run(name, func(t *testing.T) {
+			closing := &closingLedger{}
+			atHome := monitor.New(t.Context(), closing, "z", newEventLog(t))
+			atHome.SetServers(0, []catalog.Server{ledgerInfo})
+			atHome.Server(ledgerInfo.ID).Pool.SetLimit(2)
+			session := newLedgerSession(newServerBehind(t, atHome, &closing.ledger))
+			for index, kind := range statements {
+				reply := do(session, statement.RequestID(rune('a'+index)), statement.Statement{Kind: kind, Text: "X"})
+				if reply.Code != statement.Complete {
+					t.Errorf("%s: %s %s", kind, reply.Code, reply.Message)
+				}
+			}
+			if !closing.closed.Load() {
+				t.Error("no connection was closed")
+			}
+		})
+	}
+}
