Homes: an answer to another call is not counted as a failure of the server

Callers saw: nothing by itself; a server whose answers come twice is suspected, and left, by the home and by the VM of the caller, though the same on a connection of their own is not counted.

Cause: the home told the caller's VM of such an answer as of a server that doesn't answer, and counted it so itself.

Evidence: TestLossInHomeThatSaysNothingAboutTheServer, before the change: error receiving from i-1: through home: the server did not answer the home: [...] the answer belongs to another call

Change: the loss carries its reason, as it does for lack of memory. The test of the lack of memory has become a table with both.

--- a/io/home/lost_test.go
+++ b/io/home/lost_test.go
@@ -60,13 +60,17 @@
 	}
 }
 
-// The home has no memory for an answer. Guards against counting that against the server.
-func TestHomeWithoutMemoryForAnswer(t *testing.T) {
-	home := startHome(t, "s")
-	home.backend.receiveErr = dbpool.ErrNoMemory
-	conn := open(t, startClient(t, map[ids.VMID]string{"home": home.address}), "home", testServer)
-	if _, err := runOn(conn, statement.Read, "READ a"); !errors.Is(err, dbpool.ErrNoMemory) {
-		t.Errorf("error %v", err)
+// The home has no memory for an answer, or gets that to another call. Guards against counting that against the server.
+func TestLossInHomeThatSaysNothingAboutTheServer(t *testing.T) {
+	for name, cause := range map[string]error{"no memory": dbpool.ErrNoMemory, "answer to another call": dbpool.ErrUnmatched} {
+		t.Run(name, func(t *testing.T) {
+			home := startHome(t, "s")
+			home.backend.receiveErr = cause
+			conn := open(t, startClient(t, map[ids.VMID]string{"home": home.address}), "home", testServer)
+			if _, err := runOn(conn, statement.Read, "READ a"); !errors.Is(err, cause) {
+				t.Errorf("error %v", err)
+			}
+		})
 	}
 }
 
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -126,12 +126,17 @@
 	Note string `cbor:"1,keyasint,omitempty"`
 	// NoMemory reports that the home had no memory for the answer, which says nothing about the server.
 	NoMemory bool `cbor:"2,keyasint,omitempty"`
+	// Unmatched reports that the answer belonged to another call, which doesn't say that the server can't be reached.
+	Unmatched bool `cbor:"3,keyasint,omitempty"`
 }
 
 // reason returns the error that the loss stands for on the VM of the caller.
 func (lost lost) reason() error {
-	if lost.NoMemory {
+	switch {
+	case lost.NoMemory:
 		return dbpool.ErrNoMemory
+	case lost.Unmatched:
+		return dbpool.ErrUnmatched
 	}
 	return errServerLost
 }
--- a/io/home/served.go
+++ b/io/home/served.go
@@ -82,8 +82,8 @@
 		return kindRefusal, refusal
 	}
 	if err != nil {
-		noMemory := errors.Is(err, dbpool.ErrNoMemory)
-		if noMemory {
+		loss := lost{Note: err.Error(), NoMemory: errors.Is(err, dbpool.ErrNoMemory), Unmatched: errors.Is(err, dbpool.ErrUnmatched)}
+		if loss.NoMemory || loss.Unmatched {
 			held.server.Abandoned()
 		} else {
 			held.server.Failed(sentAt)
@@ -92,7 +92,7 @@
 			"connection", held.conn.Number(), "organisation", message.Organisation, "waited_ms", time.Since(received).Milliseconds(), "for_caller_vm", true, "err", err)
 		held.conn.Break()
 		held.release(statement.FailedTransaction)
-		return kindLost, lost{Note: err.Error(), NoMemory: noMemory}
+		return kindLost, loss
 	}
 	held.server.Answered(sentAt, answer, answer.Code == statement.Complete)
 	service.eventLog.LimitedEvent("ran_for_vm", "request", message.ID, "server", held.server.ID(), "connection", held.conn.Number(),
