Callers: a request that lies unread in the socket counts as sent ahead

Callers saw: a write that is kept although the BEGIN before it was refused.

Cause: requests behind a refused BEGIN, SET or PREPARE don't run if they were sent ahead, which was judged by the read buffer of 1,024 bytes alone. If the refused request ends with the buffer, or the others came in a write of their own, they lie in the socket.

Change: Pending looks into the socket as well, without blocking. Requests that are still on their way remain: nothing tells them from those that a caller sends after it has read the refusal.

--- a/io/proxy/dependencies.go
+++ b/io/proxy/dependencies.go
@@ -30,7 +30,7 @@
 	Keep(size budget.Bytes) error
 	// RolledBack tells that the proxy has rolled the open transaction back, so that nothing is lost if the connection ends.
 	RolledBack()
-	// Pending reports whether a part of the next request has been read.
+	// Pending reports whether a part of the next request has arrived.
 	Pending() bool
 	// Wake makes a blocked Next return. It may be called from any goroutine.
 	Wake()
