--- a/io/home/message.go
+++ b/io/home/message.go
@@ -109,6 +109,8 @@
 	causeLeaving cause = 4
 	// causeSuspended means that nothing may be sent to the server at present.
 	causeSuspended cause = 5
+	// causeUnusable means that the home's connection was closed, or held an answer to no call. VMs of earlier builds take another home.
+	causeUnusable cause = 6
 )
 
 // refused tells why a statement was not sent to its server.
@@ -124,12 +126,17 @@
 	Note string `cbor:"1,keyasint,omitempty"`
 	// NoMemory reports that the home had no memory for the answer, which says nothing about the server.
 	NoMemory bool `cbor:"2,keyasint,omitempty"`
+	// Unmatched reports that the answer belonged to another call, which doesn't say that the server can't be reached.
+	Unmatched bool `cbor:"3,keyasint,omitempty"`
 }
 
 // reason returns the error that the loss stands for on the VM of the caller.
 func (lost lost) reason() error {
-	if lost.NoMemory {
+	switch {
+	case lost.NoMemory:
 		return dbpool.ErrNoMemory
+	case lost.Unmatched:
+		return dbpool.ErrUnmatched
 	}
 	return errServerLost
 }
