--- a/core/answer/tracker.go
+++ b/core/answer/tracker.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 
 	"dotterelgw/core/statement"
 )
@@ -39,9 +38,10 @@
 // Tracker checks the answers on one connection, in their order. The zero value is that of a new connection. It is not safe for concurrent use.
 type Tracker struct {
 	state statement.TransactionState
-	// signatures holds the hashes of the latest signatures, next the index of the oldest one once there are enough.
+	// signatures holds the hashes of the latest signatures, next the index of the oldest one once there are enough. known holds the same ones.
 	signatures []uint64
 	next       int
+	known      map[uint64]bool
 	// failed reports whether an answer has reported an error, confirming whether the next error is going to be confirmed.
 	failed, confirming bool
 }
@@ -102,13 +102,18 @@
 	// Writing to a hash does not fail.
 	_, _ = digest.Write([]byte(signature))
 	hash := digest.Sum64()
-	if slices.Contains(tracker.signatures, hash) {
+	if tracker.known[hash] {
 		return false
 	}
+	if tracker.known == nil {
+		tracker.known = make(map[uint64]bool)
+	}
+	tracker.known[hash] = true
 	if len(tracker.signatures) < rememberedSignatures {
 		tracker.signatures = append(tracker.signatures, hash)
 		return true
 	}
+	delete(tracker.known, tracker.signatures[tracker.next])
 	tracker.signatures[tracker.next] = hash
 	tracker.next = (tracker.next + 1) % rememberedSignatures
 	return true
