Sessions: a refusal names the server that closes each connection

Callers saw: BUSY with "no connection to the database became free in time (queue_timeout)" although connections were free and the server closed each of them; the note said "6 attempts, last complete".

Cause: the refusal after all attempts took the code of an answer that there was none of.

Change: if the last attempt found its connection unusable, the reason is backend_lost, with what was found.

TestRefusalNamesServerThatClosesEachConnection before: "answered with busy no connection to the database became free in time (queue_timeout, not run)". After: io/proxy passes.

--- a/io/proxy/autocommit.go
+++ b/io/proxy/autocommit.go
@@ -46,7 +46,7 @@
 		}
 		session.server.retries.Inc(1)
 		if attempts.count++; attempts.used() > maxRetries {
-			return session.refusalReply(request, refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%d attempts, last %s", attempts.count, reply.Code)), statement.Idle)
+			return session.refusalReply(request, attempts.exhausted(reply.Code), statement.Idle)
 		}
 	}
 }
@@ -69,7 +69,11 @@
 		deadline = earlier(deadline, time.Now().Add(attemptTimeout(target.server)))
 	}
 	reply, err := target.conn.Run(deadline, prefix, call)
+	attempts.unusable = nil
 	if isNotRun(err) {
+		if errors.Is(err, dbpool.ErrUnusable) {
+			attempts.unusable = err
+		}
 		refused := session.handleNotRun(operation, attempts, target, err)
 		return statement.Reply{}, refused == nil, refused
 	}
--- a/io/proxy/routing.go
+++ b/io/proxy/routing.go
@@ -51,6 +51,16 @@
 	count    int
 	// busy is the number of attempts that found no free slot.
 	busy int
+	// unusable is why the connection of the last attempt could not be used; nil if it could.
+	unusable error
+}
+
+// exhausted returns the refusal of a statement that all its attempts did not run; code is that of the last answer.
+func (attempts *attempts) exhausted(code statement.Code) *refused {
+	if attempts.unusable != nil {
+		return refuse(refusal.BackendLost, retrySoon, fmt.Sprintf("%d attempts: %v", attempts.count, attempts.unusable))
+	}
+	return refuse(refusal.QueueTimeout, retrySoon, fmt.Sprintf("%d attempts, last %s", attempts.count, code))
 }
 
 // used returns the number of attempts without those that found no free slot, which the pauses in between bound.
