--- a/io/proxy/statement_name_test.go
+++ b/io/proxy/statement_name_test.go
@@ -30,7 +30,8 @@
 		first, valid := prepared(one)
 		second, otherValid := prepared(other)
 		if !valid || !otherValid {
-			t.Skip("a shape begins with its access")
+			// A shape begins with its access.
+			return
 		}
 		name := serverStatementName(first)
 		if one != other && name == serverStatementName(second) {
