--- a/review/rig-2/database.go
+++ b/review/rig-2/database.go
@@ -72,9 +72,6 @@
 	values   map[string]string
 	prepared map[string]string
 	rows     []string
-	// long reports whether the answer has the many rows of longItem.
-	long bool
-	conn net.Conn
 }
 
 // serve answers one connection until it ends.
@@ -91,7 +88,7 @@
 		return
 	}
 	time.Sleep(handshakeTime)
-	session := &serverSession{database: database, tenant: fields[2], conn: conn, state: "I", values: make(map[string]string), prepared: make(map[string]string)}
+	session := &serverSession{database: database, tenant: fields[2], state: "I", values: make(map[string]string), prepared: make(map[string]string)}
 	if _, err := fmt.Fprintf(conn, "READY I %s\r\n", database.position()); err != nil {
 		return
 	}
@@ -101,7 +98,7 @@
 			return
 		}
 		id, text, _ := strings.Cut(strings.TrimPrefix(line, "QUERY "), " ")
-		session.rows, session.long = nil, false
+		session.rows = nil
 		result := session.run(id, text)
 		var answer strings.Builder
 		for _, row := range session.rows {
@@ -194,12 +191,7 @@
 	}
 	defer func() { <-session.database.work }()
 	time.Sleep(workTime)
-	result := session.work(id, text, verb, rest)
-	if session.long {
-		// The rows leave while the statement holds its slot.
-		_, _ = session.conn.Write([]byte(strings.Repeat("ROW "+shortRow+"\r\n", manyRows)))
-	}
-	return result
+	return session.work(id, text, verb, rest)
 }
 
 // reached reports whether the log has the position.
@@ -285,9 +277,6 @@
 	switch verb {
 	case "READ":
 		session.rows = []string{database.read(item)}
-		if item == longItem {
-			session.long = true
-		}
 	case "WRITE":
 		if session.state == "I" {
 			session.writes = map[string]string{item: data}
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -20,7 +20,6 @@
 var scripts = map[string]func(record *record, trouble bool) (broken []string, err error){
 	"key-moved":     keyMoved,
 	"set-up-failed": setUpFailed,
-	"many-rows":     manyRowsRead,
 }
 
 func main() {
