--- a/review/rig-2/database.go
+++ b/review/rig-2/database.go
@@ -296,7 +296,7 @@
 	}
 	group.signatures++
 	group.executions = append(group.executions, execution{
-		at: group.record.now(), database: database.id, tenant: session.tenant, id: id, text: text, values: maps.Clone(session.values),
+		database: database.id, tenant: session.tenant, id: id, text: text, values: maps.Clone(session.values),
 	})
 	group.record.line("%s runs %q of tenant %s, request %s, values %v", database.id, text, session.tenant, id, session.values)
 	return fmt.Sprintf("COMPLETE %s.%d", database.id, group.signatures)
@@ -318,7 +318,7 @@
 	if len(session.writes) == 0 {
 		return true
 	}
-	entry := commit{term: database.term, number: len(database.log) + 1, items: session.writes}
+	entry := commit{term: database.term, items: session.writes}
 	database.log = append(database.log, entry)
 	database.applied = len(database.log)
 	session.writes = nil
--- a/review/rig-2/group.go
+++ b/review/rig-2/group.go
@@ -23,7 +23,6 @@
 
 // execution is a statement that a database ran.
 type execution struct {
-	at       time.Duration
 	database string
 	tenant   string
 	id, text string
@@ -33,8 +32,8 @@
 
 // commit is one entry of a log.
 type commit struct {
-	term, number int
-	items        map[string]string
+	term  int
+	items map[string]string
 }
 
 // group is a stand-in for a service: databases of which one is the primary. A commit is acknowledged once one replica has received it.
