Logs: which VMs were asked to fence a primary, and what lease of it a VM still had

Hypotheses, written down before any change of logic: H1 the holder of the duty doesn't know of the VM that reads, as it reads who exists from what is registered now and from its memory, which a restart has emptied: it neither fences it nor waits for its lease. Then the VM isn't among those asked, and its lease runs at the promotion. H2 the VM was fenced, and its fence ended too early, by a notice of an earlier holder or of an attempt that was given up. Then it has primary_fenced and fence_ended before promotion_done. H3 the holder waited, and the VM extended its lease by observations of its own beyond the 1.5 s. Then it is missing, waited_ms is 1500, and its lease runs at the promotion; or reads come later than 1.5 s after the fence.

Missing were: who was asked (fence_acknowledged asked, asked_vms), whether the lease of the former primary ran when a VM learns of its successor (primary_changed fenced_term, former_lease_ms), and whether a VM that can't reach the store still counts itself as registered (registration_failed registered).

--- a/io/fleet/fleet.go
+++ b/io/fleet/fleet.go
@@ -132,7 +132,7 @@
 			failures, pause = 0, renewInterval
 			continue
 		}
-		fleet.eventLog.LimitedEvent("registration_failed", "lease", fleet.lease, "err", err)
+		fleet.eventLog.LimitedEvent("registration_failed", "lease", fleet.lease, "registered", fleet.IsRegistered(), "err", err)
 		pause = min(retryInterval<<failures, renewInterval)
 		failures = min(failures+1, maxDoublings)
 	}
--- a/io/monitor/fencing.go
+++ b/io/monitor/fencing.go
@@ -38,7 +38,7 @@
 func (group *Group) awaitsDecision(at position.Position, count int) {
 	group.mutex.Lock()
 	group.waiting += count
-	fenced, _ := group.fence.MinTerm()
+	fenced := group.fencedTerm()
 	assuredAge := clock.Now() - group.tracker.AssuredAt()
 	group.mutex.Unlock()
 	if count > 0 {
@@ -48,6 +48,12 @@
 	}
 }
 
+// fencedTerm returns the term of the successor while this VM is fenced, otherwise 0. The mutex must be held.
+func (group *Group) fencedTerm() ids.Term {
+	term, _ := group.fence.MinTerm()
+	return term
+}
+
 // undecidedRecheckInterval is the longest time between two checks of a write that waits for the end of a replacement.
 const undecidedRecheckInterval = 100 * time.Millisecond
 
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -297,20 +297,23 @@
 func (group *Group) observe(id ids.BackendServerID, observation leader.Observation) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
+	formerLease := group.tracker.LeaseExpiry()
 	group.tracker.Observe(id, observation)
-	group.noteLeader(observation)
+	group.noteLeader(observation, formerLease)
 	group.noteCertainty(id, observation)
 	group.wake()
 }
 
-// noteLeader logs a change of the primary. The mutex must be held.
-func (group *Group) noteLeader(observation leader.Observation) {
+// noteLeader logs a change of the primary. formerLease is the end of the lease before the observation: a lease of the former primary that had
+// not ended shows that this VM may have read at it after its successor was promoted. The mutex must be held.
+func (group *Group) noteLeader(observation leader.Observation, formerLease time.Duration) {
 	info, term, _ := group.tracker.Primary()
 	if info.ID == group.leader && term == group.term {
 		return
 	}
 	group.monitor.eventLog.Event("primary_changed", "group", group.id, "from", group.leader, "from_term", group.term,
-		"to", info.ID, "to_term", term, "position", observation.Received.Log)
+		"to", info.ID, "to_term", term, "position", observation.Received.Log, "fenced_term", group.fencedTerm(),
+		"former_lease_ms", max(formerLease-clock.Now(), 0).Milliseconds())
 	group.leader, group.term = info.ID, term
 }
 
--- a/io/promoter/fence.go
+++ b/io/promoter/fence.go
@@ -83,7 +83,8 @@
 	acks := make(map[ids.VMID]acknowledgement)
 	promoter.acks[number] = acks
 	promoter.mutex.Unlock()
-	missing := promoter.mesh.Peers()
+	asked := promoter.mesh.Peers()
+	missing := asked
 	for clock.Now() < began+leader.LeaseDuration && len(missing) > 0 && ctx.Err() == nil {
 		for _, peer := range missing {
 			mesh.Send(promoter.mesh, peer, kindFence, notice{Group: group.ID(), Number: number, Term: term, Token: token})
@@ -99,7 +100,7 @@
 	}
 	delete(promoter.acks, number)
 	promoter.mutex.Unlock()
-	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "missing", len(missing), "missing_vms", vmsText(missing),
+	promoter.eventLog.Event("fence_acknowledged", "group", group.ID(), "asked", len(asked), "asked_vms", vmsText(asked), "missing", len(missing), "missing_vms", vmsText(missing),
 		"waited_ms", (clock.Now() - began).Milliseconds(), "acknowledged_term", safetyChecks.Acknowledged.Term,
 		"acknowledged", safetyChecks.Acknowledged.Log, "served", safetyChecks.Served)
 	safetyChecks.Unanswered = len(missing)
