--- a/review/rig-3/database.go
+++ b/review/rig-3/database.go
@@ -36,6 +36,8 @@
 	down       bool
 	// deaf stops the replication to this database.
 	deaf bool
+	// unlisted keeps the database from reaching the store.
+	unlisted bool
 	// replacedSince is the time at which a primary first saw one of a higher term.
 	replacedSince time.Time
 	born          int64
@@ -113,6 +115,14 @@
 	database.group.recorder.notef("%s deaf %v", database.id, deaf)
 }
 
+// setUnlisted cuts the database off from the store, or ends that.
+func (database *database) setUnlisted(unlisted bool) {
+	database.group.mutex.Lock()
+	defer database.group.mutex.Unlock()
+	database.unlisted = unlisted
+	database.group.recorder.notef("%s cut off from the store %v", database.id, unlisted)
+}
+
 // receive takes over the log of the primary as far as the database may. The mutex is held.
 func (database *database) receive(primary *database) {
 	switch {
@@ -202,7 +212,7 @@
 func (database *database) register() {
 	database.group.mutex.Lock()
 	defer database.group.mutex.Unlock()
-	if database.down {
+	if database.down || database.unlisted {
 		return
 	}
 	entry := registration{
--- a/review/rig-3/group.go
+++ b/review/rig-3/group.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -41,6 +42,8 @@
 	mutex sync.Mutex
 	// executions is the number of statements that have run.
 	executions int
+	// promotedLog is the log of the database that was promoted last, at that time; nil if there was none.
+	promotedLog []commit
 	// connections is the number of connections so far.
 	connections int
 }
@@ -93,6 +96,13 @@
 	return group.newestPrimary()
 }
 
+// promoted returns the log of the database that was promoted last, and whether there was one.
+func (group *group) promoted() ([]commit, bool) {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	return group.promotedLog, group.promotedLog != nil
+}
+
 // replicas returns the databases that are up and aren't the primary.
 func (group *group) replicas() []*database {
 	group.mutex.Lock()
@@ -118,6 +128,7 @@
 		term = max(term, other.term)
 	}
 	database.term, database.isPrimary, database.pausedTerm = term+1, true, 0
+	group.promotedLog = slices.Clone(database.log)
 	group.recorder.notef("promoted %s term %d with %d commits", database.id, database.term, len(database.log))
 	database.registerSoon()
 }
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -42,9 +42,10 @@
 }
 
 var scenarios = map[string]scenario{
-	"primary-reborn": {nodes: 6, run: primaryReborn},
-	"route-returns":  {nodes: 2, run: routeReturns},
-	"short-rows":     {nodes: 3, run: shortRows},
+	"unlisted-replica": {nodes: 4, run: unlistedReplica},
+	"primary-reborn":   {nodes: 6, run: primaryReborn},
+	"route-returns":    {nodes: 2, run: routeReturns},
+	"short-rows":       {nodes: 3, run: shortRows},
 }
 
 var (
