--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -36,6 +36,17 @@
 	unknown absence
 	// term is the highest term that any server has known.
 	term ids.Term
+	// departures holds the members that left the record and were not yet taken.
+	departures []Departure
+}
+
+// Departure tells why a member left the record.
+type Departure struct {
+	Member
+	// AbsentFor is how long the member had been absent.
+	AbsentFor time.Duration
+	// Required is the position that another replica had reached, so that the log of the member was not needed.
+	Required position.Position
 }
 
 // absence is the state of a member that does not answer, is not registered or is not known.
@@ -104,12 +115,23 @@
 	}
 	tracker.record = tracker.record.without(func(member Member) bool {
 		absence, absent := tracker.absences[member]
-		return absent && !absence.registered && absence.covered
+		leaves := absent && !absence.registered && absence.covered
+		if leaves {
+			tracker.departures = append(tracker.departures, Departure{Member: member, AbsentFor: now - absence.since, Required: absence.required})
+		}
+		return leaves
 	})
 	maps.DeleteFunc(tracker.absences, func(member Member, _ *absence) bool { return !tracker.record.Contains(member) })
 	return tracker.record
 }
 
+// TakeDepartures returns the members that left the record since the last call.
+func (tracker *Tracker) TakeDepartures() []Departure {
+	departures := tracker.departures
+	tracker.departures = nil
+	return departures
+}
+
 // markAbsent records that the member is silent or not registered. A silent member may still receive writes from a primary that it
 // reaches. What it may have acknowledged until its registration was gone counts anew, unless there is no primary to compare with.
 func (tracker *Tracker) markAbsent(now time.Duration, member Member, isRegistered, primaryAnswers bool) {
--- a/io/promoter/members.go
+++ b/io/promoter/members.go
@@ -123,8 +123,14 @@
 func (members *members) update(token Token, id ids.GroupID, servers []membership.Server) {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
-	if members.loadedFor == token {
-		members.group(id).tracker.Update(clock.Now(), servers)
+	if members.loadedFor != token {
+		return
+	}
+	tracker := members.group(id).tracker
+	tracker.Update(clock.Now(), servers)
+	for _, departure := range tracker.TakeDepartures() {
+		members.eventLog.Event("member_left", "group", id, "server", departure.ID, "born", departure.StartedMS, "address", departure.Address,
+			"absent_ms", departure.AbsentFor.Milliseconds(), "required_term", departure.Required.Term, "required", departure.Required.Log)
 	}
 }
 
