--- a/core/handover/explore_test.go
+++ b/core/handover/explore_test.go
@@ -19,7 +19,7 @@
 }
 
 // actions holds everything that may happen. The databases are interchangeable but for the first one, the initial primary. "power" crashes
-// a database that runs and starts one that is down; "deaf" and "service" switch too.
+// a database that runs and starts one that is down; "deaf", "unlist" and "service" switch too.
 var actions = func() []action {
 	all := []action{
 		{"tick", (*model).tick},
@@ -35,6 +35,7 @@
 				model.databases[index].deaf = !model.databases[index].deaf
 				model.replicate()
 			}},
+			action{fmt.Sprint("unlist", index), func(model *model) { model.unlist(index) }},
 		)
 	}
 	for index := range modelVMs {
@@ -106,6 +107,7 @@
 		"all actions":                    {"", *exploreDepth},
 		"the promotion service away":     {"service power0 power2 step tick write0", *exploreDepth + 4},
 		"a replica receives nothing":     {"deaf1 power0 power2 restartVM0 step tick write0", *exploreDepth + 3},
+		"a replica is not registered":    {"deaf1 unlist2 power0 restartVM0 step tick write0", *exploreDepth + 3},
 		"VMs restart during a promotion": {"power0 power2 restartVM0 restartVM1 step effect write1 tick", *exploreDepth + 2},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -185,6 +187,7 @@
 		model.serviceAway = false
 		for index := range model.databases {
 			model.databases[index].deaf = false
+			model.databases[index].registered = model.databases[index].up
 			if !model.databases[index].up {
 				model.switchPower(index)
 			}
@@ -263,6 +266,7 @@
 	}{
 		"orders are repeated on outdated checks":        {rules{repeatOrders: true, alwaysAssured: true}, "service power0 power2 step tick write0", 12},
 		"only registered servers are members":           {rules{registeredOnly: true, alwaysAssured: true}, "deaf1 power0 power2 restartVM0 step tick write0", 10},
+		"a server without a registration has ended":     {rules{unlistedGone: true, alwaysAssured: true}, "deaf1 unlist2 power0 restartVM0 step tick write0", 10},
 		"a VM that starts does not know of an order":    {rules{unmarkedOrders: true, alwaysAssured: true}, "power0 power2 restartVM1 step write1 tick", 8},
 		"the holder does not wait for a VM that starts": {rules{unknownVM: true}, "power0 power2 restartVM1 step write1 tick", 8},
 		"a VM that is cut off does not miss the holder": {rules{cutOffVM: true, alwaysAssured: true}, "power0 power2 step tick write1", 7},
--- a/core/handover/model_replacement_test.go
+++ b/core/handover/model_replacement_test.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// fenceDatabases pauses every registered database that answers. There is no primary among them.
+// fenceDatabases pauses every database that answers, the registered ones and other members. There is no primary among them.
 func (model *model) fenceDatabases(term ids.Term) handover.FenceResult {
 	var fenceResult handover.FenceResult
 	var answered []membership.Member
@@ -93,6 +93,11 @@
 	for index := range model.databases {
 		database := &model.databases[index]
 		if !database.registered {
+			if database.up && model.stored.Contains(model.identity(index)) && !model.rules.unlistedGone {
+				database.paused = max(database.paused, term)
+				answered = append(answered, model.identity(index))
+				fenceResult.Unlisted = append(fenceResult.Unlisted, model.member(index))
+			}
 			continue
 		}
 		registered.Members = append(registered.Members, model.identity(index))
@@ -101,9 +106,7 @@
 		}
 		database.paused = max(database.paused, term)
 		answered = append(answered, model.identity(index))
-		fenceResult.Others = append(fenceResult.Others, handover.Member{
-			ID: model.id(index), Observed: true, Term: database.term, Received: database.received(), PausedTerm: database.paused,
-		})
+		fenceResult.Others = append(fenceResult.Others, model.member(index))
 	}
 	record := model.stored.Union(registered)
 	if model.rules.registeredOnly {
@@ -113,6 +116,14 @@
 	return fenceResult
 }
 
+// member returns the state of the database as it reports it.
+func (model *model) member(index int) handover.Member {
+	database := &model.databases[index]
+	return handover.Member{
+		ID: model.id(index), Observed: true, Term: database.term, Received: database.received(), PausedTerm: database.paused,
+	}
+}
+
 // fenceVMs fences the old primary on all VMs and returns the last position that any of them acknowledged.
 func (model *model) fenceVMs(term ids.Term) position.Position {
 	var acknowledged position.Position
--- a/core/handover/model_test.go
+++ b/core/handover/model_test.go
@@ -29,6 +29,8 @@
 	repeatOrders bool
 	// registeredOnly takes the registered servers of the moment for the whole group.
 	registeredOnly bool
+	// unlistedGone takes a server whose registration is gone for one whose process has ended.
+	unlistedGone bool
 	// unmarkedOrders has a VM that starts know nothing of a promotion that has been ordered.
 	unmarkedOrders bool
 	// silentVMs has no VM tell the holder of the duty what it acknowledged. The VMs are fenced all the same.
@@ -165,12 +167,11 @@
 	}
 	var servers []membership.Server
 	for index, database := range model.databases {
-		if database.registered {
-			servers = append(servers, membership.Server{
-				Member: model.identity(index), Observed: true, Silent: !database.up, Primary: database.primary && database.up, Term: database.term,
-				Received: database.received(), ObservedAt: model.now,
-			})
-		}
+		answers := database.up && (database.registered || !model.rules.unlistedGone)
+		servers = append(servers, membership.Server{
+			Member: model.identity(index), Unlisted: !database.registered, Ended: !database.registered && !answers, Observed: true, Silent: !answers,
+			Primary: database.primary && answers, Term: database.term, Received: database.received(), ObservedAt: model.now,
+		})
 	}
 	model.stored = model.members.Update(model.now, servers)
 }
@@ -206,6 +207,13 @@
 	model.replicate()
 }
 
+// unlist has the store drop the registration of a database that runs, or has the database register again.
+func (model *model) unlist(index int) {
+	database := &model.databases[index]
+	database.registered = database.up && !database.registered
+	model.updateMembers()
+}
+
 // restartVM ends the memory of a VM. The first VM holds the duty; its successor reads the members anew.
 func (model *model) restartVM(index int) {
 	vm := newModelVM()
@@ -251,7 +259,7 @@
 func (model *model) write(vm *modelVM) {
 	model.listServers(vm)
 	for index, database := range model.databases {
-		if database.up {
+		if database.up && database.registered {
 			vm.tracker.Observe(model.id(index), leader.Observation{Status: database.status(), SentAt: model.now})
 		}
 	}
--- a/core/handover/replacement.go
+++ b/core/handover/replacement.go
@@ -261,6 +261,9 @@
 	Paused bool
 	// Others holds the state of the other registered servers as they reported it after the fence.
 	Others []Member
+	// Unlisted holds the state of the members that are not registered, but answered at their addresses after the fence. They can't be
+	// promoted, as no VM would send anything to them.
+	Unlisted []Member
 	// Unheard is the number of members of the group whose log none of the servers that responded has. The old primary counts
 	// unless it stepped down.
 	Unheard int
@@ -273,7 +276,8 @@
 
 // Successor returns the server to promote, or false if none is safe. Every acknowledged write is in the logs of two members, the primary
 // and a replica, so the longest log has all of them if at most one member is unheard. That holds for an old primary that stepped down
-// as well: while it was cut off, another one may have been promoted, and acknowledged writes with members that are unheard now.
+// as well: while it was cut off, another one may have been promoted, and acknowledged writes with members that are unheard now. What a
+// member without a registration has counts, too.
 func (fenceResult FenceResult) Successor() (Member, bool) {
 	best := fenceResult.mostAdvanced()
 	switch {
@@ -281,12 +285,24 @@
 		return Member{}, false
 	case fenceResult.Unheard > membership.MaxUnheard && !fenceResult.Overdue:
 		return Member{}, false
+	case fenceResult.UnlistedAhead() && !fenceResult.Overdue:
+		return Member{}, false
 	case fenceResult.SteppedDown && fenceResult.Unheard > 0 && best.Received.Less(fenceResult.Final):
 		return Member{}, false
 	}
 	return best, true
 }
 
+// UnlistedAhead reports whether a member that is not registered has a longer log than all others. It may be the only one with an
+// acknowledged write, and can be promoted once it is registered again. An old primary that stepped down counts with its final log.
+func (fenceResult FenceResult) UnlistedAhead() bool {
+	longest := fenceResult.mostAdvanced().Received
+	if fenceResult.SteppedDown && longest.Less(fenceResult.Final) {
+		longest = fenceResult.Final
+	}
+	return longest.Less(MostAdvanced(fenceResult.Unlisted).Received)
+}
+
 // mostAdvanced returns the most advanced of the other servers, the one ordered earlier if its log is as long.
 func (fenceResult FenceResult) mostAdvanced() Member {
 	best := MostAdvanced(fenceResult.Others)
--- a/core/handover/replacement_test.go
+++ b/core/handover/replacement_test.go
@@ -156,6 +156,11 @@
 		"stepped down, two members overdue":       {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 2, Overdue: true, SteppedDown: true, Final: at(5)}, "b"},
 		"overdue, shorter than the old primary's": {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unheard: 2, Overdue: true, SteppedDown: true, Final: at(6)}, ""},
 		"stepped down, all members heard":         {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, SteppedDown: true, Final: at(6)}, "b"},
+		"unlisted member as far":                  {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unlisted: []handover.Member{follows("c", 5)}, Unheard: 1}, "b"},
+		"unlisted member ahead":                   {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unlisted: []handover.Member{follows("c", 6)}, Unheard: 1}, ""},
+		"unlisted member ahead for long":          {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unlisted: []handover.Member{follows("c", 6)}, Unheard: 1, Overdue: true}, "b"},
+		"unlisted member as far as the old":       {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unlisted: []handover.Member{follows("c", 6)}, SteppedDown: true, Final: at(6)}, "b"},
+		"unlisted member ahead of the old":        {handover.FenceResult{Others: []handover.Member{follows("b", 5)}, Unlisted: []handover.Member{newer(follows("c", 5))}, SteppedDown: true, Final: at(6)}, ""},
 	} {
 		t.Run(name, func(t *testing.T) {
 			successor, ok := test.fenceResult.Successor()
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -2,15 +2,20 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/position"
 )
 
-// Server is what is known of a registered server.
+// Server is what is known of a registered server, or of a member that is not registered and was asked at its address.
 type Server struct {
 	Member
+	// Unlisted is set if the server is not registered. That alone says nothing of its process, which may still receive the log.
+	Unlisted bool
+	// Ended is set if nothing of the process is left at its address.
+	Ended bool
 	// Renewed is set if the registration lapses unless the server renews it.
 	Renewed bool
 	// Observed is set if the server has answered; the fields below are of its last answer.
@@ -30,7 +35,7 @@
 // Tracker keeps the record of one group up to date. It is not safe for concurrent use.
 type Tracker struct {
 	record Record
-	// absences holds the members that do not answer or are not registered.
+	// absences holds the members that do not answer.
 	absences map[Member]*absence
 	// unknown is the state of the members that an incomplete record lacks.
 	unknown absence
@@ -49,12 +54,14 @@
 	Required position.Position
 }
 
-// absence is the state of a member that does not answer, is not registered or is not known.
+// absence is the state of a member that does not answer or is not known.
 type absence struct {
-	// since is the time since which the member is absent.
+	// since is the time since which the member is absent. It counts anew once the process is known to have ended.
 	since time.Duration
-	// registered is set while the member is only silent.
-	registered bool
+	// unlistedSince is the time since which the member neither answers nor is registered; 0 if it is registered.
+	unlistedSince time.Duration
+	// mayHelp is set while the process of the member may still receive the log, and so help to acknowledge writes.
+	mayHelp bool
 	// required is the end of the primary's log at a time after since. It covers every write that the absent member has helped to
 	// acknowledge. It is valid if known is set.
 	required position.Position
@@ -84,15 +91,16 @@
 	tracker.unknown = absence{since: now}
 }
 
-// Update brings the record up to date with the registered servers and returns it. A server joins when it first answers, or when it is
-// found to renew its registration, since the primary may reach a server that this VM can't. A member that is no longer registered leaves
-// once the primary and one more member have every write that it may have helped to acknowledge. By the same rule an incomplete record
-// becomes complete: members that are not known are not needed then.
+// Update brings the record up to date with the servers and returns it. A server joins when it first answers, or when it is found to renew
+// its registration, since the primary may reach a server that this VM can't. A member whose process has ended leaves once the primary and
+// one more member have every write that it may have helped to acknowledge. That its registration is gone doesn't suffice: the process
+// may be cut off from the store only. By the same rule an incomplete record becomes complete: members that are not known are not needed
+// then.
 func (tracker *Tracker) Update(now time.Duration, servers []Server) Record {
-	registered := make(map[Member]Server, len(servers))
+	known := make(map[Member]Server, len(servers))
 	for _, server := range servers {
-		registered[server.Member] = server
-		if server.Observed || server.Renewed {
+		known[server.Member] = server
+		if !server.Unlisted && (server.Observed || server.Renewed) {
 			tracker.record = tracker.record.with(server.Member)
 		}
 	}
@@ -103,19 +111,21 @@
 		tracker.record.Incomplete = !tracker.unknown.covered
 	}
 	for _, member := range tracker.record.Members {
-		server, isRegistered := registered[member]
-		if isRegistered && !server.Silent {
+		server, isKnown := known[member]
+		if isKnown && !server.Silent && !server.Ended {
 			delete(tracker.absences, member)
 			continue
 		}
-		tracker.markAbsent(now, member, isRegistered, primary != nil)
+		isListed := isKnown && !server.Unlisted
+		hasEnded := !isListed && (server.Ended || member.isSucceeded(servers))
+		tracker.markAbsent(now, member, isListed, hasEnded, primary != nil)
 		if primary != nil {
 			tracker.absences[member].update(*primary, servers)
 		}
 	}
 	tracker.record = tracker.record.without(func(member Member) bool {
 		absence, absent := tracker.absences[member]
-		leaves := absent && !absence.registered && absence.covered
+		leaves := absent && !absence.mayHelp && absence.covered
 		if leaves {
 			tracker.departures = append(tracker.departures, Departure{Member: member, AbsentFor: now - absence.since, Required: absence.required})
 		}
@@ -132,21 +142,42 @@
 	return departures
 }
 
-// markAbsent records that the member is silent or not registered. A silent member may still receive writes from a primary that it
-// reaches. What it may have acknowledged until its registration was gone counts anew, unless there is no primary to compare with.
-func (tracker *Tracker) markAbsent(now time.Duration, member Member, isRegistered, primaryAnswers bool) {
+// isSucceeded reports whether one of the registered servers is a later process under the identifier of the member, or answers at its
+// address.
+func (member Member) isSucceeded(servers []Server) bool {
+	return slices.ContainsFunc(servers, func(server Server) bool {
+		isSamePlace := server.ID == member.ID || server.Address == member.Address && server.Observed
+		return !server.Unlisted && isSamePlace && server.StartedMS > member.StartedMS
+	})
+}
+
+// markAbsent records that the member does not answer. It may still receive writes from a primary that it reaches, unless its process has
+// ended or counts as lost. What it may have acknowledged until then counts anew, unless there is no primary to compare with.
+func (tracker *Tracker) markAbsent(now time.Duration, member Member, isListed, hasEnded, primaryAnswers bool) {
 	current, known := tracker.absences[member]
-	if !known || current.registered && !isRegistered && primaryAnswers {
-		tracker.absences[member] = &absence{since: now, registered: isRegistered}
-		return
+	if !known {
+		current = &absence{since: now, mayHelp: true}
+		tracker.absences[member] = current
+	}
+	switch {
+	case isListed:
+		current.unlistedSince = 0
+	case current.unlistedSince == 0:
+		current.unlistedSince = now
+	}
+	isLost := !isListed && now-current.unlistedSince >= LossTimeout
+	mayHelp := !hasEnded && !isLost
+	if known && current.mayHelp && !mayHelp && primaryAnswers {
+		current.since = now
+		current.forget()
 	}
-	current.registered = isRegistered
+	current.mayHelp = mayHelp
 }
 
-// update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge. While it is
-// registered it may still help, so it is compared with each answer of the primary anew.
+// update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge. While it may
+// still help, it is compared with each answer of the primary anew.
 func (absence *absence) update(primary Server, servers []Server) {
-	if absence.registered {
+	if absence.mayHelp {
 		absence.forget()
 	}
 	if !absence.known && primary.ObservedAt > absence.since {
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -22,6 +22,8 @@
 	silent, unknown bool
 	// renewed states that it renews its registration.
 	renewed bool
+	// unlisted states that it is not registered, ended that nothing of its process is left at its address.
+	unlisted, ended bool
 }
 
 func (state state) server(now time.Duration) membership.Server {
@@ -32,7 +34,7 @@
 	}
 	term := max(state.term, 1)
 	return membership.Server{
-		Member: member, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: term,
+		Member: member, Unlisted: state.unlisted || state.ended, Ended: state.ended, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: term,
 		Received: position.Position{Term: term, Log: state.log}, ObservedAt: now,
 	}
 }
@@ -45,6 +47,14 @@
 	return state{id: id, primary: true, term: 2, log: log}
 }
 
+// gone returns the member of the identifier as one that is not registered and whose process has ended.
+func gone(id string) state { return state{id: id, silent: true, ended: true} }
+
+func unlisted(server state) state {
+	server.unlisted = true
+	return server
+}
+
 func mute(server state) state {
 	server.silent = true
 	return server
@@ -58,45 +68,100 @@
 		steps [][]state
 		want  string
 	}{
-		"nothing changes":               {[][]state{start, start}, "a b c"},
-		"gone, another replica current": {[][]state{start, {primary(6), replica("b", 6)}, {primary(7), replica("b", 7)}}, "a b"},
+		"nothing changes": {[][]state{start, start}, "a b c"},
+		"gone, another replica current": {
+			[][]state{start, {primary(6), replica("b", 6), gone("c")}, {primary(7), replica("b", 7), gone("c")}}, "a b",
+		},
 		"gone, compared before the log moved on": {
-			[][]state{start, {primary(5), replica("b", 5)}, {primary(8), replica("b", 7)}, {primary(9), replica("b", 8)}}, "a b",
+			[][]state{
+				start,
+				{primary(5), replica("b", 5), gone("c")},
+				{primary(8), replica("b", 7), gone("c")},
+				{primary(9), replica("b", 8), gone("c")},
+			}, "a b",
 		},
 		"gone, the other replica receives nothing": {
-			[][]state{start, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}, {primary(9), replica("b", 5)}}, "a b c",
+			[][]state{
+				start,
+				{primary(9), replica("b", 5), gone("c")},
+				{primary(9), replica("b", 5), gone("c")},
+				{primary(9), replica("b", 5), gone("c")},
+			}, "a b c",
 		},
 		"gone as primary of a newer term, compared with the old one": {
-			[][]state{start, {primary(5), replica("b", 5), newPrimary("c", 9)}, {primary(6), replica("b", 6)}, {primary(7), replica("b", 7)}}, "a b c",
+			[][]state{
+				start,
+				{primary(5), replica("b", 5), newPrimary("c", 9)},
+				{primary(6), replica("b", 6), gone("c")},
+				{primary(7), replica("b", 7), gone("c")},
+			}, "a b c",
 		},
 		"compared with a primary before its newer one was known": {
 			[][]state{
 				start,
-				{primary(5), replica("b", 4)},
-				{primary(5), replica("b", 4)},
-				{primary(6), replica("b", 4), newPrimary("d", 9)},
-				{primary(6), replica("b", 6)},
+				{primary(5), replica("b", 4), gone("c")},
+				{primary(5), replica("b", 4), gone("c")},
+				{primary(6), replica("b", 4), gone("c"), newPrimary("d", 9)},
+				{primary(6), replica("b", 6), gone("c"), gone("d")},
 			}, "a b c d",
 		},
 		"gone as primary, replaced by one of a later term": {
 			[][]state{
 				start,
 				{primary(5), replica("b", 5), newPrimary("c", 9)},
-				{primary(6), {id: "b", primary: true, term: 3, log: 10}},
-				{{id: "a", term: 3, log: 10}, {id: "b", primary: true, term: 3, log: 10}},
+				{primary(6), {id: "b", primary: true, term: 3, log: 10}, gone("c")},
+				{{id: "a", term: 3, log: 10}, {id: "b", primary: true, term: 3, log: 10}, gone("c")},
 			}, "a b",
 		},
-		"gone together with the primary": {[][]state{start, {replica("b", 5)}, {replica("b", 5)}}, "a b c"},
+		"gone together with the primary": {
+			[][]state{start, {gone("a"), replica("b", 5), gone("c")}, {gone("a"), replica("b", 5), gone("c")}}, "a b c",
+		},
 		"silent, but still registered": {
 			[][]state{start, {primary(6), replica("b", 6), mute(replica("c", 5))}, {primary(7), replica("b", 7), mute(replica("c", 5))}}, "a b c",
 		},
+		"not registered, but answers": {
+			[][]state{
+				start,
+				{primary(6), replica("b", 6), unlisted(replica("c", 6))},
+				{primary(7), replica("b", 7), unlisted(replica("c", 7))},
+				{primary(8), replica("b", 8), unlisted(replica("c", 8))},
+			}, "a b c",
+		},
+		"not registered and silent": {
+			[][]state{
+				start,
+				{primary(6), replica("b", 6), unlisted(mute(replica("c", 5)))},
+				{primary(7), replica("b", 7), unlisted(mute(replica("c", 5)))},
+				{primary(8), replica("b", 8), unlisted(mute(replica("c", 5)))},
+			}, "a b c",
+		},
+		"not registered, its process not yet asked": {
+			[][]state{start, {primary(6), replica("b", 6)}, {primary(7), replica("b", 7)}, {primary(8), replica("b", 8)}}, "a b c",
+		},
+		"not registered, answered until it was gone": {
+			[][]state{
+				start,
+				{primary(6), replica("b", 6), unlisted(replica("c", 6))},
+				{primary(7), replica("b", 7), gone("c")},
+				{primary(8), replica("b", 8), gone("c")},
+			}, "a b",
+		},
+		"not registered, helped to acknowledge until it was gone": {
+			[][]state{
+				start,
+				{primary(6), replica("b", 6), unlisted(replica("c", 6))},
+				{primary(9), replica("b", 6), unlisted(replica("c", 9))},
+				{primary(9), replica("b", 6), gone("c")},
+				{primary(9), replica("b", 8), gone("c")},
+			}, "a b c",
+		},
 		"silent and compared, gone after the primary": {
 			[][]state{
 				start,
 				{primary(6), replica("b", 6), mute(replica("c", 5))},
 				{primary(7), replica("b", 7), mute(replica("c", 5))},
 				{mute(primary(7)), replica("b", 7), mute(replica("c", 5))},
-				{mute(primary(7)), replica("b", 7)},
+				{mute(primary(7)), replica("b", 7), gone("c")},
 			}, "a b",
 		},
 		// c is silent to this VM only and helps the primary to acknowledge up to 9, b receives nothing more; then c and the primary go.
@@ -107,7 +172,7 @@
 				{primary(7), replica("b", 7), mute(replica("c", 5))},
 				{primary(9), replica("b", 7), mute(replica("c", 5))},
 				{mute(primary(9)), replica("b", 7), mute(replica("c", 5))},
-				{mute(primary(9)), replica("b", 7)},
+				{mute(primary(9)), replica("b", 7), gone("c")},
 			}, "a b c",
 		},
 		"silent, compared, then gone while the other receives nothing": {
@@ -115,8 +180,8 @@
 				start,
 				{primary(6), replica("b", 6), mute(replica("c", 5))},
 				{primary(7), replica("b", 7), mute(replica("c", 5))},
-				{primary(9), replica("b", 7)},
-				{primary(9), replica("b", 7)},
+				{primary(9), replica("b", 7), gone("c")},
+				{primary(9), replica("b", 7), gone("c")},
 			}, "a b c",
 		},
 		"restarted under its id": {
@@ -129,8 +194,8 @@
 		"never answered, renewed and then gone": {
 			[][]state{
 				append([]state{{id: "d", unknown: true, silent: true, renewed: true}}, start...),
-				{primary(6), replica("b", 6), replica("c", 6)},
-				{primary(7), replica("b", 7), replica("c", 7)},
+				{primary(6), replica("b", 6), replica("c", 6), gone("d")},
+				{primary(7), replica("b", 7), replica("c", 7), gone("d")},
 			}, "a b c",
 		},
 		"entry that never answered": {[][]state{start, append([]state{{id: "d", unknown: true, silent: true}}, start...)}, "a b c"},
@@ -211,3 +276,31 @@
 		t.Error("complete by earlier answers")
 	}
 }
+
+// Guards against a member that is dropped although it may still help to acknowledge, and against one that stays for ever: without a
+// registration and without an answer it counts as lost after a time, with one it never does.
+func TestSilentMemberIsLostAfterAWhile(t *testing.T) {
+	for name, test := range map[string]struct {
+		server func(state) state
+		want   int
+	}{
+		"not registered": {unlisted, 2},
+		"registered":     {func(state state) state { return state }, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := membership.NewTracker(membership.Record{})
+			tracker.Update(0, []membership.Server{primary(5).server(0), replica("b", 5).server(0), replica("c", 5).server(0)})
+			for now := time.Second; now < membership.LossTimeout+5*time.Second; now += time.Second {
+				log := ids.LogPosition(5 + now/time.Second)
+				silent := test.server(mute(replica("c", 5))).server(now)
+				members := tracker.Update(now, []membership.Server{primary(log).server(now), replica("b", log).server(now), silent}).Members
+				if now <= membership.LossTimeout && len(members) != 3 {
+					t.Fatalf("%d members after %v", len(members), now)
+				}
+			}
+			if members := tracker.Record().Members; len(members) != test.want {
+				t.Errorf("%d members in the end, want %d", len(members), test.want)
+			}
+		})
+	}
+}
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -57,6 +57,8 @@
 	Fence(id ids.GroupID, term ids.Term) position.Position
 	// SendControl sends a control statement to the server and records the state in its answer.
 	SendControl(server *monitor.Server, call dbpool.Call) (leader.Status, error)
+	// NewUnlistedServer returns a process that is not registered.
+	NewUnlistedServer(info catalog.Server) *monitor.UnlistedServer
 }
 
 // Registry tells which VMs are registered in the store.
@@ -79,6 +81,7 @@
 type Promoter struct {
 	duty      *duty
 	members   *members
+	unlisted  *unlistedMembers
 	fences    *storedFences
 	groups    Groups
 	directory Directory
@@ -128,7 +131,7 @@
 func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog, options ...Option) *Promoter {
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
-		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
+		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), unlisted: newUnlistedMembers(groups, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
 		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]acknowledgement), fenceTokens: make(map[ids.GroupID]Token),
 	}
 	for _, option := range options {
@@ -192,7 +195,8 @@
 }
 
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter,
-// and so are those of a group whose record was just found to be missing. It polls maxPolls servers at most and returns their number.
+// and so are those of a group whose record was just found to be missing. It polls maxPolls servers at most and returns their number. Members
+// that are not registered are asked, too.
 func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
 	recordMissing := promoter.members.justFoundMissing(token, group.ID())
 	for _, server := range group.Servers() {
@@ -204,12 +208,20 @@
 		}
 	}
 	if promoter.fences.isLoaded(token) {
-		servers := registeredServers(group)
+		unlisted := promoter.unlistedOf(token, group)
+		promoter.unlisted.poll(unlisted)
+		servers := append(registeredServers(group), promoter.unlisted.servers(unlisted)...)
 		promoter.members.update(token, group.ID(), withoutOutdated(servers, promoter.fences.noteTerm(group.ID(), 0)))
 	}
 	return polls
 }
 
+// unlistedOf returns the members of the group that are not registered.
+func (promoter *Promoter) unlistedOf(token Token, group *monitor.Group) []*unlistedMember {
+	record, _ := promoter.members.record(token, group.ID())
+	return promoter.unlisted.set(group.ID(), record, group.Servers())
+}
+
 // evaluate starts a replacement if the group needs one.
 func (promoter *Promoter) evaluate(ctx context.Context, token Token, group *monitor.Group) {
 	promoter.mutex.Lock()
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +64,8 @@
 		// The primary is back.
 		return
 	}
-	if silent := silentMembers(group, servers, record); leads && !handover.MayStepDown(len(silent), overdue) {
+	unlisted := promoter.unlisted.set(group.ID(), record, servers)
+	if silent := silentMembers(group, servers, record, promoter.unlisted.answering(unlisted)); leads && !handover.MayStepDown(len(silent), overdue) {
 		watched.wait.Update(clock.Now(), true, registrationsKnown)
 		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "members_silent", "primary", old.ID(),
 			"silent", membersText(silent), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
@@ -71,7 +73,7 @@
 		return
 	}
 	promoter.eventLog.Event("replacement_begun", "group", group.ID(), "reason", reason, "primary", idOf(old), "term", term)
-	fenceResult, unheard := promoter.fence(group, servers, old, term, record)
+	fenceResult, heardUnlisted, unheard := promoter.fence(group, servers, unlisted, old, term, record)
 	fenceResult.Overdue = overdue
 	if watched.order.PendingFor(clock.Now()) > 0 {
 		fenceResult.Ordered = watched.order.Server
@@ -80,12 +82,12 @@
 	if !ok {
 		watched.wait.Update(clock.Now(), len(fenceResult.Others) > 0, registrationsKnown)
 		promoter.eventLog.Event("replacement_given_up", "group", group.ID(), "reason", reason, "stepped_down", fenceResult.SteppedDown,
-			"answered", len(fenceResult.Others), "unheard", membersText(unheard), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
+			"answered", len(fenceResult.Others), "unheard", membersText(unheard), "unlisted_ahead", fenceResult.UnlistedAhead(), "waited_ms", watched.wait.For(clock.Now()).Milliseconds())
 		promoter.abandon(ctx, group, watched, term)
 		return
 	}
 	watched.fenced = true
-	window, safetyChecks, err := promoter.checkSafety(ctx, group, servers, fenceResult, term)
+	window, safetyChecks, err := promoter.checkSafety(ctx, group, servers, heardUnlisted, fenceResult, term)
 	successor, cause := fenceResult.Confirm(successor, safetyChecks)
 	if err != nil {
 		cause = "fence_not_stored"
@@ -189,9 +191,9 @@
 // responds reports whether there is such a server and it responds.
 func responds(server *monitor.Server) bool { return server != nil && server.SilentFor() == 0 }
 
-// silentMembers returns the members that do not respond.
-func silentMembers(group *monitor.Group, servers []*monitor.Server, record membership.Record) []membership.Member {
-	var responding []membership.Member
+// silentMembers returns the members that do not respond. Of those that are not registered, the ones given do.
+func silentMembers(group *monitor.Group, servers []*monitor.Server, record membership.Record, unlisted []membership.Member) []membership.Member {
+	responding := slices.Clone(unlisted)
 	for _, server := range servers {
 		if _, observed := group.Observed(server.ID()); observed && responds(server) {
 			responding = append(responding, identityOf(server))
@@ -201,10 +203,9 @@
 }
 
 // fence prevents the old primary from acknowledging writes: either it steps down, or no other server receives from it
-// any more. A silent primary is asked to step down too, since it may only be hard to reach. It also returns the members whose logs
-// remain unknown.
-func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, old *monitor.Server, term ids.Term, record membership.Record) (handover.FenceResult, []membership.Member) {
-	var fenceResult handover.FenceResult
+// any more. A silent primary is asked to step down too, since it may only be hard to reach. It also returns the members that answered
+// without being registered, and those whose logs remain unknown.
+func (promoter *Promoter) fence(group *monitor.Group, servers []*monitor.Server, unlisted []*unlistedMember, old *monitor.Server, term ids.Term, record membership.Record) (fenceResult handover.FenceResult, heardUnlisted []*unlistedMember, unheard []membership.Member) {
 	var stepped sync.WaitGroup
 	needsPauses := true
 	if old != nil {
@@ -219,24 +220,33 @@
 	stored := record
 	record = record.Union(registeredMembers(group, servers))
 	var answered []membership.Member
+	ask := func(call dbpool.Call) {
+		var calls sync.WaitGroup
+		calls.Go(func() { heardUnlisted, fenceResult.Unlisted = promoter.unlisted.fence(unlisted, call) })
+		fenceResult.Others, answered = promoter.askOthers(servers, old, call)
+		calls.Wait()
+		for _, member := range heardUnlisted {
+			answered = append(answered, member.Member)
+		}
+	}
 	if !needsPauses {
-		fenceResult.Others, answered = promoter.askOthers(servers, old, dbpool.Call{Kind: statement.Status})
+		ask(dbpool.Call{Kind: statement.Status})
 		// A member that is unheard may be a primary of a newer term, whose writes the others must not help to acknowledge.
 		needsPauses = len(record.Unheard(append(answered, identityOf(old)))) > 0
 	}
 	if needsPauses {
-		fenceResult.Others, answered = promoter.askOthers(servers, old, dbpool.Call{Kind: statement.Pause, Term: term})
+		ask(dbpool.Call{Kind: statement.Pause, Term: term})
 		fenceResult.Paused = true
 	}
 	stepped.Wait()
 	if fenceResult.SteppedDown {
 		answered = append(answered, identityOf(old))
 	}
-	unheard := record.Unheard(answered)
+	unheard = record.Unheard(answered)
 	fenceResult.Unheard = len(unheard)
 	promoter.eventLog.Event("members_heard", "group", group.ID(), "term", term, "stepped_down", fenceResult.SteppedDown,
 		"registered", registeredText(servers), "members", membersText(stored.Members), "heard", membersText(answered), "unheard", membersText(unheard))
-	return fenceResult, unheard
+	return fenceResult, heardUnlisted, unheard
 }
 
 // askOthers sends the call to all servers but the old primary. It returns the state and the identity of those that answered, and that
@@ -393,4 +403,5 @@
 		})
 	}
 	calls.Wait()
+	promoter.unlisted.resume(group.ID(), term)
 }
--- a/io/promoter/safety.go
+++ b/io/promoter/safety.go
@@ -19,7 +19,7 @@
 // checkSafety fences the old primary on all VMs, those that start included, and makes the checks without which nothing may be promoted.
 // The error is set if the fence could not be stored. The VMs are asked only after it is stored: one that has acknowledged the fence and
 // restarts reads it then.
-func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, fenceResult handover.FenceResult, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks, err error) {
+func (promoter *Promoter) checkSafety(ctx context.Context, group *monitor.Group, servers []*monitor.Server, unlisted []*unlistedMember, fenceResult handover.FenceResult, term ids.Term) (window handover.OrderWindow, safetyChecks handover.SafetyChecks, err error) {
 	if err = promoter.fences.set(ctx, group.ID(), term); err != nil {
 		promoter.eventLog.LimitedEvent("fence_not_stored", "group", group.ID(), "term", term, "err", err)
 		return window, safetyChecks, err
@@ -39,6 +39,7 @@
 	safetyChecks.Listed = promoter.refresh(ctx)
 	safetyChecks.Joined = joined(servers, group.Servers())
 	safetyChecks.Unfenced = fenceResult.Paused && !promoter.stillFenced(group, servers, fenceResult.Others, term) ||
+		fenceResult.Paused && !promoter.unlisted.isPaused(unlisted, term) ||
 		fenceResult.SteppedDown && safetyChecks.Unanswered > 0 && !promoter.stillSteppedDown(servers, fenceResult)
 	return window, safetyChecks, nil
 }
--- /dev/null
+++ b/io/promoter/unlisted.go
@@ -0,0 +1,232 @@
+package promoter
+
+import (
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"dotterelgw/core/catalog"
+	"dotterelgw/core/handover"
+	"dotterelgw/core/ids"
+	"dotterelgw/core/leader"
+	"dotterelgw/core/membership"
+	"dotterelgw/core/statement"
+	"dotterelgw/io/clock"
+	"dotterelgw/io/dbpool"
+	"dotterelgw/io/monitor"
+	"dotterelgw/io/observe"
+)
+
+// unlistedPollInterval is the time between two status requests to a member that is not registered.
+const unlistedPollInterval = 500 * time.Millisecond
+
+// process is what is known of the process of a member that is not registered.
+type process string
+
+// The states of such a process.
+const (
+	// processUnknown means that it was not yet asked.
+	processUnknown process = "unknown"
+	// processAnswers means that it runs.
+	processAnswers process = "answers"
+	// processSilent means that it can't be reached, though the primary may reach it.
+	processSilent process = "silent"
+	// processEnded means that nothing of it is left at its address.
+	processEnded process = "ended"
+)
+
+// unlistedMembers asks the members that are not registered at their addresses while this VM holds the duty. The store drops the registration
+// of a process that is cut off from it, which still receives the log.
+type unlistedMembers struct {
+	groups   Groups
+	eventLog *observe.EventLog
+
+	mutex   sync.Mutex
+	members map[ids.GroupID]map[membership.Member]*unlistedMember
+}
+
+// unlistedMember is one member that is not registered.
+type unlistedMember struct {
+	membership.Member
+	group  ids.GroupID
+	server *monitor.UnlistedServer
+
+	// The mutex of unlistedMembers guards the fields below.
+	process process
+	// asking is set while a status request is under way, askedAt is the time of the last one.
+	asking  bool
+	askedAt time.Duration
+	// observed is the last answer; its SentAt is 0 before the first one.
+	observed leader.Observation
+}
+
+func newUnlistedMembers(groups Groups, eventLog *observe.EventLog) *unlistedMembers {
+	return &unlistedMembers{groups: groups, eventLog: eventLog, members: make(map[ids.GroupID]map[membership.Member]*unlistedMember)}
+}
+
+// set makes the members of the record that are not registered those of the group, and returns them.
+func (unlisted *unlistedMembers) set(group ids.GroupID, record membership.Record, servers []*monitor.Server) []*unlistedMember {
+	isListed := func(member membership.Member) bool {
+		return slices.ContainsFunc(servers, func(server *monitor.Server) bool { return identityOf(server) == member })
+	}
+	unlisted.mutex.Lock()
+	defer unlisted.mutex.Unlock()
+	known := unlisted.members[group]
+	for member, state := range known {
+		if isListed(member) || !record.Contains(member) {
+			state.server.Close()
+			delete(known, member)
+		}
+	}
+	var members []*unlistedMember
+	for _, member := range record.Members {
+		if isListed(member) || isSucceeded(member, servers) {
+			continue
+		}
+		state, ok := known[member]
+		if !ok {
+			if known == nil {
+				known = make(map[membership.Member]*unlistedMember)
+				unlisted.members[group] = known
+			}
+			info := catalog.Server{ID: member.ID, Group: group, Address: member.Address, StartedMS: member.StartedMS}
+			state = &unlistedMember{Member: member, group: group, server: unlisted.groups.NewUnlistedServer(info), process: processUnknown}
+			known[member] = state
+		}
+		members = append(members, state)
+	}
+	return members
+}
+
+// isSucceeded reports whether a later process is registered under the identifier of the member, which would answer in its place.
+func isSucceeded(member membership.Member, servers []*monitor.Server) bool {
+	return slices.ContainsFunc(servers, func(server *monitor.Server) bool {
+		return server.ID() == member.ID && server.Info().StartedMS > member.StartedMS
+	})
+}
+
+// poll asks those of the members that were not asked for unlistedPollInterval, in the background.
+func (unlisted *unlistedMembers) poll(members []*unlistedMember) {
+	now := clock.Now()
+	unlisted.mutex.Lock()
+	defer unlisted.mutex.Unlock()
+	for _, member := range members {
+		if member.asking || member.askedAt != 0 && now-member.askedAt < unlistedPollInterval {
+			continue
+		}
+		member.asking, member.askedAt = true, now
+		go func() {
+			// A failure is recorded as the state of the process.
+			_, _ = unlisted.sendControl(member, dbpool.Call{Kind: statement.Status})
+			unlisted.mutex.Lock()
+			defer unlisted.mutex.Unlock()
+			member.asking = false
+		}()
+	}
+}
+
+// sendControl sends the call to the member and records what its answer tells.
+func (unlisted *unlistedMembers) sendControl(member *unlistedMember, call dbpool.Call) (leader.Status, error) {
+	sentAt := clock.Now()
+	status, err := member.server.SendControl(call)
+	unlisted.mutex.Lock()
+	defer unlisted.mutex.Unlock()
+	before := member.process
+	switch {
+	case err == nil:
+		member.process, member.observed = processAnswers, leader.Observation{Status: status, SentAt: sentAt}
+	case errors.Is(err, monitor.ErrEnded):
+		member.process = processEnded
+	default:
+		member.process = processSilent
+	}
+	if member.process != before {
+		unlisted.eventLog.Event("member_unlisted", "group", member.group, "server", member.ID, "born", member.StartedMS, "address", member.Address,
+			"process", member.process, "role", status.Role, "position", status.Received.Log, "err", err)
+	}
+	return status, err
+}
+
+// servers returns what the members have answered, for the record of the members.
+func (unlisted *unlistedMembers) servers(members []*unlistedMember) []membership.Server {
+	unlisted.mutex.Lock()
+	defer unlisted.mutex.Unlock()
+	servers := make([]membership.Server, 0, len(members))
+	for _, member := range members {
+		observed := member.observed
+		servers = append(servers, membership.Server{
+			Member: member.Member, Unlisted: true, Ended: member.process == processEnded, Observed: observed.SentAt != 0,
+			Silent: member.process != processAnswers, Primary: observed.Role == catalog.RolePrimary, Term: observed.Term,
+			Received: observed.Received, ObservedAt: observed.SentAt,
+		})
+	}
+	return servers
+}
+
+// answering returns those of the members that answer, as of the last time.
+func (unlisted *unlistedMembers) answering(members []*unlistedMember) []membership.Member {
+	unlisted.mutex.Lock()
+	defer unlisted.mutex.Unlock()
+	var answering []membership.Member
+	for _, member := range members {
+		if member.process == processAnswers {
+			answering = append(answering, member.Member)
+		}
+	}
+	return answering
+}
+
+// fence sends the call to the members. It returns those that answered as replicas, and that paused if the call is to pause, with their state.
+// One that knows no term holds nothing: it has started again without its log.
+func (unlisted *unlistedMembers) fence(members []*unlistedMember, call dbpool.Call) (answered []*unlistedMember, states []handover.Member) {
+	var mutex sync.Mutex
+	var calls sync.WaitGroup
+	for _, member := range members {
+		calls.Go(func() {
+			status, err := unlisted.sendControl(member, call)
+			isPaused := call.Kind != statement.Pause || status.PausedTerm >= call.Term
+			if err != nil || !isPaused || status.Role != catalog.RoleReplica || status.Term == 0 {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answered = append(answered, member)
+			states = append(states, handover.Member{
+				ID: member.ID, Observed: true, Role: status.Role, Term: status.Term, Received: status.Received, PausedTerm: status.PausedTerm,
+			})
+		})
+	}
+	calls.Wait()
+	return answered, states
+}
+
+// isPaused reports whether all of the members are paused for the term.
+func (unlisted *unlistedMembers) isPaused(members []*unlistedMember, term ids.Term) bool {
+	answered, _ := unlisted.fence(members, dbpool.Call{Kind: statement.Status})
+	return len(answered) == len(members) && !slices.ContainsFunc(answered, func(member *unlistedMember) bool {
+		unlisted.mutex.Lock()
+		defer unlisted.mutex.Unlock()
+		return member.observed.PausedTerm < term
+	})
+}
+
+// resume makes the members of the group receive again that were paused up to the given term.
+func (unlisted *unlistedMembers) resume(group ids.GroupID, term ids.Term) {
+	unlisted.mutex.Lock()
+	var paused []*unlistedMember
+	for _, member := range unlisted.members[group] {
+		if held := member.observed.PausedTerm; held != 0 && held <= term {
+			paused = append(paused, member)
+		}
+	}
+	unlisted.mutex.Unlock()
+	var calls sync.WaitGroup
+	for _, member := range paused {
+		calls.Go(func() {
+			_, err := unlisted.sendControl(member, dbpool.Call{Kind: statement.Resume})
+			unlisted.eventLog.Event("server_resumed", "group", group, "server", member.ID, "registered", false, "err", err)
+		})
+	}
+	calls.Wait()
+}
