--- a/io/proxy/autocommit.go
+++ b/io/proxy/autocommit.go
@@ -60,7 +60,7 @@
 	call, name, prepared := session.call(request)
 	call.MinPosition = target.after
 	session.routing = routing{
-		server: target.server.ID(), required: target.after, attempts: attempts.count + 1, connection: target.conn.Number(),
+		server: target.server.ID(), group: operation.route.Group, required: target.after, attempts: attempts.count + 1, connection: target.conn.Number(),
 	}
 	prefix := target.conn.SyncSession(session.names.values, name, prepared)
 	sentAt := target.server.Begin()
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -61,6 +61,7 @@
 // routing is the routing decision for a statement, kept for the log.
 type routing struct {
 	server   ids.BackendServerID
+	group    ids.GroupID
 	required position.Position
 	attempts int
 	// connection is the number of the connection to the server, 0 if a home holds it.
@@ -284,7 +285,7 @@
 		return
 	}
 	session.server.EventLog.LimitedEvent("served", "request", request.ID, "kind", request.Statement.Kind, "route", session.route,
-		"organisation", session.organisation, "server", session.routing.server, "connection", session.routing.connection, "required", session.routing.required.Log,
-		"position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routing.attempts,
+		"organisation", session.organisation, "server", session.routing.server, "group", session.routing.group, "connection", session.routing.connection, "required_term", session.routing.required.Term, "required", session.routing.required.Log,
+		"own_term", session.written.Term, "own", session.written.Log, "position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routing.attempts,
 		"configuration", session.version, "took_ms", took.Milliseconds())
 }
--- a/io/proxy/transaction_statements.go
+++ b/io/proxy/transaction_statements.go
@@ -197,7 +197,7 @@
 	transaction := session.transaction
 	call, name, prepared := session.call(request)
 	session.routing = routing{
-		server: transaction.server.ID(), required: transaction.after, attempts: attempts.count + 1, connection: transaction.conn.Number(),
+		server: transaction.server.ID(), group: transaction.route.Group, required: transaction.after, attempts: attempts.count + 1, connection: transaction.conn.Number(),
 	}
 	prefix := transaction.conn.SyncSession(session.names.values, name, prepared)
 	sentAt := transaction.server.Begin()
