--- a/cmd/dotterelctl/explain.go
+++ b/cmd/dotterelctl/explain.go
@@ -25,7 +25,7 @@
 	if len(arguments) < minArguments || len(arguments) > maxArguments {
 		return &usageError{
 			"explain needs the metrics address of a VM, a route, an organisation and read, write or transaction",
-			"`dotterelctl explain 10.1.0.4:9187 orders acme read 3.1207`; the position of the session's last write may be left out",
+			"`dotterelctl explain 10.1.0.4:9187 orders acme read orders-db:3.1207`; the position of the session's last write, with its group, may be left out",
 		}
 	}
 	query := url.Values{"route": {arguments[1]}, "organisation": {arguments[2]}, "operation": {arguments[3]}}
--- a/cmd/dotterelctl/main.go
+++ b/cmd/dotterelctl/main.go
@@ -82,7 +82,7 @@
 				tool.command("explain", "ID", "explains a refusal by the identifier in its detail", tool.explainRefusal)),
 			tool.command("trace", "REQUEST FILE...", "finds a request in log files and says why it failed", tool.traceRequest),
 			tool.command("evacuations", "FILE...", "says from log files how far evacuations of availability zones are", tool.showEvacuations),
-			tool.command("explain", "ADDRESS ROUTE ORGANISATION OPERATION [TERM.LOG]", "asks a VM of the prepared platform where an operation would go now", tool.explainOperation),
+			tool.command("explain", "ADDRESS ROUTE ORGANISATION OPERATION [GROUP:TERM.LOG]", "asks a VM of the prepared platform where an operation would go now", tool.explainOperation),
 			tool.command("drain", "VM", "begins the planned stop of a VM", tool.drain),
 		},
 		Exec: showUsage,
--- a/core/position/token.go
+++ b/core/position/token.go
@@ -25,14 +25,6 @@
 
 var encoding = base64.RawURLEncoding.Strict()
 
-// GroupPosition is the position that a session has observed in one group.
-type GroupPosition struct {
-	// Group is the group whose log the position refers to.
-	Group ids.GroupID
-	// Position is the position that the session's reads must include.
-	Position Position
-}
-
 // TokenSigner encodes and verifies session tokens. Tokens are signed with HMAC-SHA-256 and not encrypted.
 type TokenSigner struct {
 	secret []byte
@@ -51,9 +43,9 @@
 	payload := appendString([]byte{tokenVersion}, string(org))
 	payload = binary.AppendUvarint(payload, uint64(len(groupPosition)))
 	for _, position := range groupPosition {
-		payload = appendString(payload, string(position.Group))
-		payload = binary.AppendUvarint(payload, uint64(position.Position.Term))
-		payload = binary.AppendUvarint(payload, uint64(position.Position.Log))
+		payload = appendString(payload, string(position.group))
+		payload = binary.AppendUvarint(payload, uint64(position.position.Term))
+		payload = binary.AppendUvarint(payload, uint64(position.position.Log))
 	}
 	return encoding.EncodeToString(append(payload, tokenSigner.sign(payload)...))
 }
@@ -84,8 +76,8 @@
 	}
 	groupPosition := make([]GroupPosition, 0, count)
 	for range count {
-		position := GroupPosition{Group: ids.GroupID(decoder.readString())}
-		position.Position = Position{Term: ids.Term(decoder.readUvarint()), Log: ids.LogPosition(decoder.readUvarint())}
+		position := GroupPosition{group: ids.GroupID(decoder.readString())}
+		position.position = Position{Term: ids.Term(decoder.readUvarint()), Log: ids.LogPosition(decoder.readUvarint())}
 		groupPosition = append(groupPosition, position)
 	}
 	if decoder.failed || len(decoder.rest) > 0 {
--- a/core/position/token_test.go
+++ b/core/position/token_test.go
@@ -26,13 +26,13 @@
 // another organisation.
 func TestOpenRejects(t *testing.T) {
 	own := sealer(t, "0123456789abcdef")
-	token := own.Sign("frissito", position.GroupPosition{Group: "g1", Position: at(2, 7)})
+	token := own.Sign("frissito", position.In("g1", at(2, 7)))
 	cases := map[string]string{
 		"empty":                "",
 		"truncated":            token[:len(token)-2],
 		"truncated in front":   token[2:],
-		"other secret":         sealer(t, "another secret..").Sign("frissito", position.GroupPosition{Group: "g1", Position: at(2, 7)}),
-		"other organisation":   own.Sign("seixal", position.GroupPosition{Group: "g1", Position: at(2, 7)}),
+		"other secret":         sealer(t, "another secret..").Sign("frissito", position.In("g1", at(2, 7))),
+		"other organisation":   own.Sign("seixal", position.In("g1", at(2, 7))),
 		"not base64":           token + "!",
 		"too long":             strings.Repeat("A", position.MaxTokenBytes+1),
 		"changed first letter": "B" + token[1:],
@@ -56,7 +56,7 @@
 	properties.Property("Verify returns the positions passed to Sign", prop.ForAll(func(org string, groups []string, term, log uint64) bool {
 		groupPosition := []position.GroupPosition{}
 		for index, group := range groups {
-			groupPosition = append(groupPosition, position.GroupPosition{Group: ids.GroupID(group), Position: at(ids.Term(term)+ids.Term(index), ids.LogPosition(log))})
+			groupPosition = append(groupPosition, position.In(ids.GroupID(group), at(ids.Term(term)+ids.Term(index), ids.LogPosition(log))))
 		}
 		opened, err := own.Verify(ids.OrganisationID(org), own.Sign(ids.OrganisationID(org), groupPosition...))
 		if err != nil || len(opened) != len(groupPosition) {
@@ -75,7 +75,7 @@
 // FuzzOpen guards against panics on malformed tokens and against accepting text that Sign did not produce.
 func FuzzOpen(f *testing.F) {
 	own := sealer(f, "0123456789abcdef")
-	valid := own.Sign("frissito", position.GroupPosition{Group: "g1", Position: at(2, 7)})
+	valid := own.Sign("frissito", position.In("g1", at(2, 7)))
 	for _, seed := range []string{"", valid, valid[:len(valid)-1], valid + "A", own.Sign("seixal")} {
 		f.Add(seed)
 	}
--- a/io/dbpool/conn.go
+++ b/io/dbpool/conn.go
@@ -86,8 +86,14 @@
 	return true
 }
 
-// Send writes the calls. It returns a *NotRunError if the connection turns out to be unusable before.
+// Send writes the calls. It returns a *NotRunError if the connection turns out to be unusable before, or if a call requires a position of
+// another group than that of the server.
 func (conn *Conn) Send(deadline time.Time, calls ...Call) error {
+	for _, call := range calls {
+		if _, err := call.MinPosition.Of(conn.pool.server.Group); err != nil {
+			return &NotRunError{Cause: fmt.Errorf("%s: %w", conn.pool.server.ID, err)}
+		}
+	}
 	if err := conn.checkQuiet(); err != nil {
 		conn.broken = true
 		return err
--- a/io/dbpool/link.go
+++ b/io/dbpool/link.go
@@ -26,7 +26,7 @@
 	// Value is a session value, a shape or the arguments of Execute.
 	Value string
 	// MinPosition is the position that the server's log must have reached; the zero value requires none.
-	MinPosition position.Position
+	MinPosition position.GroupPosition
 	// Term is set for Pause and StepDown.
 	Term ids.Term
 }
--- a/io/home/link.go
+++ b/io/home/link.go
@@ -101,9 +101,10 @@
 		return errUnanswered
 	}
 	now := time.Now()
+	group, after := call.MinPosition.Parts()
 	message := run{
 		AnswerMS: deadline.Sub(now).Milliseconds(), Values: link.values, ID: call.ID, Kind: call.Kind, Text: call.Text,
-		Name: call.Name, Value: call.Value, Term: call.MinPosition.Term, Log: call.MinPosition.Log,
+		Name: call.Name, Value: call.Value, Group: group, Term: after.Term, Log: after.Log,
 	}
 	if call.Kind == statement.Execute {
 		message.Text, message.Shape = "", link.shapes[call.Name]
--- a/io/home/message.go
+++ b/io/home/message.go
@@ -80,6 +80,8 @@
 	ObjectiveMS int64 `cbor:"18,keyasint,omitempty"`
 	// PrimaryOnly states that no replica could run the statement.
 	PrimaryOnly bool `cbor:"19,keyasint,omitempty"`
+	// Group is the group of the position of Term and Log. VMs of earlier builds leave it out.
+	Group ids.GroupID `cbor:"20,keyasint,omitempty"`
 }
 
 // reply is the answer of a server.
--- a/io/home/served.go
+++ b/io/home/served.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"time"
 
+	"dotterelgw/core/ids"
 	"dotterelgw/core/position"
 	"dotterelgw/core/statement"
 	"dotterelgw/io/clock"
@@ -65,7 +66,7 @@
 		return kindRefusal, refusal
 	}
 	deadline := message.answerBy(received)
-	call, name := callOf(message)
+	call, name := callOf(message, held.server.Info().Group)
 	prefix := held.conn.SyncSession(message.Values, name, statement.Prepared{Text: message.Shape})
 	sentAt := held.server.Begin()
 	answer, err := held.conn.Run(deadline, prefix, call)
@@ -147,11 +148,14 @@
 	return kindLost, lost{Note: note}
 }
 
-// callOf returns the call of a statement and the name of the prepared statement that it executes, if any.
-func callOf(message *run) (dbpool.Call, string) {
+// callOf returns the call of a statement for a server of the group and the name of the prepared statement that it executes, if any.
+func callOf(message *run, group ids.GroupID) (dbpool.Call, string) {
+	if message.Group != "" {
+		group = message.Group
+	}
 	call := dbpool.Call{
 		ID: message.ID, Kind: message.Kind, Text: message.Text, Name: message.Name, Value: message.Value,
-		MinPosition: position.Position{Term: message.Term, Log: message.Log},
+		MinPosition: position.In(group, position.Position{Term: message.Term, Log: message.Log}),
 	}
 	if message.Kind == statement.Execute {
 		return call, message.Name
--- a/io/monitor/explain.go
+++ b/io/monitor/explain.go
@@ -71,8 +71,12 @@
 	Obstacle Obstacle `json:"obstacle,omitempty"`
 }
 
-// ReadCandidates describes all servers of the group for a read, in the order of their identifiers.
+// ReadCandidates describes all servers of the group for a read, in the order of their identifiers; none for a position of another group.
 func (group *Group) ReadCandidates(request ReadRequest) []Candidate {
+	required, err := request.Position.Of(group.id)
+	if err != nil {
+		return nil
+	}
 	leader, _, _ := group.Primary()
 	now := clock.Now()
 	return group.describe(request.Organisation, func(server *Server) Obstacle {
@@ -80,7 +84,7 @@
 			return obstacle
 		}
 		candidate := server.candidate(request.Organisation, server == leader, now)
-		if !candidate.Reaches(request.Position, request.Age) {
+		if !candidate.Reaches(required, request.Age) {
 			return Behind
 		}
 		return ""
--- a/io/monitor/group.go
+++ b/io/monitor/group.go
@@ -1,6 +1,7 @@
 package monitor
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -196,10 +197,11 @@
 }
 
 // MinReadPosition returns a position that covers every write acknowledged before the given time.
-func (group *Group) MinReadPosition(before time.Duration) (position.Position, bool) {
+func (group *Group) MinReadPosition(before time.Duration) (position.GroupPosition, bool) {
 	group.mutex.Lock()
 	defer group.mutex.Unlock()
-	return group.tracker.MinReadPosition(before)
+	at, known := group.tracker.MinReadPosition(before)
+	return position.In(group.id, at), known
 }
 
 // lag returns how far a server was behind the primary at the time when reads on it saw the position.
@@ -232,7 +234,7 @@
 	// Organisation is the organisation that issues the read.
 	Organisation ids.OrganisationID
 	// Position is the position that the server's log must have reached; the zero value requires none.
-	Position position.Position
+	Position position.GroupPosition
 	// Age is the time since the primary was at Position.
 	Age time.Duration
 	// Primary allows the primary to serve the read.
@@ -242,8 +244,13 @@
 }
 
 // ChooseRead returns the server that is expected to answer the read first, nil if none can serve it. Cold servers, and those of zones that
-// are being evacuated, serve only what no other server can.
-func (group *Group) ChooseRead(request ReadRequest) *Server {
+// are being evacuated, serve only what no other server can. The error wraps position.ErrOtherGroup if the read requires a position of
+// another group.
+func (group *Group) ChooseRead(request ReadRequest) (*Server, error) {
+	required, err := request.Position.Of(group.id)
+	if err != nil {
+		return nil, fmt.Errorf("choosing a server: %w", err)
+	}
 	now := clock.Now()
 	leaderServer, _, _ := group.Primary()
 	zones, sample := group.monitor.evacuations(), rand.Float64()
@@ -260,10 +267,10 @@
 		}
 		candidates.add(server, server.candidate(request.Organisation, isLeader, now))
 	}
-	if server := preferred.choose(group, now, request); server != nil {
-		return server
+	if server := preferred.choose(group, now, required, request.Age); server != nil {
+		return server, nil
 	}
-	return avoided.choose(group, now, request)
+	return avoided.choose(group, now, required, request.Age), nil
 }
 
 // readCandidates holds servers that may run a read.
@@ -278,11 +285,11 @@
 }
 
 // choose returns the server for the read, nil if none has reached its position.
-func (readCandidates *readCandidates) choose(group *Group, now time.Duration, request ReadRequest) *Server {
-	if index := group.chooseByZone(now, request, readCandidates.servers, readCandidates.candidates); index >= 0 {
+func (readCandidates *readCandidates) choose(group *Group, now time.Duration, required position.Position, age time.Duration) *Server {
+	if index := group.chooseByZone(now, required, age, readCandidates.servers, readCandidates.candidates); index >= 0 {
 		return readCandidates.servers[index]
 	}
-	if index := balance.Choose(readCandidates.candidates, request.Position, request.Age); index >= 0 {
+	if index := balance.Choose(readCandidates.candidates, required, age); index >= 0 {
 		return readCandidates.servers[index]
 	}
 	return nil
--- a/io/monitor/homes_test.go
+++ b/io/monitor/homes_test.go
@@ -107,11 +107,11 @@
 	monitor.SetVMs(vms)
 	monitor.SetServers(0, []catalog.Server{near, far})
 	group := monitor.Group(testGroup)
-	retried := group.ChooseRead(ReadRequest{Excluded: map[ids.BackendServerID]bool{near.ID: true}})
+	retried, _ := group.ChooseRead(ReadRequest{Excluded: map[ids.BackendServerID]bool{near.ID: true}})
 	if retried == nil || retried.ID() != far.ID {
 		t.Fatalf("the read that excludes %s goes to %v", near.ID, retried)
 	}
-	if server := group.ChooseRead(ReadRequest{}); server == nil || server.ID() != near.ID {
+	if server, _ := group.ChooseRead(ReadRequest{}); server == nil || server.ID() != near.ID {
 		t.Errorf("the next read of the zone goes to %v, want %s", server.ID(), near.ID)
 	}
 }
--- a/io/monitor/zones.go
+++ b/io/monitor/zones.go
@@ -9,6 +9,7 @@
 	"dotterelgw/core/balance"
 	"dotterelgw/core/evacuation"
 	"dotterelgw/core/ids"
+	"dotterelgw/core/position"
 	"dotterelgw/core/zonebalance"
 )
 
@@ -27,7 +28,7 @@
 
 // chooseByZone returns the index of the server for a read, given the zone that the group's balancer chooses for it. It returns -1 if reads of
 // the group are not balanced by zone, or if no server of the zone can serve the read.
-func (group *Group) chooseByZone(now time.Duration, request ReadRequest, servers []*Server, candidates []balance.Candidate) int {
+func (group *Group) chooseByZone(now time.Duration, required position.Position, age time.Duration, servers []*Server, candidates []balance.Candidate) int {
 	if group.monitor.zonePolicy == nil || len(servers) == 0 || len(servers[0].rankedHomes()) == 0 {
 		return -1
 	}
@@ -39,7 +40,7 @@
 			inZone, indexes = append(inZone, candidates[index]), append(indexes, index)
 		}
 	}
-	chosen := balance.Choose(inZone, request.Position, request.Age)
+	chosen := balance.Choose(inZone, required, age)
 	if chosen < 0 {
 		return -1
 	}
--- a/io/node/explain.go
+++ b/io/node/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -42,19 +43,26 @@
 	_ = json.NewEncoder(writer).Encode(Answer{VM: settings.VM, AvailabilityZone: settings.AvailabilityZone, Explanation: explanation})
 }
 
-// parsePosition parses TERM.LOG; an empty text is the zero value.
-func parsePosition(text string) (position.Position, error) {
+// errNoGroup reports a position without the group of its log, as it would be taken for one of whatever group the route leads to.
+var errNoGroup = errors.New("the position names no group, write GROUP:TERM.LOG")
+
+// parsePosition parses GROUP:TERM.LOG; an empty text is the zero value.
+func parsePosition(text string) (position.GroupPosition, error) {
 	if text == "" {
-		return position.Position{}, nil
+		return position.GroupPosition{}, nil
+	}
+	separator := strings.LastIndexByte(text, ':')
+	if separator <= 0 {
+		return position.GroupPosition{}, fmt.Errorf("%q: %w", text, errNoGroup)
 	}
-	term, log, _ := strings.Cut(text, ".")
+	term, log, _ := strings.Cut(text[separator+1:], ".")
 	parsedTerm, err := strconv.ParseUint(term, 10, 64)
 	if err != nil {
-		return position.Position{}, fmt.Errorf("term of position %q: %w", text, err)
+		return position.GroupPosition{}, fmt.Errorf("term of position %q: %w", text, err)
 	}
 	parsedLog, err := strconv.ParseUint(log, 10, 64)
 	if err != nil {
-		return position.Position{}, fmt.Errorf("log of position %q: %w", text, err)
+		return position.GroupPosition{}, fmt.Errorf("log of position %q: %w", text, err)
 	}
-	return position.Position{Term: ids.Term(parsedTerm), Log: ids.LogPosition(parsedLog)}, nil
+	return position.In(ids.GroupID(text[:separator]), position.Position{Term: ids.Term(parsedTerm), Log: ids.LogPosition(parsedLog)}), nil
 }
--- a/io/proxy/autocommit.go
+++ b/io/proxy/autocommit.go
@@ -120,9 +120,10 @@
 // prepareRetry prepares the next attempt after a server reported that it did not run the statement. It returns false if
 // too little time is left for one.
 func (session *session) prepareRetry(request statement.Request, operation *operation, attempts *attempts, target target, reply statement.Reply) bool {
+	_, after := target.after.Parts()
 	session.server.EventLog.LimitedEvent("turned_away", "request", request.ID, "server", target.server.ID(),
 		"connection", target.conn.Number(), "code", reply.Code,
-		"position", target.after.Log, "server_position", reply.Position.Log, "attempt", attempts.count)
+		"position", after.Log, "server_position", reply.Position.Log, "attempt", attempts.count)
 	switch reply.Code {
 	case statement.Busy:
 		if !operation.primaryOnly() {
--- a/io/proxy/explain.go
+++ b/io/proxy/explain.go
@@ -38,8 +38,8 @@
 	Organisation ids.OrganisationID
 	// Operation is the kind of the operation.
 	Operation OperationKind
-	// Written is the position of the session's last write; the zero value if it has written nothing.
-	Written position.Position
+	// Written is the position of the session's last write in the group of the route; the zero value if it has written nothing there.
+	Written position.GroupPosition
 }
 
 // Explanation tells where an operation would go now, and why.
@@ -87,12 +87,15 @@
 	}
 	session := newSession(server, nil)
 	session.route, session.key = question.Route, keyOf(current, question.Organisation)
-	session.written, session.writtenAt = question.Written, clock.Now()
+	session.own.record(question.Written, clock.Now())
 	route, organisation, refused := session.authorise()
 	explanation.Configuration = session.version
 	if refused != nil {
 		return explanation.refuse(refused), nil
 	}
+	if _, err := question.Written.Of(route.Group); err != nil {
+		return Explanation{}, fmt.Errorf("what the session has written: %w", err)
+	}
 	operation := session.operation(route, organisation, clock.Now())
 	switch question.Operation {
 	case ReadOperation:
@@ -135,7 +138,8 @@
 	chosen, cause := session.choose(group, operation, attempts)
 	if cause == nil {
 		explanation.Server, explanation.Through = chosen.server.ID(), chosen.server.Through()
-		explanation.RequiredTerm, explanation.RequiredLog = chosen.after.Term, chosen.after.Log
+		_, required := chosen.after.Parts()
+		explanation.RequiredTerm, explanation.RequiredLog = required.Term, required.Log
 		return explanation
 	}
 	ctx, cancel := operation.acquireContext(attempts)
@@ -154,5 +158,9 @@
 		return group.PrimaryCandidates(operation.organisation.ID)
 	}
 	floor, _ := group.MinReadPosition(operation.freshnessBound())
-	return group.ReadCandidates(session.readRequest(operation, attempts, floor, clock.Now(), session.mayReadPrimary(group, operation)))
+	request, err := session.readRequest(group, operation, attempts, floor, clock.Now(), session.mayReadPrimary(group, operation))
+	if err != nil {
+		return nil
+	}
+	return group.ReadCandidates(request)
 }
--- a/io/proxy/routing.go
+++ b/io/proxy/routing.go
@@ -41,7 +41,7 @@
 type target struct {
 	server *monitor.Server
 	conn   *dbpool.Conn
-	after  position.Position
+	after  position.GroupPosition
 }
 
 // attempts tracks the attempts of one statement to find a server that runs it.
@@ -285,7 +285,13 @@
 // mayReadPrimary reports whether the primary is confirmed for reads of the operation.
 func (session *session) mayReadPrimary(group *monitor.Group, operation *operation) bool {
 	leader, term, known := group.Primary()
-	return known && leader.Usable() && group.LeaseExpiry() >= operation.freshnessBound() && session.written.Term <= term
+	return known && leader.Usable() && group.LeaseExpiry() >= operation.freshnessBound() && session.knowsNoLaterTerm(group, term)
+}
+
+// knowsNoLaterTerm reports whether the session has written nothing in the group in a later term, in which another primary leads.
+func (session *session) knowsNoLaterTerm(group *monitor.Group, term ids.Term) bool {
+	_, own := session.own.in(group.ID()).at.Parts()
+	return own.Term <= term
 }
 
 // describeConfirmation describes until when the primary was or is confirmed.
@@ -330,7 +336,10 @@
 	if !ok && !primary {
 		return target{}, refuse(refusal.StaleRoute, retrySoon, "no recent position of the primary is known")
 	}
-	request := session.readRequest(operation, attempts, floor, now, primary)
+	request, err := session.readRequest(group, operation, attempts, floor, now, primary)
+	if err != nil {
+		return target{}, refuse(refusal.StaleRoute, retrySoon, err.Error())
+	}
 	if !ok {
 		// Only the primary is known to hold the required writes.
 		leader, _, known := group.Primary()
@@ -339,27 +348,39 @@
 		}
 		return target{server: leader}, nil
 	}
-	server := group.ChooseRead(request)
-	if server == nil && len(attempts.excluded) > 0 {
+	server, err := group.ChooseRead(request)
+	if err == nil && server == nil && len(attempts.excluded) > 0 {
 		attempts.excluded = nil
 		request.Excluded = nil
-		server = group.ChooseRead(request)
+		server, err = group.ChooseRead(request)
+	}
+	if err != nil {
+		return target{}, refuse(refusal.StaleRoute, retrySoon, err.Error())
 	}
 	if server == nil {
-		return target{}, refuse(refusal.StaleRoute, retrySoon, fmt.Sprintf("no server has reached %d.%d", request.Position.Term, request.Position.Log))
+		return target{}, refuse(refusal.StaleRoute, retrySoon, fmt.Sprintf("no server has reached %s", request.Position))
 	}
 	return target{server: server, after: request.Position}, nil
 }
 
-// readRequest describes what a read requires of its server. Floor is the position that covers the writes which it must see.
-func (session *session) readRequest(operation *operation, attempts *attempts, floor position.Position, now time.Duration, primary bool) monitor.ReadRequest {
+// readRequest describes what a read requires of its server. Floor is the position that covers the writes which it must see. The error wraps
+// position.ErrOtherGroup if the floor is not one of the group.
+func (session *session) readRequest(group *monitor.Group, operation *operation, attempts *attempts, floor position.GroupPosition, now time.Duration, primary bool) (monitor.ReadRequest, error) {
 	request := monitor.ReadRequest{
 		Organisation: operation.organisation.ID, Position: floor, Age: now - operation.freshnessBound(), Primary: primary, Excluded: attempts.excluded,
 	}
-	if operation.route.Consistency == catalog.ReadYourWrites && request.Position.Less(session.written) {
-		request.Position, request.Age = session.written, now-session.writtenAt
+	if operation.route.Consistency != catalog.ReadYourWrites {
+		return request, nil
+	}
+	own := session.own.in(group.ID())
+	lacksOwn, err := floor.Less(own.at)
+	if err != nil {
+		return request, fmt.Errorf("comparing with the session's own write: %w", err)
+	}
+	if lacksOwn {
+		request.Position, request.Age = own.at, now-own.acknowledgedAt
 	}
-	return request
+	return request, nil
 }
 
 // maxEncodedShape is the length in bytes up to which a shape is encoded in the name of its statement on backend servers; a longer one
--- a/io/proxy/serve.go
+++ b/io/proxy/serve.go
@@ -59,13 +59,13 @@
 	synchronous bool
 }
 
-// acknowledge records a write before its success is sent to the caller, for read-your-writes and for the VM that
+// acknowledge records a write on the server before its success is sent to the caller, for read-your-writes and for the VM that
 // replaces the primary. A write that a replacement may have lost is refused with an unknown outcome.
 func (session *session) acknowledge(server *monitor.Server, deadline time.Time, at position.Position) *refused {
 	if !server.Acknowledge(deadline, at) {
 		return refuse(refusal.PrimaryReplaced, 0, fmt.Sprintf("%s had written %d.%d", server.ID(), at.Term, at.Log))
 	}
-	session.written, session.writtenAt = at, clock.Now()
+	session.own.record(position.In(server.Info().Group, at), clock.Now())
 	return nil
 }
 
--- a/io/proxy/session.go
+++ b/io/proxy/session.go
@@ -43,9 +43,8 @@
 	state       statement.TransactionState
 	transaction *transaction
 	names       names
-	// written is the position of the session's last acknowledged write, writtenAt the time of the acknowledgement.
-	written   position.Position
-	writtenAt time.Duration
+	// own holds the session's last acknowledged writes.
+	own ownWrites
 	// routing describes where the last statement ran.
 	routing routing
 	// replied reports whether the caller has just been answered and cannot have sent another request yet. idleSince is the
@@ -62,7 +61,7 @@
 type routing struct {
 	server   ids.BackendServerID
 	group    ids.GroupID
-	required position.Position
+	required position.GroupPosition
 	attempts int
 	// connection is the number of the connection to the server, 0 if a home holds it.
 	connection int64
@@ -284,8 +283,10 @@
 	if reply.Code != statement.Complete {
 		return
 	}
+	_, required := session.routing.required.Parts()
+	_, own := session.own.in(session.routing.group).at.Parts()
 	session.server.EventLog.LimitedEvent("served", "request", request.ID, "kind", request.Statement.Kind, "route", session.route,
-		"organisation", session.organisation, "server", session.routing.server, "group", session.routing.group, "connection", session.routing.connection, "required_term", session.routing.required.Term, "required", session.routing.required.Log,
-		"own_term", session.written.Term, "own", session.written.Log, "position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routing.attempts,
+		"organisation", session.organisation, "server", session.routing.server, "group", session.routing.group, "connection", session.routing.connection, "required_term", required.Term, "required", required.Log,
+		"own_term", own.Term, "own", own.Log, "position", reply.Position.Log, "term", reply.Position.Term, "attempts", session.routing.attempts,
 		"configuration", session.version, "took_ms", took.Milliseconds())
 }
--- a/io/proxy/transaction.go
+++ b/io/proxy/transaction.go
@@ -25,7 +25,7 @@
 	conn      *dbpool.Conn
 	server    *monitor.Server
 	// after is the position that the server's log was required to have reached.
-	after position.Position
+	after position.GroupPosition
 	// lastActivity is the time of the caller's last statement. idleLimit bounds the idle time; 0 means no limit.
 	lastActivity, idleLimit time.Duration
 }
--- a/io/session/answer.go
+++ b/io/session/answer.go
@@ -64,7 +64,7 @@
 	asksPosition := mayCommit && (request.statements > 0 || session.awaitingSync)
 	session.answer = answer{needsConfirmation: mayCommit, completed: session.awaitingSync && session.answer.completed}
 	// A single SELECT may call a function that writes. It wrote nothing if the log position did not change.
-	session.answer.comparesPosition = asksPosition && request.class.selectOnly && session.route.Access == contract.Auto && session.positionKnown &&
+	session.answer.comparesPosition = asksPosition && request.class.selectOnly && session.route.Access == contract.Auto && session.observed.known &&
 		!session.readOnly && session.txStatus == wire.Idle && !session.awaitingSync
 	session.answer.fenced = request.endsWithReady && !asksPosition
 	sent, err := session.send(asksPosition)
--- a/io/session/confirm.go
+++ b/io/session/confirm.go
@@ -11,7 +11,7 @@
 
 // completeRequest confirms that the changes of the request are durable and appends the rest of the answer.
 func (session *Session) completeRequest(attempt *retry.Attempt, status byte, at position.Position, asksPosition bool) attemptResult {
-	server := session.backend.Server()
+	server, group := session.backend.Server(), session.backendGroup
 	confirm := status == wire.Idle && session.primary && session.answer.completed
 	if confirm && !asksPosition {
 		// The request ended a transaction although no statement in it was recognised as doing so.
@@ -35,9 +35,9 @@
 	}
 	scratch := session.scratch
 	if confirm {
-		if err := session.server.Groups.Confirm(session.ctx, session.route.Group, server, at); err != nil {
+		if err := session.server.Groups.Confirm(session.ctx, group, server, at); err != nil {
 			scratch.withheld = scratch.withheld[:0]
-			session.positionKnown = false
+			session.observed.known = false
 			var refused *refusal.Refusal
 			if !errors.As(err, &refused) {
 				refused = refusal.New(refusal.OutcomeUnknown, err.Error())
@@ -47,14 +47,14 @@
 			session.appendReady(status)
 			return attemptResult{}
 		}
-		if !session.keepsPosition(at) {
-			session.position, session.positionKnown = at, true
+		if group != session.route.Group || !session.keepsPosition(at) {
+			session.observe(group, at)
 		}
 	}
 	scratch.out = append(scratch.out, scratch.withheld...)
 	scratch.withheld = scratch.withheld[:0]
 	if confirm {
-		scratch.out = session.appendToken(scratch.out)
+		scratch.out = session.appendToken(scratch.out, group)
 	}
 	session.appendReady(status)
 	return attemptResult{}
@@ -72,5 +72,5 @@
 // the session wrote.
 func (session *Session) keepsPosition(at position.Position) bool {
 	readOnly := session.readOnly && !session.readOnlyLifted
-	return session.positionKnown && (readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
+	return session.observed.known && (readOnly || session.answer.comparesPosition && session.answer.positionBefore == at)
 }
--- a/io/session/proxy_test.go
+++ b/io/session/proxy_test.go
@@ -36,12 +36,14 @@
 	pools    *backend.Pools
 	metrics  metrics.Registry
 
-	contract        atomic.Pointer[contract.Contract]
-	revision        atomic.Int64
-	view            atomic.Pointer[route.View]
-	overRate        atomic.Bool
-	unconfirmed     atomic.Bool
-	barriers        atomic.Int64
+	contract    atomic.Pointer[contract.Contract]
+	revision    atomic.Int64
+	view        atomic.Pointer[route.View]
+	overRate    atomic.Bool
+	unconfirmed atomic.Bool
+	barriers    atomic.Int64
+	// barrier is the log position that a barrier returns, 100 if it is 0.
+	barrier         atomic.Uint64
 	rateWaitBounded atomic.Bool // whether the last wait for the rate limiter had a deadline
 	confirm         atomic.Pointer[func(position.Position) error]
 	mutex           sync.Mutex
@@ -135,7 +137,11 @@
 
 func (proxy *proxy) Barrier(context.Context, ids.GroupID) (position.Position, error) {
 	proxy.barriers.Add(1)
-	return position.Position{Term: proxy.view.Load().Term, Log: 100}, nil
+	at := ids.LogPosition(100)
+	if set := proxy.barrier.Load(); set > 0 {
+		at = ids.LogPosition(set)
+	}
+	return position.Position{Term: proxy.view.Load().Term, Log: at}, nil
 }
 
 func (proxy *proxy) Confirm(_ context.Context, _ ids.GroupID, _ ids.BackendServerID, at position.Position) error {
--- a/io/session/refuse.go
+++ b/io/session/refuse.go
@@ -172,7 +172,7 @@
 		return refused
 	}
 	if route.Group != session.route.Group {
-		session.positionKnown = false
+		session.changeGroup(route.Group)
 	}
 	if route.Database == "" {
 		route.Database = ids.DatabaseName(session.caller.Owner)
@@ -222,23 +222,19 @@
 		return refusal.New(refusal.TokenInvalid, err.Error())
 	}
 	session.tokenPositions = tokenPositions
-	for _, groupPosition := range tokenPositions {
-		if groupPosition.Group == session.route.Group {
-			session.position, session.positionKnown = groupPosition.Position, true
-		}
-	}
+	session.observed = session.observedByToken(session.route.Group)
 	return nil
 }
 
-// appendToken appends a session token with the session's positions if the caller wants one.
-func (session *Session) appendToken(dst []byte) []byte {
+// appendToken appends a session token with the session's positions, of which that in the group has changed, if the caller wants one.
+func (session *Session) appendToken(dst []byte, changed ids.GroupID) []byte {
 	if !session.caller.WantsToken || session.server.TokenSigner == nil {
 		return dst
 	}
-	own := position.GroupPosition{Group: session.route.Group, Position: session.position}
+	own := position.In(changed, session.observedIn(changed))
 	found := false
 	for index := range session.tokenPositions {
-		if session.tokenPositions[index].Group == own.Group {
+		if group, _ := session.tokenPositions[index].Parts(); group == changed {
 			session.tokenPositions[index], found = own, true
 		}
 	}
--- a/io/session/run.go
+++ b/io/session/run.go
@@ -153,7 +153,7 @@
 	case !attempt.Sent:
 		refused = refusal.New(refusal.BackendLost, note).WithOutcome(refusal.RolledBack)
 	default:
-		session.positionKnown = false
+		session.observed.known = false
 		refused = refusal.New(refusal.OutcomeUnknown, note)
 	}
 	if session.signals.Load()&signalStop != 0 {
@@ -269,7 +269,7 @@
 	// A route that accepts data up to a maximum age needs no position, so its reads continue while the group has no primary.
 	boundedStaleness := replica && session.route.MaxStaleness() > 0
 	for {
-		if !session.positionKnown && !boundedStaleness {
+		if !session.observed.known && !boundedStaleness {
 			refused, retry := session.readBarrier(deadline)
 			if refused != nil {
 				return refused
@@ -280,9 +280,9 @@
 		}
 		view := server.Groups.View(group)
 		index, ok := route.Choose(view, route.Request{
-			ReadOnly: replica, Position: session.position, MaxStaleness: session.route.MaxStaleness(), Now: server.Now(), Zone: server.Zone,
+			ReadOnly: replica, Position: session.observed.at, MaxStaleness: session.route.MaxStaleness(), Now: server.Now(), Zone: server.Zone,
 		})
-		if boundedStaleness && !session.positionKnown && (!ok || index == view.Primary) {
+		if boundedStaleness && !session.observed.known && (!ok || index == view.Primary) {
 			boundedStaleness = false // no replica is fresh enough, so the session's position is needed
 			continue
 		}
@@ -321,7 +321,7 @@
 			continue
 		}
 		session.mutex.Lock()
-		session.backend, session.primary = conn, attempt.Primary
+		session.backend, session.backendGroup, session.primary = conn, group, attempt.Primary
 		session.mutex.Unlock()
 		if session.primary {
 			server.routePrimary.Inc(1)
@@ -357,7 +357,7 @@
 	at, err := session.server.Groups.Barrier(session.ctx, session.route.Group)
 	switch {
 	case err == nil:
-		session.position, session.positionKnown = at, true
+		session.observed = observed{at: at, known: true}
 		return nil, false
 	case !session.waitPollInterval(deadline) && errors.As(err, &refused):
 		return refused, false
--- a/io/session/safety_test.go
+++ b/io/session/safety_test.go
@@ -322,7 +322,7 @@
 	}
 	token := conn.PgConn().ParameterStatus("dotterel.token")
 	groupPosition, err := tokenSigner.Verify("frissito", token)
-	if err != nil || len(groupPosition) != 1 || groupPosition[0].Position != (position.Position{Term: 1, Log: 101}) {
+	if err != nil || len(groupPosition) != 1 || groupPosition[0] != position.In("g1", position.Position{Term: 1, Log: 101}) {
 		t.Fatalf("token %q holds %v: %v", token, groupPosition, err)
 	}
 	// No replica has replayed the position, so the read must run on the primary.
--- a/io/session/session.go
+++ b/io/session/session.go
@@ -71,6 +71,8 @@
 	// waiting reports whether the request waits for a server, canceled whether the caller canceled it during the wait.
 	waiting  bool
 	canceled atomic.Bool
+	// backendGroup is the group of the server of backend. An open transaction stays there when the route leads elsewhere.
+	backendGroup ids.GroupID
 	// wantsPrimary reports whether the request waits for a connection to the primary.
 	wantsPrimary bool
 	// primary reports whether the backend connection is to the server that was the primary when it was acquired.
@@ -90,9 +92,10 @@
 	// forwarded reports whether part of the answer to the request was sent to the caller.
 	forwarded bool
 
-	// positionKnown reports whether position is set. Reads go to servers that have replayed the log up to position.
-	positionKnown  bool
-	position       position.Position
+	// observed is what the session has observed of the log of the route's group. Reads go to servers that have replayed the log that far.
+	observed observed
+	// elsewhere holds what it has observed of the groups to which the route led before.
+	elsewhere      map[ids.GroupID]observed
 	tokenPositions []position.GroupPosition
 
 	// statements and portals are keyed by the caller's names.
