--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -165,7 +165,7 @@
 	case current.unlistedSince == 0:
 		current.unlistedSince = now
 	}
-	isLost := !isListed && now-current.unlistedSince >= LossTimeout
+	isLost := !isListed && now-current.unlistedSince >= SilenceTimeout
 	mayHelp := !hasEnded && !isLost
 	if known && current.mayHelp && !mayHelp && primaryAnswers {
 		current.since = now
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -290,11 +290,11 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := membership.NewTracker(membership.Record{})
 			tracker.Update(0, []membership.Server{primary(5).server(0), replica("b", 5).server(0), replica("c", 5).server(0)})
-			for now := time.Second; now < membership.LossTimeout+5*time.Second; now += time.Second {
+			for now := time.Second; now < membership.SilenceTimeout+5*time.Second; now += time.Second {
 				log := ids.LogPosition(5 + now/time.Second)
 				silent := test.server(mute(replica("c", 5))).server(now)
 				members := tracker.Update(now, []membership.Server{primary(log).server(now), replica("b", log).server(now), silent}).Members
-				if now <= membership.LossTimeout && len(members) != 3 {
+				if now <= membership.SilenceTimeout && len(members) != 3 {
 					t.Fatalf("%d members after %v", len(members), now)
 				}
 			}
--- a/core/membership/wait.go
+++ b/core/membership/wait.go
@@ -6,6 +6,10 @@
 // ever. Databases that crash are back within about 10 s.
 const LossTimeout = 30 * time.Second
 
+// SilenceTimeout is the time after which a member that neither answers nor is registered counts as lost for good. Cuts and crashes that end
+// last 12 s at the most. It is shorter than LossTimeout, as the rest of the group has all writes by then.
+const SilenceTimeout = 15 * time.Second
+
 // Wait measures for how long a promotion has waited for unheard members. The zero value does not wait.
 type Wait struct {
 	since time.Duration
