A silent member without a registration leaves once no VM reaches it

What the holder alone can't reach may only be cut off from the holder, but what no VM reaches is gone, as far as anybody can tell: the holder now asks the others, and three rounds in which all say that they don't reach it end the wait, some 4 s after the registration is gone. A VM that doesn't answer leaves the question open, as it may be on the side of the member.

A busy server, or one that is full, counts as alive.

--- /dev/null
+++ b/core/membership/isolation.go
@@ -0,0 +1,33 @@
+package membership
+
+import "dotterelgw/core/ids"
+
+// isolationRounds is the number of rounds in which no VM reached a member, after which its process counts as ended. A single status request
+// may be lost, or be late on a busy server.
+const isolationRounds = 3
+
+// Isolation counts the rounds in which no VM reached a member that is not registered. One VM may be cut off from a process that others, and the
+// primary, reach. The zero value has counted none.
+type Isolation struct {
+	rounds int
+}
+
+// Update records a round: whether this VM reached the member, which others were asked, and what those that answered told. A round without all
+// answers counts for nothing, as a VM that is cut off itself may be on the side of the member.
+func (isolation *Isolation) Update(reached bool, asked []ids.VMID, answers map[ids.VMID]bool) {
+	complete := true
+	for _, vm := range asked {
+		reachedByVM, answered := answers[vm]
+		reached = reached || reachedByVM
+		complete = complete && answered
+	}
+	switch {
+	case reached:
+		isolation.rounds = 0
+	case complete:
+		isolation.rounds++
+	}
+}
+
+// IsComplete reports whether the process counts as ended, as no VM reaches it.
+func (isolation *Isolation) IsComplete() bool { return isolation.rounds >= isolationRounds }
--- a/io/monitor/monitor.go
+++ b/io/monitor/monitor.go
@@ -247,8 +247,8 @@
 // minCheckInterval is the shortest time between two checks of a server.
 const minCheckInterval = 20 * time.Millisecond
 
-// errBusy reports that the server is alive but had no free slot for a status request.
-var errBusy = errors.New("the server is busy")
+// ErrBusy reports that the server is alive but had no free slot for a status request.
+var ErrBusy = errors.New("the server is busy")
 
 // SendControl sends a control statement to the server and records the state in its answer.
 func (monitor *Monitor) SendControl(server *Server, call dbpool.Call) (leader.Status, error) {
@@ -272,7 +272,7 @@
 	conn.Release(statement.Idle)
 	server.Answered(sentAt, statement.Reply{}, false)
 	if code != statement.Complete {
-		return leader.Status{}, errBusy
+		return leader.Status{}, ErrBusy
 	}
 	server.observe(leader.Observation{Status: status, SentAt: sentAt})
 	return status, nil
--- a/io/monitor/unlisted.go
+++ b/io/monitor/unlisted.go
@@ -53,7 +53,7 @@
 	}
 	conn.Release(statement.Idle)
 	if code != statement.Complete {
-		return leader.Status{}, errBusy
+		return leader.Status{}, ErrBusy
 	}
 	return status, nil
 }
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -131,7 +131,7 @@
 func New(self ids.VMID, store fleet.EraStore, groups Groups, directory Directory, platform Platform, network *mesh.Mesh, eventLog *observe.EventLog, options ...Option) *Promoter {
 	rank := func() int { return rankOf(self, network.Peers()) }
 	promoter := &Promoter{
-		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), unlisted: newUnlistedMembers(groups, eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
+		duty: newDuty(self, store, rank, eventLog), members: newMembers(store, eventLog), unlisted: newUnlistedMembers(groups, newReach(network, groups), eventLog), fences: newStoredFences(store, eventLog), groups: groups, directory: directory, platform: platform, mesh: network, eventLog: eventLog,
 		watches: make(map[ids.GroupID]*groupWatch), acks: make(map[uint64]map[ids.VMID]acknowledgement), fenceTokens: make(map[ids.GroupID]Token),
 	}
 	for _, option := range options {
@@ -187,7 +187,7 @@
 			promoter.evaluate(ctx, token, group)
 			promoter.assure(token, group)
 		}
-		polls -= promoter.updateMembers(token, group, polls)
+		polls -= promoter.updateMembers(ctx, token, group, polls)
 	}
 	promoter.members.sync(ctx, token)
 	promoter.fences.sync(ctx, token)
@@ -197,7 +197,7 @@
 // updateMembers brings the members of the group up to date. New servers are polled at once, so that they join before their logs matter,
 // and so are those of a group whose record was just found to be missing. It polls maxPolls servers at most and returns their number. Members
 // that are not registered are asked, too.
-func (promoter *Promoter) updateMembers(token Token, group *monitor.Group, maxPolls int) (polls int) {
+func (promoter *Promoter) updateMembers(ctx context.Context, token Token, group *monitor.Group, maxPolls int) (polls int) {
 	recordMissing := promoter.members.justFoundMissing(token, group.ID())
 	for _, server := range group.Servers() {
 		_, observed := group.Observed(server.ID())
@@ -209,7 +209,7 @@
 	}
 	if promoter.fences.isLoaded(token) {
 		unlisted := promoter.unlistedOf(token, group)
-		promoter.unlisted.poll(unlisted)
+		promoter.unlisted.poll(ctx, unlisted)
 		servers := append(registeredServers(group), promoter.unlisted.servers(unlisted)...)
 		promoter.members.update(token, group.ID(), withoutOutdated(servers, promoter.fences.noteTerm(group.ID(), 0)))
 	}
--- a/io/promoter/unlisted.go
+++ b/io/promoter/unlisted.go
@@ -1,6 +1,7 @@
 package promoter
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
@@ -34,12 +35,15 @@
 	processSilent process = "silent"
 	// processEnded means that nothing of it is left at its address.
 	processEnded process = "ended"
+	// processIsolated means that no VM reaches it.
+	processIsolated process = "isolated"
 )
 
 // unlistedMembers asks the members that are not registered at their addresses while this VM holds the duty. The store drops the registration
 // of a process that is cut off from it, which still receives the log.
 type unlistedMembers struct {
 	groups   Groups
+	reach    *reach
 	eventLog *observe.EventLog
 
 	mutex   sync.Mutex
@@ -54,6 +58,8 @@
 
 	// The mutex of unlistedMembers guards the fields below.
 	process process
+	// isolation counts the rounds in which no VM reached it.
+	isolation membership.Isolation
 	// asking is set while a status request is under way, askedAt is the time of the last one.
 	asking  bool
 	askedAt time.Duration
@@ -61,14 +67,16 @@
 	observed leader.Observation
 }
 
-func newUnlistedMembers(groups Groups, eventLog *observe.EventLog) *unlistedMembers {
-	return &unlistedMembers{groups: groups, eventLog: eventLog, members: make(map[ids.GroupID]map[membership.Member]*unlistedMember)}
+func newUnlistedMembers(groups Groups, reach *reach, eventLog *observe.EventLog) *unlistedMembers {
+	return &unlistedMembers{groups: groups, reach: reach, eventLog: eventLog, members: make(map[ids.GroupID]map[membership.Member]*unlistedMember)}
 }
 
 // set makes the members of the record that are not registered those of the group, and returns them.
 func (unlisted *unlistedMembers) set(group ids.GroupID, record membership.Record, servers []*monitor.Server) []*unlistedMember {
 	isListed := func(member membership.Member) bool {
-		return slices.ContainsFunc(servers, func(server *monitor.Server) bool { return identityOf(server) == member })
+		return slices.ContainsFunc(servers, func(server *monitor.Server) bool {
+			return server.ID() == member.ID && server.Info().StartedMS == member.StartedMS
+		})
 	}
 	unlisted.mutex.Lock()
 	defer unlisted.mutex.Unlock()
@@ -106,8 +114,8 @@
 	})
 }
 
-// poll asks those of the members that were not asked for unlistedPollInterval, in the background.
-func (unlisted *unlistedMembers) poll(members []*unlistedMember) {
+// poll asks those of the members that were not asked for unlistedPollInterval, in the background. If one is silent, it asks the other VMs, too.
+func (unlisted *unlistedMembers) poll(ctx context.Context, members []*unlistedMember) {
 	now := clock.Now()
 	unlisted.mutex.Lock()
 	defer unlisted.mutex.Unlock()
@@ -117,11 +125,19 @@
 		}
 		member.asking, member.askedAt = true, now
 		go func() {
-			// A failure is recorded as the state of the process.
-			_, _ = unlisted.sendControl(member, dbpool.Call{Kind: statement.Status})
+			_, err := unlisted.sendControl(member, dbpool.Call{Kind: statement.Status})
+			var asked []ids.VMID
+			var answers map[ids.VMID]bool
+			if err != nil && !isAlive(err) && !errors.Is(err, monitor.ErrEnded) {
+				asked, answers = unlisted.reach.ask(ctx, member.group, member.Member)
+			}
 			unlisted.mutex.Lock()
 			defer unlisted.mutex.Unlock()
+			member.isolation.Update(isAlive(err), asked, answers)
 			member.asking = false
+			if member.process == processSilent && member.isolation.IsComplete() {
+				unlisted.setProcess(member, processIsolated, member.observed.Status, err)
+			}
 		}()
 	}
 }
@@ -132,22 +148,36 @@
 	status, err := member.server.SendControl(call)
 	unlisted.mutex.Lock()
 	defer unlisted.mutex.Unlock()
-	before := member.process
 	switch {
 	case err == nil:
-		member.process, member.observed = processAnswers, leader.Observation{Status: status, SentAt: sentAt}
+		member.observed = leader.Observation{Status: status, SentAt: sentAt}
+		unlisted.setProcess(member, processAnswers, status, err)
+	case isAlive(err):
+		unlisted.setProcess(member, processAnswers, status, err)
 	case errors.Is(err, monitor.ErrEnded):
-		member.process = processEnded
-	default:
-		member.process = processSilent
-	}
-	if member.process != before {
-		unlisted.eventLog.Event("member_unlisted", "group", member.group, "server", member.ID, "born", member.StartedMS, "address", member.Address,
-			"process", member.process, "role", status.Role, "position", status.Received.Log, "err", err)
+		unlisted.setProcess(member, processEnded, status, err)
+	case member.process != processIsolated:
+		unlisted.setProcess(member, processSilent, status, err)
 	}
 	return status, err
 }
 
+// isAlive reports whether the outcome of a control statement shows that the process runs: it answered, if only with a refusal.
+func isAlive(err error) bool {
+	var refused *dbpool.RefusedError
+	return err == nil || errors.Is(err, monitor.ErrBusy) || errors.As(err, &refused) && !errors.Is(err, monitor.ErrEnded)
+}
+
+// setProcess records and logs what is known of the process. The mutex must be held.
+func (unlisted *unlistedMembers) setProcess(member *unlistedMember, process process, status leader.Status, err error) {
+	if member.process == process {
+		return
+	}
+	member.process = process
+	unlisted.eventLog.Event("member_unlisted", "group", member.group, "server", member.ID, "born", member.StartedMS, "address", member.Address,
+		"process", process, "role", status.Role, "position", status.Received.Log, "err", err)
+}
+
 // servers returns what the members have answered, for the record of the members.
 func (unlisted *unlistedMembers) servers(members []*unlistedMember) []membership.Server {
 	unlisted.mutex.Lock()
@@ -156,7 +186,7 @@
 	for _, member := range members {
 		observed := member.observed
 		servers = append(servers, membership.Server{
-			Member: member.Member, Unlisted: true, Ended: member.process == processEnded, Observed: observed.SentAt != 0,
+			Member: member.Member, Unlisted: true, Ended: member.process == processEnded || member.process == processIsolated, Observed: observed.SentAt != 0,
 			Silent: member.process != processAnswers, Primary: observed.Role == catalog.RolePrimary, Term: observed.Term,
 			Received: observed.Received, ObservedAt: observed.SentAt,
 		})
