What is found of absent members counts for one turn of the promotion duty

A VM that took the duty again could take up what it had found in an earlier turn: for how long members were absent (records that it could not store keep their tracker), and that no VM reached them. Found by reading; TestAbsenceCountsAnewInEachTurn fails without the change ('2 members a moment later, want 3'). A member that a VM reaches again is no longer isolated, either.

--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -85,9 +85,11 @@
 	tracker.record.Incomplete = false
 }
 
-// MarkIncomplete states that no record of the members could be read at the time, so that the group may have members that are not known.
+// MarkIncomplete states that no record of the members could be read at the time, so that the group may have members that are not known. For how
+// long members have been absent counts anew, as nobody has looked since the record was last kept.
 func (tracker *Tracker) MarkIncomplete(now time.Duration) {
 	tracker.record.Incomplete = true
+	clear(tracker.absences)
 	tracker.unknown = absence{since: now}
 }
 
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -304,3 +304,27 @@
 		})
 	}
 }
+
+// Guards against a member that is dropped at once as silent for long, by a holder of the duty that counts the time since an earlier turn.
+func TestAbsenceCountsAnewInEachTurn(t *testing.T) {
+	tracker := membership.NewTracker(membership.Record{})
+	tracker.Update(0, []membership.Server{primary(5).server(0), replica("b", 5).server(0), replica("c", 5).server(0)})
+	silent := func(now time.Duration, log ids.LogPosition) []membership.Member {
+		servers := []membership.Server{primary(log).server(now), replica("b", log).server(now), unlisted(mute(replica("c", 5))).server(now)}
+		return tracker.Update(now, servers).Members
+	}
+	silent(time.Second, 6)
+	silent(2*time.Second, 7)
+	stored := tracker.Record()
+	// Another VM holds the duty in between.
+	const taken = time.Minute
+	tracker.MarkIncomplete(taken)
+	tracker.Add(stored)
+	if members := silent(taken+time.Second, 8); len(members) != 3 {
+		t.Errorf("%d members in the new turn, want 3", len(members))
+	}
+	silent(taken+2*time.Second, 9)
+	if members := silent(taken+3*time.Second, 10); len(members) != 3 {
+		t.Errorf("%d members a moment later, want 3", len(members))
+	}
+}
--- a/io/promoter/promoter.go
+++ b/io/promoter/promoter.go
@@ -219,7 +219,7 @@
 // unlistedOf returns the members of the group that are not registered.
 func (promoter *Promoter) unlistedOf(token Token, group *monitor.Group) []*unlistedMember {
 	record, _ := promoter.members.record(token, group.ID())
-	return promoter.unlisted.set(group.ID(), record, group.Servers())
+	return promoter.unlisted.set(token, group.ID(), record, group.Servers())
 }
 
 // evaluate starts a replacement if the group needs one.
--- a/io/promoter/reach_test.go
+++ b/io/promoter/reach_test.go
@@ -94,7 +94,7 @@
 			network.SetVMs(vms)
 			other.SetVMs(vms)
 			record := membership.Record{Members: []membership.Member{{ID: "s", StartedMS: 1, Address: "h:1"}}}
-			members := holder.set("g", record, nil)
+			members := holder.set(1, "g", record, nil)
 			for end := clock.Now() + 4*time.Second; clock.Now() < end && !holder.servers(members)[0].Ended; clock.Sleep(t.Context(), 10*time.Millisecond) {
 				holder.poll(t.Context(), members)
 			}
--- a/io/promoter/replace.go
+++ b/io/promoter/replace.go
@@ -64,7 +64,7 @@
 		// The primary is back.
 		return
 	}
-	unlisted := promoter.unlisted.set(group.ID(), record, servers)
+	unlisted := promoter.unlisted.set(token, group.ID(), record, servers)
 	if silent := silentMembers(group, servers, record, promoter.unlisted.answering(unlisted)); leads && !handover.MayStepDown(len(silent), overdue) {
 		watched.wait.Update(clock.Now(), true, registrationsKnown)
 		promoter.eventLog.LimitedEvent("replacement_given_up", "group", group.ID(), "reason", "members_silent", "primary", old.ID(),
--- a/io/promoter/unlisted.go
+++ b/io/promoter/unlisted.go
@@ -46,7 +46,9 @@
 	reach    *reach
 	eventLog *observe.EventLog
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// token is that of the duty for which members was filled. What was found in an earlier turn is not true of the present one.
+	token   Token
 	members map[ids.GroupID]map[membership.Member]*unlistedMember
 }
 
@@ -71,8 +73,8 @@
 	return &unlistedMembers{groups: groups, reach: reach, eventLog: eventLog, members: make(map[ids.GroupID]map[membership.Member]*unlistedMember)}
 }
 
-// set makes the members of the record that are not registered those of the group, and returns them.
-func (unlisted *unlistedMembers) set(group ids.GroupID, record membership.Record, servers []*monitor.Server) []*unlistedMember {
+// set makes the members of the record that are not registered those of the group while this VM holds the duty with the token, and returns them.
+func (unlisted *unlistedMembers) set(token Token, group ids.GroupID, record membership.Record, servers []*monitor.Server) []*unlistedMember {
 	isListed := func(member membership.Member) bool {
 		return slices.ContainsFunc(servers, func(server *monitor.Server) bool {
 			return server.ID() == member.ID && server.Info().StartedMS == member.StartedMS
@@ -80,6 +82,7 @@
 	}
 	unlisted.mutex.Lock()
 	defer unlisted.mutex.Unlock()
+	unlisted.begin(token)
 	known := unlisted.members[group]
 	for member, state := range known {
 		if isListed(member) || !record.Contains(member) {
@@ -107,6 +110,20 @@
 	return members
 }
 
+// begin forgets what was found in an earlier turn of the duty. The mutex must be held.
+func (unlisted *unlistedMembers) begin(token Token) {
+	if token == unlisted.token {
+		return
+	}
+	for _, members := range unlisted.members {
+		for _, member := range members {
+			member.server.Close()
+		}
+	}
+	clear(unlisted.members)
+	unlisted.token = token
+}
+
 // isSucceeded reports whether a later process is registered under the identifier of the member, which would answer in its place.
 func isSucceeded(member membership.Member, servers []*monitor.Server) bool {
 	return slices.ContainsFunc(servers, func(server *monitor.Server) bool {
@@ -135,13 +152,21 @@
 			defer unlisted.mutex.Unlock()
 			member.isolation.Update(isAlive(err), asked, answers)
 			member.asking = false
-			if member.process == processSilent && member.isolation.IsComplete() {
-				unlisted.setProcess(member, processIsolated, member.observed.Status, err)
-			}
+			unlisted.noteIsolation(member, err)
 		}()
 	}
 }
 
+// noteIsolation records whether no VM reaches a silent member. The mutex must be held.
+func (unlisted *unlistedMembers) noteIsolation(member *unlistedMember, err error) {
+	switch {
+	case member.process == processSilent && member.isolation.IsComplete():
+		unlisted.setProcess(member, processIsolated, member.observed.Status, err)
+	case member.process == processIsolated && !member.isolation.IsComplete():
+		unlisted.setProcess(member, processSilent, member.observed.Status, err)
+	}
+}
+
 // sendControl sends the call to the member and records what its answer tells.
 func (unlisted *unlistedMembers) sendControl(member *unlistedMember, call dbpool.Call) (leader.Status, error) {
 	sentAt := clock.Now()
