That connections are refused is one VM's word; an end is compared with what came after it

The comparison now counts if the primary answered after the member's end, which is known by the first round in which nobody reached it.

Tests that failed before: TestSilentMemberIsDroppedIfNoVMReachesIt (refused here, another VM reaches it), TestEndFoundAsThePrimaryIsLost.

--- a/core/membership/isolation_test.go
+++ b/core/membership/isolation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"dotterelgw/core/ids"
 	"dotterelgw/core/membership"
@@ -31,7 +32,7 @@
 		t.Run(name, func(t *testing.T) {
 			var isolation membership.Isolation
 			for _, round := range test.rounds {
-				isolation.Update(round.reached, asked, round.answers)
+				isolation.Update(time.Second, round.reached, asked, round.answers)
 			}
 			if got := isolation.IsComplete(); got != test.want {
 				t.Errorf("complete: %t, want %t", got, test.want)
--- a/core/membership/tracker.go
+++ b/core/membership/tracker.go
@@ -14,8 +14,9 @@
 	Member
 	// Unlisted is set if the server is not registered. That alone says nothing of its process, which may still receive the log.
 	Unlisted bool
-	// Ended is set if nothing of the process is left at its address.
-	Ended bool
+	// Ended is set if nothing of the process is left at its address, EndedAt is a time at which that was so.
+	Ended   bool
+	EndedAt time.Duration
 	// Renewed is set if the registration lapses unless the server renews it.
 	Renewed bool
 	// Observed is set if the server has answered; the fields below are of its last answer.
@@ -62,10 +63,11 @@
 	unlistedSince time.Duration
 	// mayHelp is set while the process of the member may still receive the log, and so help to acknowledge writes.
 	mayHelp bool
-	// required is the end of the primary's log at a time after since. It covers every write that the absent member has helped to
+	// required is the end of the primary's log at requiredAt, after since. It covers every write that the absent member has helped to
 	// acknowledge. It is valid if known is set.
-	required position.Position
-	known    bool
+	required   position.Position
+	requiredAt time.Duration
+	known      bool
 	// covered is set if another replica has had the required log. The log of the absent member is then not needed.
 	covered bool
 }
@@ -119,8 +121,10 @@
 			continue
 		}
 		isListed := isKnown && !server.Unlisted
-		hasEnded := !isListed && (server.Ended || member.isSucceeded(servers))
-		tracker.markAbsent(now, member, isListed, hasEnded, primary != nil)
+		tracker.markAbsent(now, member, isListed)
+		if !isListed {
+			tracker.markEnded(now, member, server, servers, primary != nil)
+		}
 		if primary != nil {
 			tracker.absences[member].update(*primary, servers)
 		}
@@ -153,9 +157,8 @@
 	})
 }
 
-// markAbsent records that the member does not answer. It may still receive writes from a primary that it reaches, unless its process has
-// ended or counts as lost. What it may have acknowledged until then counts anew, unless there is no primary to compare with.
-func (tracker *Tracker) markAbsent(now time.Duration, member Member, isListed, hasEnded, primaryAnswers bool) {
+// markAbsent records that the member does not answer. It may still receive writes from a primary that it reaches.
+func (tracker *Tracker) markAbsent(now time.Duration, member Member, isListed bool) {
 	current, known := tracker.absences[member]
 	if !known {
 		current = &absence{since: now, mayHelp: true}
@@ -163,17 +166,26 @@
 	}
 	switch {
 	case isListed:
-		current.unlistedSince = 0
+		current.unlistedSince, current.mayHelp = 0, true
 	case current.unlistedSince == 0:
 		current.unlistedSince = now
 	}
-	isLost := !isListed && now-current.unlistedSince >= SilenceTimeout
-	mayHelp := !hasEnded && !isLost
-	if known && current.mayHelp && !mayHelp && primaryAnswers {
-		current.since = now
+}
+
+// markEnded records whether the process of an absent member that is not registered has ended, or counts as lost. What it may have acknowledged
+// until then is compared anew, unless that was done with a later answer of the primary, or there is no primary to compare with.
+func (tracker *Tracker) markEnded(now time.Duration, member Member, server Server, servers []Server, primaryAnswers bool) {
+	current, endedAt := tracker.absences[member], now
+	if server.Ended {
+		endedAt = server.EndedAt
+	}
+	isLost := now-current.unlistedSince >= SilenceTimeout
+	hasEnded := server.Ended || isLost || member.isSucceeded(servers)
+	if current.mayHelp && hasEnded && primaryAnswers && current.requiredAt <= endedAt {
+		current.since = endedAt
 		current.forget()
 	}
-	current.mayHelp = mayHelp
+	current.mayHelp = !hasEnded
 }
 
 // update compares the logs of the primary and of the replicas with what the absent member may have helped to acknowledge. While it may
@@ -183,7 +195,7 @@
 		absence.forget()
 	}
 	if !absence.known && primary.ObservedAt > absence.since {
-		absence.required, absence.known = primary.Received, true
+		absence.required, absence.requiredAt, absence.known = primary.Received, primary.ObservedAt, true
 	}
 	if !absence.known || absence.covered {
 		return
--- a/core/membership/tracker_test.go
+++ b/core/membership/tracker_test.go
@@ -34,7 +34,7 @@
 	}
 	term := max(state.term, 1)
 	return membership.Server{
-		Member: member, Unlisted: state.unlisted || state.ended, Ended: state.ended, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: term,
+		Member: member, Unlisted: state.unlisted || state.ended, Ended: state.ended, EndedAt: now, Renewed: state.renewed, Observed: !state.unknown, Silent: state.silent, Primary: state.primary, Term: term,
 		Received: position.Position{Term: term, Log: state.log}, ObservedAt: now,
 	}
 }
@@ -328,3 +328,31 @@
 		t.Errorf("%d members a moment later, want 3", len(members))
 	}
 }
+
+// Guards against a member that is never dropped, as its end is found at the very moment at which the primary is lost: what it may have
+// acknowledged was compared with an answer of the primary that came after its end. Also guards against an earlier answer that counts.
+func TestEndFoundAsThePrimaryIsLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		endedAt time.Duration
+		want    int
+	}{
+		"ended before the last answer": {1500 * time.Millisecond, 2},
+		"ended after it":               {2500 * time.Millisecond, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tracker := membership.NewTracker(membership.Record{})
+			tracker.Update(0, []membership.Server{primary(5).server(0), replica("b", 5).server(0), replica("c", 5).server(0)})
+			const answered = 2 * time.Second
+			servers := []membership.Server{primary(6).server(answered), replica("b", 6).server(answered), unlisted(mute(replica("c", 5))).server(answered)}
+			tracker.Update(answered, servers)
+			// The primary has crashed, but is not known to be silent.
+			servers[2] = gone("c").server(answered)
+			servers[2].EndedAt = test.endedAt
+			tracker.Update(3*time.Second, servers)
+			servers[0].Silent = true
+			if members := tracker.Update(4*time.Second, servers).Members; len(members) != test.want {
+				t.Errorf("%d members, want %d", len(members), test.want)
+			}
+		})
+	}
+}
--- a/io/monitor/unlisted.go
+++ b/io/monitor/unlisted.go
@@ -13,8 +13,12 @@
 	"dotterelgw/io/dbpool"
 )
 
-// ErrEnded reports that nothing of a process is left at its address: nobody listens there, or another server does.
-var ErrEnded = errors.New("nothing of the process is left at its address")
+var (
+	// ErrEnded reports that another server answers at the address of a process.
+	ErrEnded = errors.New("another server is at the address of the process")
+	// ErrRefused reports that connections to the address of a process are refused: nobody listens there, or the network says so.
+	ErrRefused = errors.New("connections to the address of the process are refused")
+)
 
 // UnlistedServer is a server process without a registration. It gets control statements only.
 type UnlistedServer struct {
@@ -33,17 +37,14 @@
 // Close closes the connection to the process.
 func (unlisted *UnlistedServer) Close() { unlisted.pool.Close() }
 
-// SendControl sends a control statement to the process. The error wraps ErrEnded if the process has ended.
+// SendControl sends a control statement to the process. The error wraps ErrEnded, ErrRefused or ErrBusy where that is known.
 func (unlisted *UnlistedServer) SendControl(call dbpool.Call) (leader.Status, error) {
 	monitor := unlisted.monitor
 	ctx, cancel := context.WithTimeout(monitor.ctx, pollTimeout)
 	defer cancel()
 	conn, err := unlisted.pool.Acquire(ctx, dbpool.Request{Organisation: monitor.anyOrganisation(), Priority: -1, Any: true})
 	if err != nil {
-		if showsEnd(err) {
-			return leader.Status{}, fmt.Errorf("%s: %w: %w", unlisted.info.ID, ErrEnded, err)
-		}
-		return leader.Status{}, fmt.Errorf("control statement to %s, which is not registered: %w", unlisted.info.ID, err)
+		return leader.Status{}, fmt.Errorf("control statement to %s, which is not registered: %w", unlisted.info.ID, classify(err))
 	}
 	status, code, err := conn.Status(time.Now().Add(pollTimeout), call)
 	if err != nil {
@@ -58,8 +59,14 @@
 	return status, nil
 }
 
-// showsEnd reports whether the failure to open a connection shows that the process has ended.
-func showsEnd(err error) bool {
+// classify adds to the failure to open a connection what it shows of the process.
+func classify(err error) error {
 	var refused *dbpool.RefusedError
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &refused) && refused.Code == statement.Misrouted
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	case errors.As(err, &refused) && refused.Code == statement.Misrouted:
+		return fmt.Errorf("%w: %w", ErrEnded, err)
+	}
+	return err
 }
--- a/io/promoter/reach_test.go
+++ b/io/promoter/reach_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"syscall"
 	"testing"
 	"time"
 
@@ -21,14 +22,17 @@
 	"dotterelgw/io/observe"
 )
 
-// path is the way from a VM to a backend server, which is cut off unless it is open.
-type path struct{ open bool }
+// path is the way from a VM to a backend server, which is cut off unless it is open. A cut may refuse connections.
+type path struct{ open, refuses bool }
 
 var errCutOff = errors.New("no answer")
 
 // Dial implements dbpool.Dialer.Dial.
 func (path path) Dial(context.Context, catalog.Server, ids.OrganisationID) (dbpool.Link, error) {
-	if !path.open {
+	switch {
+	case path.refuses:
+		return nil, syscall.ECONNREFUSED
+	case !path.open:
 		return nil, errCutOff
 	}
 	return statusLink{}, nil
@@ -80,15 +84,17 @@
 // nobody can.
 func TestSilentMemberIsDroppedIfNoVMReachesIt(t *testing.T) {
 	for name, test := range map[string]struct {
-		other path
-		want  process
+		own, other path
+		want       process
 	}{
-		"another VM reaches it": {path{open: true}, processSilent},
-		"nobody reaches it":     {path{}, processIsolated},
+		"another VM reaches it":                {path{}, path{open: true}, processSilent},
+		"refused here, another VM reaches it":  {path{refuses: true}, path{open: true}, processRefused},
+		"nobody reaches it":                    {path{}, path{}, processIsolated},
+		"refused here, another VM is silenced": {path{refuses: true}, path{}, processIsolated},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			holder, network := startReach(t, "vm1", path{})
+			holder, network := startReach(t, "vm1", test.own)
 			_, other := startReach(t, "vm2", test.other)
 			vms := []fleet.VM{{ID: "vm1", Peer: network.Address()}, {ID: "vm2", Peer: other.Address()}}
 			network.SetVMs(vms)
--- a/io/promoter/unlisted.go
+++ b/io/promoter/unlisted.go
@@ -33,7 +33,9 @@
 	processAnswers process = "answers"
 	// processSilent means that it can't be reached, though the primary may reach it.
 	processSilent process = "silent"
-	// processEnded means that nothing of it is left at its address.
+	// processRefused means that its address refuses connections, at least those of this VM.
+	processRefused process = "refused"
+	// processEnded means that another server is at its address.
 	processEnded process = "ended"
 	// processIsolated means that no VM reaches it.
 	processIsolated process = "isolated"
@@ -62,6 +64,8 @@
 	process process
 	// isolation counts the rounds in which no VM reached it.
 	isolation membership.Isolation
+	// endedAt is the time of the request that first found another server at its address; 0 before.
+	endedAt time.Duration
 	// asking is set while a status request is under way, askedAt is the time of the last one.
 	asking  bool
 	askedAt time.Duration
@@ -131,7 +135,8 @@
 	})
 }
 
-// poll asks those of the members that were not asked for unlistedPollInterval, in the background. If one is silent, it asks the other VMs, too.
+// poll asks those of the members that were not asked for unlistedPollInterval, in the background. If one can't be reached, it asks the other
+// VMs, too.
 func (unlisted *unlistedMembers) poll(ctx context.Context, members []*unlistedMember) {
 	now := clock.Now()
 	unlisted.mutex.Lock()
@@ -150,17 +155,18 @@
 			}
 			unlisted.mutex.Lock()
 			defer unlisted.mutex.Unlock()
-			member.isolation.Update(isAlive(err), asked, answers)
+			member.isolation.Update(now, isAlive(err), asked, answers)
 			member.asking = false
 			unlisted.noteIsolation(member, err)
 		}()
 	}
 }
 
-// noteIsolation records whether no VM reaches a silent member. The mutex must be held.
+// noteIsolation records whether no VM reaches a member that this one can't reach. The mutex must be held.
 func (unlisted *unlistedMembers) noteIsolation(member *unlistedMember, err error) {
+	isUnreached := member.process == processSilent || member.process == processRefused
 	switch {
-	case member.process == processSilent && member.isolation.IsComplete():
+	case isUnreached && member.isolation.IsComplete():
 		unlisted.setProcess(member, processIsolated, member.observed.Status, err)
 	case member.process == processIsolated && !member.isolation.IsComplete():
 		unlisted.setProcess(member, processSilent, member.observed.Status, err)
@@ -180,8 +186,14 @@
 	case isAlive(err):
 		unlisted.setProcess(member, processAnswers, status, err)
 	case errors.Is(err, monitor.ErrEnded):
+		if member.process != processEnded {
+			member.endedAt = sentAt
+		}
 		unlisted.setProcess(member, processEnded, status, err)
-	case member.process != processIsolated:
+	case member.process == processIsolated:
+	case errors.Is(err, monitor.ErrRefused):
+		unlisted.setProcess(member, processRefused, status, err)
+	default:
 		unlisted.setProcess(member, processSilent, status, err)
 	}
 	return status, err
@@ -210,8 +222,9 @@
 	servers := make([]membership.Server, 0, len(members))
 	for _, member := range members {
 		observed := member.observed
+		hasEnded, endedAt := member.ended()
 		servers = append(servers, membership.Server{
-			Member: member.Member, Unlisted: true, Ended: member.process == processEnded || member.process == processIsolated, Observed: observed.SentAt != 0,
+			Member: member.Member, Unlisted: true, Ended: hasEnded, EndedAt: endedAt, Observed: observed.SentAt != 0,
 			Silent: member.process != processAnswers, Primary: observed.Role == catalog.RolePrimary, Term: observed.Term,
 			Received: observed.Received, ObservedAt: observed.SentAt,
 		})
@@ -219,6 +232,14 @@
 	return servers
 }
 
+// ended reports whether the process counts as ended, and since when. The mutex of unlistedMembers must be held.
+func (member *unlistedMember) ended() (hasEnded bool, at time.Duration) {
+	if member.process == processIsolated {
+		return true, member.isolation.Since()
+	}
+	return member.process == processEnded, member.endedAt
+}
+
 // answering returns those of the members that answer, as of the last time.
 func (unlisted *unlistedMembers) answering(members []*unlistedMember) []membership.Member {
 	unlisted.mutex.Lock()
